--- /dev/null
+++ b/internal/commander/commander.go
@@ -0,0 +1,309 @@
+// Package commander carries out the operators' commands.
+//
+// # Usage
+//
+//	publish := &commander.Publish{File: "prod.json", Log: address, Out: os.Stdout}
+//	err := publish.Run(ctx)
+package commander
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
+	"github.com/lacewingrelay/lacewingrelay/internal/runner"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/follower"
+)
+
+// Sentinel errors; the command line turns them into exit codes.
+var (
+	// ErrRejected marks a change that the configuration did not take.
+	ErrRejected = errors.New("change was rejected")
+	// ErrNotInForce marks a change that some node has not applied in time.
+	ErrNotInForce = errors.New("change is not in force everywhere yet")
+	// ErrInput marks a file that can't be used.
+	ErrInput = errors.New("input can't be used")
+)
+
+const (
+	callTimeout = 5 * time.Second
+	dialTimeout = time.Second
+)
+
+func newLog(address netip.AddrPort) *follower.Client {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	return &follower.Client{Address: address, HTTP: &http.Client{Transport: transport, Timeout: callTimeout}}
+}
+
+// step is one record of the configuration stream with its verdict.
+type step struct {
+	record  configurator.Record
+	verdict configurator.Verdict
+}
+
+// replay folds the configuration stream up to its end. It starts from the
+// newest snapshot when the log has dropped the first records.
+func replay(ctx context.Context, log *follower.Client) (*configurator.State, []step, error) {
+	state := configurator.New()
+	var steps []step
+	for {
+		page, err := log.Read(ctx, runner.ConfigurationStream, state.Next(), 0)
+		if err != nil {
+			return nil, nil, err
+		}
+		if page.Oldest > state.Next() {
+			if state, err = newest(ctx, log); err != nil {
+				return nil, nil, err
+			}
+			if page.Oldest > state.Next() {
+				return nil, nil, errors.New("the newest snapshot is older than the oldest record")
+			}
+			continue
+		}
+		for _, record := range page.Records {
+			var taken step
+			if state, taken, err = fold(state, record); err != nil {
+				return nil, nil, err
+			}
+			steps = append(steps, taken)
+		}
+		if state.Next() >= page.Next {
+			return state, steps, nil
+		}
+	}
+}
+
+func fold(state *configurator.State, record follower.Record) (*configurator.State, step, error) {
+	decoded, err := transcoder.DecodeRecord(record.Data)
+	if err != nil {
+		next, verdict, skipErr := state.Skip(record.Offset, err)
+		return next, step{verdict: verdict}, skipErr
+	}
+	next, verdict, err := state.Apply(record.Offset, decoded)
+	return next, step{record: decoded, verdict: verdict}, err
+}
+
+func newest(ctx context.Context, log *follower.Client) (*configurator.State, error) {
+	end, err := log.Read(ctx, runner.SnapshotStream, 1<<62, 0)
+	if err != nil {
+		return nil, err
+	}
+	if end.Next == 0 {
+		return nil, errors.New("configuration records are gone and there is no snapshot")
+	}
+	page, err := log.Read(ctx, runner.SnapshotStream, end.Next-1, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(page.Records) == 0 {
+		return nil, errors.New("snapshot can't be read")
+	}
+	snapshot, err := transcoder.DecodeSnapshot(page.Records[0].Data)
+	if err != nil {
+		return nil, err
+	}
+	return configurator.Restore(snapshot)
+}
+
+// Publish appends the changes that bring the configuration to a declaration.
+// Its fields are set before Run.
+type Publish struct {
+	File string
+	Log  netip.AddrPort
+	// Base is the offset that the declaration was made from; negative for the
+	// stream's end at the time of publication.
+	Base int64
+	// Prune deletes objects that the declaration lacks.
+	Prune bool
+	// Wait is the longest time to wait until every live node has the change in
+	// force; zero does not wait.
+	Wait time.Duration
+	// Node is the operators' address of a node, for Wait.
+	Node netip.AddrPort
+	Out  io.Writer
+}
+
+// Run publishes. It returns ErrInput, ErrRejected or ErrNotInForce, or the
+// error of the log. An append whose reply is lost is settled by reading.
+func (p *Publish) Run(ctx context.Context) error {
+	data, err := os.ReadFile(p.File)
+	if err != nil {
+		return errors.Mark(err, ErrInput)
+	}
+	declaration, err := transcoder.DecodeDeclaration(data)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, p.File), ErrInput)
+	}
+	return p.Declare(ctx, declaration)
+}
+
+// Declare publishes a declaration.
+func (p *Publish) Declare(ctx context.Context, declaration transcoder.Declaration) error {
+	log := newLog(p.Log)
+	state, _, err := replay(ctx, log)
+	if err != nil {
+		return err
+	}
+	record := configurator.Record{
+		ID:      newID(),
+		Base:    state.Next(),
+		Rules:   configurator.RulesVersion,
+		Changes: state.Diff(declaration.Objects, p.Prune),
+	}
+	if p.Base >= 0 {
+		record.Base = uint64(p.Base)
+	}
+	if len(record.Changes) == 0 {
+		_, err := fmt.Fprintf(p.Out, "nothing to change at offset %d\n", state.Next())
+		return err
+	}
+	for _, change := range record.Changes {
+		fmt.Fprintf(p.Out, "%s %s\n", change.Op, change.Ref)
+	}
+	return p.append(ctx, log, state, record)
+}
+
+func (p *Publish) append(ctx context.Context, log *follower.Client, state *configurator.State, record configurator.Record) error {
+	encoded, err := transcoder.EncodeRecord(record)
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	_, err = log.Append(ctx, runner.ConfigurationStream, [][]byte{encoded})
+	if err != nil && !errors.Is(err, claimer.ErrInDoubt) {
+		return err
+	}
+	verdict, found, readErr := settle(ctx, log, state, record.ID)
+	if readErr != nil {
+		return errors.CombineErrors(readErr, err)
+	}
+	if !found {
+		return errors.Wrapf(err, "record %s is not in the log, its append is in doubt", record.ID)
+	}
+	if !verdict.Accepted() {
+		return errors.Mark(errors.Wrapf(verdict.Reason, "offset %d", verdict.Offset), ErrRejected)
+	}
+	fmt.Fprintf(p.Out, "accepted at offset %d\n", verdict.Offset)
+	if p.Wait == 0 {
+		return nil
+	}
+	return p.await(ctx, verdict.Offset+1, started)
+}
+
+// settle folds the stream on from state until it meets the record.
+func settle(ctx context.Context, log *follower.Client, state *configurator.State, id string) (configurator.Verdict, bool, error) {
+	for {
+		page, err := log.Read(ctx, runner.ConfigurationStream, state.Next(), 0)
+		if err != nil {
+			return configurator.Verdict{}, false, err
+		}
+		for _, record := range page.Records {
+			var taken step
+			if state, taken, err = fold(state, record); err != nil {
+				return configurator.Verdict{}, false, err
+			}
+			if taken.verdict.ID == id {
+				return taken.verdict, true, nil
+			}
+		}
+		if state.Next() >= page.Next {
+			return configurator.Verdict{}, false, nil
+		}
+	}
+}
+
+const awaitInterval = 50 * time.Millisecond
+
+func (p *Publish) await(ctx context.Context, offset uint64, started time.Time) error {
+	deadline := started.Add(p.Wait)
+	for {
+		behind, err := p.behind(ctx, offset)
+		if err == nil && len(behind) == 0 {
+			fmt.Fprintf(p.Out, "in force on all live nodes after %s\n", time.Since(started).Round(time.Millisecond))
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Mark(errors.CombineErrors(errors.Newf("behind: %v", behind), err), ErrNotInForce)
+		}
+		time.Sleep(awaitInterval)
+	}
+}
+
+func (p *Publish) behind(ctx context.Context, offset uint64) ([]string, error) {
+	status, err := fetchStatus(ctx, p.Node)
+	if err != nil {
+		return nil, err
+	}
+	var behind []string
+	if status.Applied < offset {
+		behind = append(behind, status.Node)
+	}
+	for _, peer := range status.Peers {
+		if peer.Applied < offset {
+			behind = append(behind, peer.Name)
+		}
+	}
+	return behind, nil
+}
+
+func newID() string {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+// Show prints the configuration in force as a declaration.
+type Show struct {
+	Log netip.AddrPort
+	Out io.Writer
+}
+
+// Run prints.
+func (s *Show) Run(ctx context.Context) error {
+	state, _, err := replay(ctx, newLog(s.Log))
+	if err != nil {
+		return err
+	}
+	declaration := transcoder.Declaration{Rules: configurator.RulesVersion, Objects: state.Objects()}
+	encoded, err := transcoder.EncodeDeclaration(declaration)
+	if err != nil {
+		return err
+	}
+	if _, err := s.Out.Write(encoded); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(os.Stderr, "offset %d\n", state.Next())
+	return err
+}
+
+// History prints the records of the configuration stream with their verdicts.
+type History struct {
+	Log netip.AddrPort
+	Out io.Writer
+}
+
+// Run prints.
+func (h *History) Run(ctx context.Context) error {
+	_, steps, err := replay(ctx, newLog(h.Log))
+	for _, taken := range steps {
+		verdict := "accepted"
+		if !taken.verdict.Accepted() {
+			verdict = "rejected: " + taken.verdict.Reason.Error()
+		}
+		fmt.Fprintf(h.Out, "%d %s base %d, %d changes, %s\n",
+			taken.verdict.Offset, taken.record.ID, taken.record.Base, len(taken.record.Changes), verdict)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/commander/node.go
@@ -0,0 +1,136 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/renderer"
+	"github.com/lacewingrelay/lacewingrelay/internal/runner"
+)
+
+// ErrNode marks a node that did not answer as expected.
+var ErrNode = errors.New("node did not answer")
+
+func call(ctx context.Context, method, target, key string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, target, nil)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNode)
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNode)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNode)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return nil, errors.Wrapf(ErrNode, "%s: %s", response.Status, body)
+	}
+	return body, nil
+}
+
+func fetchStatus(ctx context.Context, node netip.AddrPort) (runner.Status, error) {
+	body, err := call(ctx, http.MethodGet, "http://"+node.String()+"/v1/status", "")
+	if err != nil {
+		return runner.Status{}, err
+	}
+	var status runner.Status
+	if err := json.Unmarshal(body, &status); err != nil {
+		return runner.Status{}, errors.Mark(err, ErrNode)
+	}
+	return status, nil
+}
+
+// ShowStatus prints a node's account of itself, its peers and the endpoints.
+type ShowStatus struct {
+	Node netip.AddrPort
+	JSON bool
+	Out  io.Writer
+}
+
+// Run prints.
+func (s *ShowStatus) Run(ctx context.Context) error {
+	status, err := fetchStatus(ctx, s.Node)
+	if err != nil {
+		return err
+	}
+	if s.JSON {
+		return json.NewEncoder(s.Out).Encode(status)
+	}
+	fmt.Fprintf(s.Out, "%s in %s: ready %t, leaving %t, configuration %d, queued %d, watts %g (peak %g)\n",
+		status.Node, status.Domain, status.Ready, status.Leaving, status.Applied, status.Queued, status.Watts, status.PeakWatts)
+	if status.Alarm != "" {
+		fmt.Fprintf(s.Out, "ALARM: %s\n", status.Alarm)
+	}
+	table := tabwriter.NewWriter(s.Out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "NODE\tDOMAIN\tCONFIGURATION\tLEAVING\tSILENT")
+	for _, peer := range status.Peers {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%t\t%.1fs\n", peer.Name, peer.Domain, peer.Applied, peer.Leaving, peer.Silent)
+	}
+	fmt.Fprintln(table, "ENDPOINT\tSERVICE\tDOMAIN\tWEIGHTS\tRUNNING\tLEAVING\tFAILURES")
+	for _, endpoint := range status.Endpoints {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%t\t%d\n",
+			endpoint.Name, endpoint.Service, endpoint.Domain, endpoint.Weights, endpoint.Running, endpoint.Leaving, endpoint.Failures)
+	}
+	return table.Flush()
+}
+
+// Timeline prints the events of all nodes in one order.
+type Timeline struct {
+	Node netip.AddrPort
+	// Request and Kind select events; empty for all.
+	Request string
+	Kind    string
+	// Format is text, json or html.
+	Format string
+	Out    io.Writer
+}
+
+// Run prints.
+func (t *Timeline) Run(ctx context.Context) error {
+	render, err := renderer.Get(t.Format)
+	if err != nil {
+		return errors.Mark(err, ErrInput)
+	}
+	query := url.Values{"request": {t.Request}, "kind": {t.Kind}}
+	body, err := call(ctx, http.MethodGet, "http://"+t.Node.String()+"/v1/events?"+query.Encode(), "")
+	if err != nil {
+		return err
+	}
+	events, err := renderer.DecodeJSON(body)
+	if err != nil {
+		return err
+	}
+	return render(t.Out, events)
+}
+
+// Drain begins a node's planned stop.
+type Drain struct {
+	Node netip.AddrPort
+	Key  string
+	Out  io.Writer
+}
+
+// Run asks the node.
+func (d *Drain) Run(ctx context.Context) error {
+	if _, err := call(ctx, http.MethodPost, "http://"+d.Node.String()+"/v1/drain", d.Key); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(d.Out, "planned stop has begun; the node ends once its requests have their answers")
+	return err
+}
--- /dev/null
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -0,0 +1,148 @@
+// Package dispatcher carries admitted requests to endpoints: prompts with
+// retries and resumed streams, calls to plain services, and requests that run
+// at most once.
+//
+// It reaches endpoints through the small interfaces below and never opens a
+// connection itself.
+//
+// # Usage
+//
+//	prompts := &dispatcher.Prompts{Engine: engine, Flight: flight, Policy: policy, …}
+//	usage, err := prompts.Run(ctx, prompt, sink)
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+)
+
+// Sentinel errors. Adapters mark their errors with the first four.
+var (
+	// ErrNotSent marks a request of which no byte can have left.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrRefused marks a request that the endpoint refused without running it.
+	ErrRefused = errors.New("endpoint refused the request")
+	// ErrBroken marks an answer that broke off.
+	ErrBroken = errors.New("endpoint broke off")
+	// ErrStalled marks an endpoint that stopped making progress.
+	ErrStalled = errors.New("endpoint stalled")
+
+	// ErrNoEndpoint is returned when no endpoint can take the request.
+	ErrNoEndpoint = errors.New("no endpoint is available")
+	// ErrPoison is returned for a request that has crashed endpoints.
+	ErrPoison = errors.New("request has crashed endpoints")
+	// ErrBudget is returned when the retry budget is used up.
+	ErrBudget = errors.New("retry budget is used up")
+	// ErrVersionGone is returned for a started answer whose weights no endpoint
+	// has any more.
+	ErrVersionGone = errors.New("weights of the started answer are gone")
+	// ErrCaller marks an answer that could not be delivered to the caller.
+	ErrCaller = errors.New("caller is gone")
+)
+
+// Completion is one attempt at a prompt as an endpoint gets it.
+type Completion struct {
+	Request string
+	Model   string
+	// Options is the caller's own JSON object, for members such as temperature.
+	Options   []byte
+	Messages  [][]byte
+	MaxTokens int
+	// Priority is the rank of the request's class.
+	Priority int
+	Weights  string
+	Blocks   []fingerprinter.Block
+	// Delivered holds the tokens that the caller has already.
+	Delivered []string
+	// Stall is the longest time without progress.
+	Stall time.Duration
+}
+
+// Token is one generated token.
+type Token struct {
+	Index   int
+	Text    string
+	Weights string
+}
+
+// Usage is an engine's account of a finished prompt, in tokens.
+type Usage struct {
+	Prompt     int
+	Completion int
+	Cached     int
+	Reason     string
+}
+
+// TokenStream is a running completion.
+type TokenStream interface {
+	// Next returns the next token. It returns io.EOF after a whole answer, and
+	// an error marked ErrBroken or ErrStalled otherwise.
+	Next() (Token, error)
+	// Usage is valid once Next has returned io.EOF.
+	Usage() Usage
+	Close()
+}
+
+// Engine starts completions.
+type Engine interface {
+	Complete(ctx context.Context, endpoint registrar.Endpoint, completion Completion) (TokenStream, error)
+}
+
+// Call is a request to a plain service.
+type Call struct {
+	Request string
+	Service configurator.Service
+	Method  string
+	// Target is the path and query below the service's root.
+	Target string
+	Header http.Header
+	Body   []byte
+	// Repeatable lets the call run more than once.
+	Repeatable bool
+}
+
+// Response is a plain service's whole answer.
+type Response struct {
+	Status   int
+	Header   http.Header
+	Body     []byte
+	Endpoint string
+}
+
+// Caller sends calls to plain services. A call that is not repeatable goes out
+// on a new connection, once.
+type Caller interface {
+	Do(ctx context.Context, endpoint registrar.Endpoint, call Call) (Response, error)
+}
+
+// Sink takes an answer to the caller.
+type Sink interface {
+	Token(token Token) error
+}
+
+// Prompt is an admitted prompt.
+type Prompt struct {
+	Request   string
+	Team      string
+	Model     configurator.Model
+	Service   configurator.Service
+	Priority  configurator.Priority
+	Options   []byte
+	Messages  [][]byte
+	MaxTokens int
+	// Text is what fingerprints and token counts are taken of.
+	Text []byte
+}
+
+// Journal records events.
+type Journal interface {
+	Record(now time.Time, event recorder.Event) recorder.Stamp
+}
--- /dev/null
+++ b/internal/coordination/dispatcher/flight.go
@@ -0,0 +1,84 @@
+package dispatcher
+
+import (
+	"sync"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+)
+
+// Flight counts this node's running requests per endpoint. It is safe for
+// concurrent use.
+type Flight struct {
+	mu sync.Mutex
+	// running counts requests per endpoint.
+	running map[string]int
+	// reserved marks endpoints that run a suspect request alone.
+	reserved map[string]bool
+	turn     uint64
+}
+
+// Running returns the number of this node's requests on an endpoint.
+func (f *Flight) Running(endpoint string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running[endpoint]
+}
+
+// Loads returns the counts of all endpoints with running requests.
+func (f *Flight) Loads() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	loads := make(map[string]int, len(f.running))
+	for endpoint, n := range f.running {
+		if n > 0 {
+			loads[endpoint] = n
+		}
+	}
+	return loads
+}
+
+// Slots returns the number of this node's requests that a service has room for.
+func (f *Flight) Slots(service configurator.Service, rows []registrar.Row) int {
+	slots := 0
+	for _, row := range rows {
+		if !row.Left() {
+			slots += max(service.Concurrency-row.Others(), 0)
+		}
+	}
+	return slots
+}
+
+// take runs pick under the lock, so that concurrent requests see each other,
+// and counts the endpoint that it returns.
+func (f *Flight) take(alone bool, pick func(turn uint64) (string, bool)) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.turn++
+	endpoint, ok := pick(f.turn)
+	if !ok {
+		return "", false
+	}
+	if f.running == nil {
+		f.running = map[string]int{}
+		f.reserved = map[string]bool{}
+	}
+	f.running[endpoint]++
+	if alone {
+		f.reserved[endpoint] = true
+	}
+	return endpoint, true
+}
+
+// leave ends a request on an endpoint.
+func (f *Flight) leave(endpoint string, alone bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[endpoint]--
+	if f.running[endpoint] == 0 {
+		delete(f.running, endpoint)
+	}
+	if alone {
+		delete(f.reserved, endpoint)
+	}
+}
--- /dev/null
+++ b/internal/coordination/dispatcher/orders.go
@@ -0,0 +1,143 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/indexer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+)
+
+// Sentinel errors of requests with an idempotency key.
+var (
+	// ErrKeyReused is returned when the key was used for another request.
+	ErrKeyReused = errors.New("idempotency key was used for another request")
+	// ErrOutcomeUnknown is returned when an earlier request holds the key and
+	// has no recorded answer.
+	ErrOutcomeUnknown = errors.New("an earlier request with this key may have run")
+)
+
+// keptAnswerBytes is the largest answer that is kept for repeats.
+const keptAnswerBytes = 16 << 10
+
+// Claims is the part of the claimer that orders need.
+type Claims interface {
+	Claim(ctx context.Context, key indexer.Key, digest indexer.Digest) (claimer.Decision, error)
+	Check(decision claimer.Decision) error
+	Finish(ctx context.Context, decision claimer.Decision, answer indexer.Answer) error
+	Release(ctx context.Context, decision claimer.Decision) error
+}
+
+// Orders runs calls at most once per idempotency key. Its fields are set
+// before use.
+type Orders struct {
+	Calls  *Calls
+	Claims Claims
+}
+
+// OrderResult is the answer to a call with an idempotency key.
+type OrderResult struct {
+	Response Response
+	// Repeated is set when the answer is that of an earlier request.
+	Repeated bool
+	// Omitted is set when the earlier answer was too large to keep.
+	Omitted bool
+
+	decision claimer.Decision
+	won      bool
+}
+
+// Run claims the key and sends the call once when the claim is won. After an
+// error marked ErrNotSent the call has not run and its key is free again; after
+// any other error of a won claim the key stays held.
+func (o *Orders) Run(ctx context.Context, team, idempotencyKey string, call Call) (OrderResult, error) {
+	key := indexer.NewKey(team, idempotencyKey)
+	digest := indexer.NewDigest(call.Method, call.Service.Name+call.Target, call.Body)
+	decision, err := o.Claims.Claim(ctx, key, digest)
+	if err != nil {
+		return OrderResult{}, err
+	}
+	o.event(call, team, recorder.KindClaim, decision)
+	switch decision.State {
+	case claimer.StateWon:
+		return o.dispatch(ctx, team, call, decision)
+	case claimer.StateDone:
+		return repeated(decision.Answer), nil
+	case claimer.StateMismatch:
+		return OrderResult{}, ErrKeyReused
+	default:
+		return OrderResult{}, ErrOutcomeUnknown
+	}
+}
+
+func repeated(answer *indexer.Answer) OrderResult {
+	return OrderResult{
+		Response: Response{Status: answer.Status, Header: answer.Header, Body: answer.Body},
+		Repeated: true,
+		Omitted:  answer.Omitted,
+	}
+}
+
+func (o *Orders) dispatch(ctx context.Context, team string, call Call, decision claimer.Decision) (OrderResult, error) {
+	if err := o.Claims.Check(decision); err != nil {
+		return OrderResult{}, o.release(ctx, team, call, decision, err)
+	}
+	call.Repeatable = false
+	response, err := o.Calls.Run(ctx, team, call)
+	if errors.Is(err, ErrNotSent) {
+		return OrderResult{}, o.release(ctx, team, call, decision, err)
+	}
+	if err != nil {
+		return OrderResult{}, err
+	}
+	return OrderResult{Response: response, decision: decision, won: true}, nil
+}
+
+// release frees the key of a call that was not sent. When the release itself
+// fails the call has still not run, and the claimer repeats the release later.
+func (o *Orders) release(ctx context.Context, team string, call Call, decision claimer.Decision, cause error) error {
+	o.event(call, team, recorder.KindRelease, decision)
+	err := o.Claims.Release(context.WithoutCancel(ctx), decision)
+	return errors.Mark(errors.CombineErrors(cause, err), ErrNotSent)
+}
+
+// Finish keeps the answer of a won claim for repeats. It is called once the
+// caller has its answer, and tries until the log takes it or ctx ends.
+func (o *Orders) Finish(ctx context.Context, result OrderResult) error {
+	if !result.won {
+		return nil
+	}
+	answer := indexer.Answer{Status: result.Response.Status, Header: keptHeader(result.Response.Header), Body: result.Response.Body}
+	if len(answer.Body) > keptAnswerBytes {
+		answer.Body = nil
+		answer.Omitted = true
+	}
+	return o.Claims.Finish(ctx, result.decision, answer)
+}
+
+// keptHeader returns the part of a response header that repeats carry.
+func keptHeader(header http.Header) http.Header {
+	kept := http.Header{}
+	for _, name := range []string{"Content-Type", "Location"} {
+		if values := header.Values(name); len(values) > 0 {
+			kept[name] = values
+		}
+	}
+	return kept
+}
+
+func (o *Orders) event(call Call, team string, kind recorder.Kind, decision claimer.Decision) {
+	o.Calls.Journal.Record(o.now(), recorder.Event{
+		Kind:    kind,
+		Request: call.Request,
+		Team:    team,
+		Offset:  decision.Offset,
+		Detail:  decision.State.String(),
+	})
+}
+
+func (o *Orders) now() time.Time { return o.Calls.Now() }
--- /dev/null
+++ b/internal/coordination/dispatcher/prompts.go
@@ -0,0 +1,353 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/hinter"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/router"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/publisher"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+)
+
+const (
+	// maxAttempts bounds the attempts at one prompt.
+	maxAttempts = 6
+	// aloneWait is the longest time that a suspect request waits for an
+	// endpoint on which nothing runs.
+	aloneWait = 2 * time.Second
+	// alonePoll is the time between looks for such an endpoint.
+	alonePoll = 50 * time.Millisecond
+
+	backoffBase  = 20 * time.Millisecond
+	backoffLimit = 500 * time.Millisecond
+)
+
+// Prompts runs prompts on model engines. Its fields are set before use.
+type Prompts struct {
+	Cell     *publisher.Cell
+	Engine   Engine
+	Flight   *Flight
+	Policy   router.Policy
+	Hints    *hinter.Table
+	Budget   *retrier.Budget
+	Suspects *retrier.Suspects
+	// Spread tells the peers about a new suspect at once.
+	Spread  func()
+	Journal Journal
+	// Domain is the node's own failure domain.
+	Domain string
+	Now    func() time.Time
+}
+
+// promptRun is one prompt on its way through its attempts.
+type promptRun struct {
+	*Prompts
+	prompt      Prompt
+	sink        Sink
+	fingerprint uint64
+	tried       map[string]bool
+	alone       bool
+	// delivered holds the tokens that the caller has.
+	delivered []string
+	// weights is set by the first delivered token; later attempts must match.
+	weights string
+	usage   Usage
+}
+
+// Run runs a prompt to its end and returns the usage of the last attempt. On
+// error the caller has got a prefix of the answer at most, without end mark.
+func (p *Prompts) Run(ctx context.Context, prompt Prompt, sink Sink) (Usage, error) {
+	run := &promptRun{
+		Prompts:     p,
+		prompt:      prompt,
+		sink:        sink,
+		fingerprint: fingerprinter.Request(prompt.Team, prompt.Text),
+		tried:       map[string]bool{},
+	}
+	p.Budget.Request()
+	if err := run.judge(); err != nil {
+		return Usage{}, err
+	}
+	for attempt := 0; ; attempt++ {
+		err := run.attempt(ctx)
+		if err == nil {
+			p.Suspects.Clear(run.fingerprint)
+			return run.usage, nil
+		}
+		if err := run.again(ctx, attempt, err); err != nil {
+			return run.usage, err
+		}
+	}
+}
+
+// judge applies what is known of the request's crashes.
+func (r *promptRun) judge() error {
+	switch r.Suspects.Judge(r.Now(), r.fingerprint) {
+	case retrier.VerdictRefuse:
+		return ErrPoison
+	case retrier.VerdictAlone:
+		r.alone = true
+	}
+	return nil
+}
+
+// again returns nil when the failed attempt may be followed by another.
+func (r *promptRun) again(ctx context.Context, attempt int, cause error) error {
+	if ctx.Err() != nil || errors.Is(cause, ErrCaller) || attempt+1 >= maxAttempts {
+		return cause
+	}
+	switch {
+	case errors.Is(cause, ErrNotSent), errors.Is(cause, ErrRefused):
+		// Nothing ran, so the attempt costs no budget.
+	case errors.Is(cause, ErrBroken), errors.Is(cause, ErrStalled):
+		if err := r.afterFailure(cause); err != nil {
+			return err
+		}
+	default:
+		return cause
+	}
+	r.event(recorder.KindRetry, "", cause.Error())
+	return retrier.Sleep(ctx, retrier.Backoff(attempt, backoffBase, backoffLimit))
+}
+
+func (r *promptRun) afterFailure(cause error) error {
+	if errors.Is(cause, ErrBroken) {
+		r.Suspects.Crash(r.Now(), r.fingerprint)
+		r.Spread()
+		r.event(recorder.KindSuspect, "", cause.Error())
+	}
+	if err := r.judge(); err != nil {
+		return errors.CombineErrors(err, cause)
+	}
+	if !r.Budget.Spend() {
+		return errors.CombineErrors(ErrBudget, cause)
+	}
+	return nil
+}
+
+func (r *promptRun) attempt(ctx context.Context) error {
+	row, blocks, err := r.choose(ctx)
+	if err != nil {
+		return err
+	}
+	defer r.Flight.leave(row.Name, r.alone)
+	r.tried[row.Name] = true
+	kind := recorder.KindDispatch
+	if len(r.delivered) > 0 {
+		kind = recorder.KindResume
+	}
+	r.event(kind, row.Name, fmt.Sprintf("weights %s, %d tokens delivered", row.Report.Version, len(r.delivered)))
+	stream, err := r.Engine.Complete(ctx, row.Endpoint, r.completion(row, blocks))
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	if err := r.relay(stream, row); err != nil {
+		if errors.Is(err, ErrBroken) {
+			r.Hints.Forget(row.Name)
+		}
+		return err
+	}
+	r.Hints.Stored(row.Name, blocks)
+	return nil
+}
+
+func (r *promptRun) completion(row registrar.Row, blocks []fingerprinter.Block) Completion {
+	return Completion{
+		Request:   r.prompt.Request,
+		Model:     r.prompt.Model.Name,
+		Options:   r.prompt.Options,
+		Messages:  r.prompt.Messages,
+		MaxTokens: r.prompt.MaxTokens,
+		Priority:  r.prompt.Priority.Rank,
+		Weights:   row.Report.Version,
+		Blocks:    blocks,
+		Delivered: r.delivered,
+		Stall:     r.prompt.Service.Timeout,
+	}
+}
+
+// relay passes tokens on until the answer is whole.
+func (r *promptRun) relay(stream TokenStream, row registrar.Row) error {
+	for {
+		token, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			r.usage = stream.Usage()
+			return r.checkLength()
+		}
+		if err != nil {
+			return err
+		}
+		if err := r.deliver(token, row); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *promptRun) checkLength() error {
+	if r.usage.Completion != len(r.delivered) {
+		return errors.Wrapf(ErrBroken, "answer has %d tokens, %d were delivered", r.usage.Completion, len(r.delivered))
+	}
+	return nil
+}
+
+func (r *promptRun) deliver(token Token, row registrar.Row) error {
+	if token.Index != len(r.delivered) {
+		return errors.Wrapf(ErrBroken, "token %d came in place of token %d", token.Index, len(r.delivered))
+	}
+	if r.weights == "" {
+		r.weights = token.Weights
+		r.event(recorder.KindFirstToken, row.Name, "")
+	}
+	if token.Weights != r.weights {
+		return errors.Wrapf(ErrVersionGone, "answer began with %s, %s has %s", r.weights, row.Name, token.Weights)
+	}
+	if err := r.sink.Token(token); err != nil {
+		return errors.Mark(err, ErrCaller)
+	}
+	r.delivered = append(r.delivered, token.Text)
+	return nil
+}
+
+// choose picks an endpoint and counts the request there.
+func (r *promptRun) choose(ctx context.Context) (registrar.Row, []fingerprinter.Block, error) {
+	deadline := r.Now().Add(aloneWait)
+	for {
+		row, blocks, err := r.pick()
+		if err == nil || !r.alone || r.Now().After(deadline) {
+			return row, blocks, err
+		}
+		if err := retrier.Sleep(ctx, alonePoll); err != nil {
+			return row, nil, err
+		}
+	}
+}
+
+func (r *promptRun) pick() (registrar.Row, []fingerprinter.Block, error) {
+	snapshot := r.Cell.Load()
+	rows, err := r.rows(snapshot)
+	if err != nil {
+		return registrar.Row{}, nil, err
+	}
+	chains := r.chains(rows)
+	var chosen registrar.Row
+	_, ok := r.Flight.take(r.alone, func(turn uint64) (string, bool) {
+		candidates := r.candidates(rows, chains)
+		request := router.Request{
+			Tokens:    fingerprinter.Tokens(r.prompt.Text),
+			Root:      fingerprinter.Root(r.seed(""), r.prompt.Text),
+			Objective: r.prompt.Service.Objective,
+			Turn:      turn,
+			Alone:     r.alone,
+		}
+		choice, picked := r.Policy.Pick(request, candidates)
+		if !picked && !r.alone {
+			choice, picked = leastLoaded(candidates)
+		}
+		if !picked {
+			return "", false
+		}
+		chosen = rows[choice.Index]
+		return chosen.Name, true
+	})
+	if !ok {
+		return registrar.Row{}, nil, ErrNoEndpoint
+	}
+	return chosen, chains[chosen.Report.Version], nil
+}
+
+// leastLoaded serves a request that was admitted on counts that have since
+// proved old: engines batch, so one more request is taken.
+func leastLoaded(candidates []router.Candidate) (router.Choice, bool) {
+	best := -1
+	for i, candidate := range candidates {
+		if best < 0 || candidate.Running < candidates[best].Running {
+			best = i
+		}
+	}
+	return router.Choice{Index: best}, best >= 0
+}
+
+// rows returns the endpoints that may take the next attempt: those with the
+// weights in force, or while these are still being loaded, all others.
+func (r *promptRun) rows(snapshot *publisher.Snapshot) ([]registrar.Row, error) {
+	wanted := snapshot.Weights(r.prompt.Model)
+	if r.weights != "" {
+		wanted = r.weights
+	}
+	var matching, others []registrar.Row
+	for _, row := range snapshot.Services[r.prompt.Service.Name] {
+		if row.Left() || r.tried[row.Name] || row.Failures > 0 || row.Report.Loading {
+			continue
+		}
+		if row.Report.Version == wanted {
+			matching = append(matching, row)
+		} else if row.Report.Version != "" {
+			others = append(others, row)
+		}
+	}
+	if len(matching) > 0 {
+		return matching, nil
+	}
+	if r.weights != "" {
+		return nil, ErrVersionGone
+	}
+	if len(others) > 0 {
+		return others, nil
+	}
+	return nil, ErrNoEndpoint
+}
+
+func (r *promptRun) seed(weights string) fingerprinter.Seed {
+	return fingerprinter.Seed{Team: r.prompt.Team, Model: r.prompt.Model.Name, Weights: weights}
+}
+
+// chains returns the prompt's blocks for each version among rows.
+func (r *promptRun) chains(rows []registrar.Row) map[string][]fingerprinter.Block {
+	chains := map[string][]fingerprinter.Block{}
+	for _, row := range rows {
+		version := row.Report.Version
+		if _, ok := chains[version]; !ok {
+			chains[version] = fingerprinter.Chain(r.seed(version), r.prompt.Text)
+		}
+	}
+	return chains
+}
+
+func (r *promptRun) candidates(rows []registrar.Row, chains map[string][]fingerprinter.Block) []router.Candidate {
+	candidates := make([]router.Candidate, 0, len(rows))
+	for _, row := range rows {
+		candidate := router.Candidate{
+			Name:         row.Name,
+			Near:         row.Domain == r.Domain,
+			Running:      row.Others() + r.Flight.running[row.Name],
+			Slots:        r.prompt.Service.Concurrency,
+			QueuedTokens: row.Report.QueuedTokens,
+			CachedTokens: r.Hints.Prefix(row.Name, chains[row.Report.Version]) * fingerprinter.BlockTokens,
+			PrefillRate:  row.Report.PrefillRate,
+		}
+		if r.Flight.reserved[row.Name] {
+			candidate.Slots = 0
+		}
+		candidates = append(candidates, candidate)
+	}
+	return candidates
+}
+
+func (r *promptRun) event(kind recorder.Kind, endpoint, detail string) {
+	r.Journal.Record(r.Now(), recorder.Event{
+		Kind:     kind,
+		Request:  r.prompt.Request,
+		Team:     r.prompt.Team,
+		Endpoint: endpoint,
+		Detail:   detail,
+	})
+}
--- /dev/null
+++ b/internal/demonstrator/demonstrator.go
@@ -0,0 +1,286 @@
+// Package demonstrator runs the system's main job on embedded stand-ins: it
+// publishes a configuration, sends prompts that return after their cache blocks
+// have been evicted, sends an order and its repeat, and prints what happened.
+//
+// # Usage
+//
+//	demo := &demonstrator.Demo{Out: os.Stdout}
+//	err := demo.Run(ctx)
+package demonstrator
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/renderer"
+	"github.com/lacewingrelay/lacewingrelay/internal/standin/assembler"
+	"github.com/lacewingrelay/lacewingrelay/internal/standin/generator"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+)
+
+const (
+	conversations = 6
+	rounds        = 3
+	// documentBlocks is the length of each conversation's document, in cache
+	// blocks.
+	documentBlocks = 6
+	readyTimeout   = 15 * time.Second
+	timelineEvents = 24
+)
+
+// Demo is the demonstration. Its fields are set before Run.
+type Demo struct {
+	Out io.Writer
+	// HTML is the file that the time line is written to; empty for none.
+	HTML io.Writer
+	// Hold keeps the site running after the demonstration until ctx ends.
+	Hold bool
+
+	site *assembler.Site
+	node *assembler.NodeAt
+	base string
+}
+
+// Run runs the demonstration. It returns an error when an answer is wrong.
+func (d *Demo) Run(ctx context.Context) error {
+	if err := d.start(ctx); err != nil {
+		return err
+	}
+	defer d.site.Close()
+	if err := d.prompts(ctx); err != nil {
+		return err
+	}
+	if err := d.order(ctx); err != nil {
+		return err
+	}
+	if err := d.timeline(ctx); err != nil {
+		return err
+	}
+	if d.Hold {
+		fmt.Fprintf(d.Out, "\nThe site is running; callers at %s with the key %q. Stop it with Ctrl-C.\n", d.base, assembler.TeamKey)
+		<-ctx.Done()
+	}
+	return nil
+}
+
+func (d *Demo) start(ctx context.Context) error {
+	site, err := assembler.Start(assembler.Plan{
+		Domains:    []string{"kadikoy"},
+		Engines:    3,
+		Workers:    2,
+		Stores:     2,
+		StoreBytes: 64 << 20,
+		StoreLink:  64 << 20,
+		Ceiling:    1000,
+		Engine:     assembler.EnginePlan{CacheBlocks: 8, PrefillRate: 20000, TokenInterval: 5 * time.Millisecond},
+	})
+	if err != nil {
+		return err
+	}
+	d.site = site
+	if err := site.Publish(ctx, "w1"); err != nil {
+		return err
+	}
+	fmt.Fprintln(d.Out, "Configuration published to the log; starting a node before 3 engines, 2 order workers and 2 store hosts.")
+	settings := site.Settings("kadikoy-1", "kadikoy")
+	d.base = "http://" + settings.Callers.String()
+	d.node = site.StartNode(settings)
+	return d.awaitReady(ctx)
+}
+
+func (d *Demo) awaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		if d.node.Ready(3) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return errors.New("node did not become ready")
+}
+
+// result is one prompt's figures.
+type result struct {
+	firstToken time.Duration
+	prompt     int
+	cached     int
+}
+
+func (d *Demo) prompts(ctx context.Context) error {
+	fmt.Fprintf(d.Out, "\n%d conversations of %d blocks each take turns; an engine's memory holds 8 blocks, so each has been evicted when it returns.\n", conversations, documentBlocks)
+	fmt.Fprintln(d.Out, "round  first token (mean)  prompt tokens  recomputed")
+	for round := range rounds {
+		var first time.Duration
+		prompt, cached := 0, 0
+		for conversation := range conversations {
+			got, err := d.prompt(ctx, conversation, round)
+			if err != nil {
+				return err
+			}
+			first += got.firstToken
+			prompt += got.prompt
+			cached += got.cached
+		}
+		fmt.Fprintf(d.Out, "%5d  %18s  %13d  %9.0f%%\n", round+1,
+			(first / conversations).Round(100*time.Microsecond), prompt, 100*float64(prompt-cached)/float64(prompt))
+	}
+	return nil
+}
+
+// document returns the text that opens a conversation.
+func document(conversation int) string {
+	line := fmt.Sprintf("Condition of enamel sign %d: chipped rim, rust at the lower hole. ", conversation)
+	size := documentBlocks * generator.BlockTokens * generator.TokenBytes
+	return strings.Repeat(line, size/len(line)+1)
+}
+
+func (d *Demo) prompt(ctx context.Context, conversation, round int) (result, error) {
+	messages := []json.RawMessage{message("system", document(conversation))}
+	for turn := range round + 1 {
+		messages = append(messages, message("user", fmt.Sprintf("Question %d: is the enamel original?", turn)))
+	}
+	const tokens = 8
+	body, err := json.Marshal(map[string]any{"model": "usta", "messages": messages, "max_tokens": tokens, "stream": true})
+	if err != nil {
+		return result{}, err
+	}
+	started := time.Now()
+	response, err := d.send(ctx, http.MethodPost, "/v1/chat/completions", body, "")
+	if err != nil {
+		return result{}, err
+	}
+	defer response.Body.Close()
+	text, got, err := readStream(response.Body, started)
+	if err != nil {
+		return result{}, err
+	}
+	if text != generator.Answer(generator.Prompt(messages), tokens) {
+		return result{}, errors.Newf("conversation %d got a wrong answer", conversation)
+	}
+	return got, nil
+}
+
+func message(role, content string) json.RawMessage {
+	encoded, _ := json.Marshal(map[string]string{"role": role, "content": content})
+	return encoded
+}
+
+// readStream reads a streamed answer to its end mark.
+func readStream(body io.Reader, started time.Time) (string, result, error) {
+	var text strings.Builder
+	var got result
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text.String(), got, nil
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+			Usage *struct {
+				PromptTokens int `json:"prompt_tokens"`
+				Details      struct {
+					CachedTokens int `json:"cached_tokens"`
+				} `json:"prompt_tokens_details"`
+			} `json:"usage"`
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return "", got, err
+		}
+		if len(chunk.Choices) > 0 && chunk.Choices[0].Delta.Content != "" {
+			if got.firstToken == 0 {
+				got.firstToken = time.Since(started)
+			}
+			text.WriteString(chunk.Choices[0].Delta.Content)
+		}
+		if chunk.Usage != nil {
+			got.prompt = chunk.Usage.PromptTokens
+			got.cached = chunk.Usage.Details.CachedTokens
+		}
+	}
+	return "", got, errors.New("answer has no end mark")
+}
+
+func (d *Demo) send(ctx context.Context, method, path string, body []byte, key string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, d.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+assembler.TeamKey)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	return http.DefaultClient.Do(request)
+}
+
+// order sends an order and its repeat.
+func (d *Demo) order(ctx context.Context) error {
+	fmt.Fprintln(d.Out, "\nAn order and its repeat under the same idempotency key:")
+	var answers []string
+	for range 2 {
+		answer, err := d.sendOrder(ctx)
+		if err != nil {
+			return err
+		}
+		answers = append(answers, answer)
+	}
+	if answers[0] != answers[1] {
+		return errors.New("the repeat got another answer")
+	}
+	executions := 0
+	for _, worker := range d.site.Workers {
+		executions += worker.Executions()["sign-17"]
+	}
+	fmt.Fprintf(d.Out, "the order ran %d time(s)\n", executions)
+	if executions != 1 {
+		return errors.New("the order did not run exactly once")
+	}
+	return nil
+}
+
+func (d *Demo) sendOrder(ctx context.Context) (string, error) {
+	response, err := d.send(ctx, http.MethodPost, "/v1/services/"+assembler.PlainService+"/orders", []byte(`{"order":"sign-17"}`), "order-sign-17")
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", err
+	}
+	// The answer is recorded right after it has been given.
+	d.node.Settle()
+	fmt.Fprintf(d.Out, "  %s  replayed=%q  %s", response.Status, response.Header.Get("Idempotent-Replayed"), body)
+	return string(body), nil
+}
+
+func (d *Demo) timeline(ctx context.Context) error {
+	events := d.node.MergedEvents(ctx, recorder.Filter{})
+	fmt.Fprintf(d.Out, "\nThe last %d of %d events of the time line:\n", min(timelineEvents, len(events)), len(events))
+	if d.HTML != nil {
+		if err := renderer.HTML(d.HTML, events); err != nil {
+			return err
+		}
+	}
+	return renderer.Text(d.Out, events[max(len(events)-timelineEvents, 0):])
+}
--- /dev/null
+++ b/internal/parser/parser.go
@@ -0,0 +1,255 @@
+// Package parser reads a node's settings from TOML.
+//
+// Unknown keys and bad values are refused with file, line and reason, so that a
+// process never starts on settings that it only half understands.
+//
+// # Usage
+//
+//	settings, err := parser.ParseFile("node.toml")
+package parser
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rs/zerolog"
+)
+
+// ErrInvalid marks settings that can't be used.
+var ErrInvalid = errors.New("settings are invalid")
+
+// Settings are a node's settings.
+type Settings struct {
+	Name   string
+	Domain string
+	// Callers, Peers and Operators are the addresses that the node listens on;
+	// Peers is used for TCP and UDP alike.
+	Callers   netip.AddrPort
+	Peers     netip.AddrPort
+	Operators netip.AddrPort
+	// Log and Hosts are the addresses of the platform's services.
+	Log   netip.AddrPort
+	Hosts netip.AddrPort
+	// PeerKey is shared by all nodes.
+	PeerKey []byte
+	// OperatorKey is the bearer key for calls that change a node.
+	OperatorKey string
+	// Seeds are peers to try before the host list names any.
+	Seeds []netip.AddrPort
+	// Policy is the name of the routing policy.
+	Policy string
+	// Grace is the time between a planned stop's first word and the end of
+	// new connections.
+	Grace time.Duration
+	// DrainLimit bounds the whole of a planned stop.
+	DrainLimit time.Duration
+	LogFormat  string
+	LogLevel   zerolog.Level
+}
+
+const (
+	defaultPolicy     = "cost"
+	defaultGrace      = 3 * time.Second
+	defaultDrainLimit = 30 * time.Minute
+	minKeyBytes       = 16
+
+	// FormatJSON and FormatConsole are the log formats.
+	FormatJSON    = "json"
+	FormatConsole = "console"
+)
+
+type wireSettings struct {
+	Name   string `toml:"name"`
+	Domain string `toml:"domain"`
+	Listen struct {
+		Callers   address `toml:"callers"`
+		Peers     address `toml:"peers"`
+		Operators address `toml:"operators"`
+	} `toml:"listen"`
+	Platform struct {
+		Log   address `toml:"log"`
+		Hosts address `toml:"hosts"`
+	} `toml:"platform"`
+	Peers struct {
+		Key   string    `toml:"key"`
+		Seeds []address `toml:"seeds"`
+	} `toml:"peers"`
+	Operators struct {
+		Key string `toml:"key"`
+	} `toml:"operators"`
+	Routing struct {
+		Policy string `toml:"policy"`
+	} `toml:"routing"`
+	Drain struct {
+		Grace duration `toml:"grace"`
+		Limit duration `toml:"limit"`
+	} `toml:"drain"`
+	Logging struct {
+		Format string `toml:"format"`
+		Level  level  `toml:"level"`
+	} `toml:"logging"`
+}
+
+type address struct{ netip.AddrPort }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (a *address) UnmarshalText(text []byte) error {
+	parsed, err := netip.ParseAddrPort(string(text))
+	a.AddrPort = parsed
+	return err
+}
+
+type duration struct{ time.Duration }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err == nil && parsed < 0 {
+		err = errors.New("duration is negative")
+	}
+	d.Duration = parsed
+	return err
+}
+
+type level struct{ zerolog.Level }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (l *level) UnmarshalText(text []byte) error {
+	parsed, err := zerolog.ParseLevel(string(text))
+	l.Level = parsed
+	return err
+}
+
+// ParseFile reads settings from a file.
+func ParseFile(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Mark(err, ErrInvalid)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads settings; name is what errors call the input.
+func Parse(name string, data []byte) (Settings, error) {
+	var wire wireSettings
+	wire.Routing.Policy = defaultPolicy
+	wire.Drain.Grace.Duration = defaultGrace
+	wire.Drain.Limit.Duration = defaultDrainLimit
+	wire.Logging.Format = FormatJSON
+	wire.Logging.Level.Level = zerolog.InfoLevel
+	decoder := toml.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&wire); err != nil {
+		return Settings{}, decodeError(name, err)
+	}
+	for _, rule := range rules {
+		if reason := rule.check(&wire); reason != "" {
+			return Settings{}, errors.Wrapf(ErrInvalid, "%s:%d: %s: %s", name, lineOf(data, rule.key), rule.key, reason)
+		}
+	}
+	return convert(&wire), nil
+}
+
+func decodeError(name string, err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
+		first := unknown.Errors[0]
+		row, _ := first.Position()
+		return errors.Wrapf(ErrInvalid, "%s:%d: %s: unknown key", name, row, strings.Join(first.Key(), "."))
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		row, _ := bad.Position()
+		return errors.Wrapf(ErrInvalid, "%s:%d: %s: %s", name, row, strings.Join(bad.Key(), "."), strings.TrimPrefix(bad.Error(), "toml: "))
+	}
+	return errors.Mark(errors.Wrap(err, name), ErrInvalid)
+}
+
+// rule checks one key; check returns the reason against its value.
+type rule struct {
+	key   string
+	check func(wire *wireSettings) string
+}
+
+var rules = []rule{
+	{"name", func(w *wireSettings) string { return unless(w.Name != "", "is missing") }},
+	{"domain", func(w *wireSettings) string { return unless(w.Domain != "", "is missing") }},
+	{"listen.callers", func(w *wireSettings) string { return present(w.Listen.Callers) }},
+	{"listen.peers", func(w *wireSettings) string { return present(w.Listen.Peers) }},
+	{"listen.operators", func(w *wireSettings) string { return present(w.Listen.Operators) }},
+	{"platform.log", func(w *wireSettings) string { return present(w.Platform.Log) }},
+	{"platform.hosts", func(w *wireSettings) string { return present(w.Platform.Hosts) }},
+	{"peers.key", func(w *wireSettings) string { return secret(w.Peers.Key) }},
+	{"operators.key", func(w *wireSettings) string { return secret(w.Operators.Key) }},
+	{"logging.format", func(w *wireSettings) string {
+		return unless(w.Logging.Format == FormatJSON || w.Logging.Format == FormatConsole, "must be json or console")
+	}},
+}
+
+func present(a address) string {
+	return unless(a.IsValid() && a.Port() != 0, "needs an address such as 127.0.0.1:7100")
+}
+
+func secret(key string) string {
+	return unless(len(key) >= minKeyBytes, fmt.Sprintf("needs at least %d characters", minKeyBytes))
+}
+
+func unless(ok bool, reason string) string {
+	if ok {
+		return ""
+	}
+	return reason
+}
+
+// lineOf returns the line that sets a key, or the line of its table, or 1.
+func lineOf(data []byte, key string) int {
+	table, name, nested := strings.Cut(key, ".")
+	if !nested {
+		table, name = "", key
+	}
+	found, current := 1, ""
+	for i, line := range strings.Split(string(data), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			current = strings.Trim(line, "[] ")
+			if current == table {
+				found = i + 1
+			}
+			continue
+		}
+		set, _, assigned := strings.Cut(line, "=")
+		if assigned && current == table && strings.TrimSpace(set) == name {
+			return i + 1
+		}
+	}
+	return found
+}
+
+func convert(wire *wireSettings) Settings {
+	settings := Settings{
+		Name:        wire.Name,
+		Domain:      wire.Domain,
+		Callers:     wire.Listen.Callers.AddrPort,
+		Peers:       wire.Listen.Peers.AddrPort,
+		Operators:   wire.Listen.Operators.AddrPort,
+		Log:         wire.Platform.Log.AddrPort,
+		Hosts:       wire.Platform.Hosts.AddrPort,
+		PeerKey:     []byte(wire.Peers.Key),
+		OperatorKey: wire.Operators.Key,
+		Policy:      wire.Routing.Policy,
+		Grace:       wire.Drain.Grace.Duration,
+		DrainLimit:  wire.Drain.Limit.Duration,
+		LogFormat:   wire.Logging.Format,
+		LogLevel:    wire.Logging.Level.Level,
+	}
+	for _, seed := range wire.Peers.Seeds {
+		settings.Seeds = append(settings.Seeds, seed.AddrPort)
+	}
+	return settings
+}
--- /dev/null
+++ b/internal/protocol/packer/packer.go
@@ -0,0 +1,165 @@
+// Package packer turns heartbeats into authenticated datagrams and back.
+//
+// A datagram is a version byte, a truncated HMAC-SHA256 over the rest, and a
+// protobuf message. A datagram with another version, a wrong code or fields out
+// of range is refused whole.
+//
+// # Usage
+//
+//	p := packer.Packer{Key: key}
+//	datagram, err := p.Pack(message)
+//	message, err := p.Unpack(datagram)
+package packer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/wire"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+)
+
+// MaxBytes is the largest datagram; it fits one Ethernet frame.
+const MaxBytes = 1400
+
+const (
+	version   = 1
+	codeBytes = 16
+	headBytes = 1 + codeBytes
+)
+
+// Sentinel errors of Unpack and Pack.
+var (
+	// ErrForged marks a datagram whose code does not match the shared key.
+	ErrForged = errors.New("datagram is not authentic")
+	// ErrMalformed marks a datagram that can't be decoded.
+	ErrMalformed = errors.New("datagram is malformed")
+	// ErrTooLarge marks a message that does not fit one datagram.
+	ErrTooLarge = errors.New("datagram is too large")
+)
+
+// Message is the content of one datagram.
+type Message struct {
+	// Sender is the sending node's own heartbeat.
+	Sender observer.Heartbeat
+	// Clock is the sender's hybrid logical clock.
+	Clock recorder.Stamp
+	// Digests are heartbeats of other nodes that the sender has heard of.
+	Digests []observer.Heartbeat
+}
+
+// Packer holds the key that the nodes share.
+type Packer struct {
+	Key []byte
+}
+
+// Pack encodes a message. It returns ErrTooLarge for a message over MaxBytes.
+func (p Packer) Pack(message Message) ([]byte, error) {
+	encoded := encodeHeartbeat(message.Sender)
+	encoded.ClockWall = message.Clock.Wall.UnixNano()
+	encoded.ClockCounter = message.Clock.Counter
+	for _, digest := range message.Digests {
+		encoded.Digests = append(encoded.Digests, encodeHeartbeat(digest))
+	}
+	body, err := proto.Marshal(encoded)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode heartbeat")
+	}
+	if headBytes+len(body) > MaxBytes {
+		return nil, errors.Wrapf(ErrTooLarge, "%d bytes", headBytes+len(body))
+	}
+	datagram := append([]byte{version}, p.code(body)...)
+	return append(datagram, body...), nil
+}
+
+// Unpack decodes a datagram. It returns ErrForged or ErrMalformed.
+func (p Packer) Unpack(datagram []byte) (Message, error) {
+	if len(datagram) < headBytes || datagram[0] != version {
+		return Message{}, errors.Wrap(ErrMalformed, "header")
+	}
+	body := datagram[headBytes:]
+	if !hmac.Equal(datagram[1:headBytes], p.code(body)) {
+		return Message{}, ErrForged
+	}
+	var encoded wire.Heartbeat
+	if err := proto.Unmarshal(body, &encoded); err != nil {
+		return Message{}, errors.Mark(err, ErrMalformed)
+	}
+	return decodeMessage(&encoded)
+}
+
+func (p Packer) code(body []byte) []byte {
+	mac := hmac.New(sha256.New, p.Key)
+	mac.Write([]byte{version})
+	mac.Write(body)
+	return mac.Sum(nil)[:codeBytes]
+}
+
+func decodeMessage(encoded *wire.Heartbeat) (Message, error) {
+	sender, err := decodeHeartbeat(encoded)
+	if err != nil {
+		return Message{}, err
+	}
+	message := Message{Sender: sender}
+	message.Clock = recorder.Stamp{Wall: time.Unix(0, encoded.ClockWall), Counter: encoded.ClockCounter}
+	for _, digest := range encoded.Digests {
+		decoded, err := decodeHeartbeat(digest)
+		if err != nil {
+			return Message{}, err
+		}
+		message.Digests = append(message.Digests, decoded)
+	}
+	return message, nil
+}
+
+func encodeHeartbeat(heartbeat observer.Heartbeat) *wire.Heartbeat {
+	encoded := &wire.Heartbeat{
+		Name:        heartbeat.Name,
+		Domain:      heartbeat.Domain,
+		Address:     heartbeat.Address.String(),
+		Incarnation: heartbeat.Incarnation,
+		Sequence:    heartbeat.Sequence,
+		Applied:     heartbeat.Applied,
+		Leaving:     heartbeat.Leaving,
+	}
+	for _, load := range heartbeat.Loads {
+		encoded.Loads = append(encoded.Loads, &wire.Load{Endpoint: load.Endpoint, Running: uint32(load.Running)})
+	}
+	for _, suspect := range heartbeat.Suspects {
+		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{Fingerprint: suspect.Fingerprint, Crashes: uint32(suspect.Crashes)})
+	}
+	return encoded
+}
+
+func decodeHeartbeat(encoded *wire.Heartbeat) (observer.Heartbeat, error) {
+	address, err := netip.ParseAddrPort(encoded.Address)
+	if err != nil {
+		return observer.Heartbeat{}, errors.Mark(err, ErrMalformed)
+	}
+	if encoded.Name == "" {
+		return observer.Heartbeat{}, errors.Wrap(ErrMalformed, "heartbeat has no name")
+	}
+	heartbeat := observer.Heartbeat{
+		Name:        encoded.Name,
+		Domain:      encoded.Domain,
+		Address:     address,
+		Incarnation: encoded.Incarnation,
+		Sequence:    encoded.Sequence,
+		Applied:     encoded.Applied,
+		Leaving:     encoded.Leaving,
+	}
+	for _, load := range encoded.Loads {
+		heartbeat.Loads = append(heartbeat.Loads, observer.Load{Endpoint: load.Endpoint, Running: int(load.Running)})
+	}
+	for _, suspect := range encoded.Suspects {
+		crashes := uint8(min(suspect.Crashes, 255))
+		heartbeat.Suspects = append(heartbeat.Suspects, observer.Suspect{Fingerprint: suspect.Fingerprint, Crashes: crashes})
+	}
+	return heartbeat, nil
+}
--- /dev/null
+++ b/internal/runner/control.go
@@ -0,0 +1,257 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/publisher"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
+)
+
+const (
+	// heldRecords is the number of configuration records kept for peers.
+	heldRecords = 1024
+	// publishInterval bounds how often load reports make a new snapshot.
+	publishInterval = 100 * time.Millisecond
+	// peerTimeout is the silence after which a peer is taken for dead.
+	peerTimeout = 5 * time.Second
+	// peerForget is the silence after which a peer is forgotten.
+	peerForget = 10 * time.Minute
+)
+
+// message is something that the control goroutine takes in.
+type message interface {
+	apply(c *control)
+}
+
+// control owns a node's control state. Only its run method touches the fields.
+type control struct {
+	journal  *recorder.Ring
+	cell     *publisher.Cell
+	now      func() time.Time
+	messages chan message
+	// changed is called after each new snapshot.
+	changed func(snapshot *publisher.Snapshot)
+
+	state   *configurator.State
+	table   *registrar.Table
+	view    *observer.View
+	held    []messenger.Record
+	teams   map[string]configurator.Team
+	ready   bool
+	leaving bool
+	alarm   string
+	// urgent asks for a snapshot at once and not only at the next tick.
+	urgent bool
+	// records publishes the held records for peers.
+	records *recordsCell
+}
+
+func (c *control) run(ctx context.Context) {
+	ticker := time.NewTicker(publishInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case received := <-c.messages:
+			received.apply(c)
+			if c.urgent {
+				c.publish()
+			}
+		case <-ticker.C:
+			c.view.Forget(c.now(), peerForget)
+			c.publish()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// send hands a message to the control goroutine.
+func (c *control) send(ctx context.Context, m message) {
+	select {
+	case c.messages <- m:
+	case <-ctx.Done():
+	}
+}
+
+func (c *control) publish() {
+	snapshot := publisher.Build(c.state, c.teams, c.table.Rows())
+	c.teams = snapshot.Teams
+	snapshot.Peers = c.view.Alive(c.now())
+	snapshot.Ready = c.ready
+	snapshot.Leaving = c.leaving
+	snapshot.Alarm = c.alarm
+	c.urgent = false
+	c.cell.Store(snapshot)
+	c.changed(snapshot)
+}
+
+// recordsRead brings records of the configuration stream, from the log or from
+// a peer.
+type recordsRead struct {
+	records []messenger.Record
+	// source names where the records came from.
+	source string
+	// applied is closed once the records have been taken in.
+	applied chan struct{}
+}
+
+func (m recordsRead) apply(c *control) {
+	defer close(m.applied)
+	for _, record := range m.records {
+		if record.Offset != c.state.Next() {
+			continue
+		}
+		if !c.fold(record, m.source) {
+			return
+		}
+	}
+}
+
+// fold takes in the next record. It reports false when the record can't be
+// judged, and the state then stays where it is.
+func (c *control) fold(record messenger.Record, source string) bool {
+	decoded, err := transcoder.DecodeRecord(record.Data)
+	var next *configurator.State
+	var verdict configurator.Verdict
+	if err != nil {
+		next, verdict, err = c.state.Skip(record.Offset, err)
+	} else {
+		next, verdict, err = c.state.Apply(record.Offset, decoded)
+	}
+	if err != nil {
+		c.raise(err)
+		return false
+	}
+	c.state = next
+	c.teams = nil
+	c.urgent = true
+	c.hold(record)
+	event := recorder.Event{Kind: recorder.KindApply, Offset: verdict.Offset, Detail: verdict.ID + " from " + source}
+	if !verdict.Accepted() {
+		event.Kind = recorder.KindReject
+		event.Detail = verdict.ID + ": " + verdict.Reason.Error()
+	}
+	c.journal.Record(c.now(), event)
+	return true
+}
+
+func (c *control) raise(err error) {
+	if c.alarm == err.Error() {
+		return
+	}
+	c.alarm = err.Error()
+	c.urgent = true
+	c.journal.Record(c.now(), recorder.Event{Kind: recorder.KindAlarm, Offset: c.state.Next(), Detail: c.alarm})
+}
+
+func (c *control) hold(record messenger.Record) {
+	c.held = append(c.held, record)
+	if len(c.held) > heldRecords {
+		c.held = append([]messenger.Record(nil), c.held[len(c.held)-heldRecords/2:]...)
+	}
+	c.records.Store(&heldPage{next: c.state.Next(), records: c.held})
+}
+
+// stateRestored brings a whole state that is newer than the node's own.
+type stateRestored struct {
+	state  *configurator.State
+	source string
+}
+
+func (m stateRestored) apply(c *control) {
+	if m.state.Next() <= c.state.Next() {
+		return
+	}
+	c.state = m.state
+	c.teams = nil
+	c.held = nil
+	c.records.Store(&heldPage{next: c.state.Next()})
+	c.urgent = true
+	c.journal.Record(c.now(), recorder.Event{Kind: recorder.KindApply, Offset: c.state.Next(), Detail: "snapshot from " + m.source})
+}
+
+// caughtUp tells that the configuration has been read to its end, or to the
+// highest offset of the reachable peers.
+type caughtUp struct{ source string }
+
+func (m caughtUp) apply(c *control) {
+	if c.ready {
+		return
+	}
+	c.ready = true
+	c.urgent = true
+	c.journal.Record(c.now(), recorder.Event{Kind: recorder.KindReady, Offset: c.state.Next(), Detail: "configuration from " + m.source})
+}
+
+// hostsListed brings a new host list.
+type hostsListed struct{ endpoints []registrar.Endpoint }
+
+func (m hostsListed) apply(c *control) {
+	left := map[string]bool{}
+	for _, row := range c.table.Rows() {
+		left[row.Name] = row.Left()
+	}
+	c.table.Replace(m.endpoints)
+	for _, row := range c.table.Rows() {
+		before, known := left[row.Name]
+		switch {
+		case !known:
+			c.note(recorder.KindJoin, row)
+		case row.Left() && !before:
+			c.note(recorder.KindLeave, row)
+		}
+		delete(left, row.Name)
+	}
+	for name, gone := range left {
+		if !gone {
+			c.note(recorder.KindLeave, registrar.Row{Endpoint: registrar.Endpoint{Name: name}})
+		}
+	}
+	c.urgent = true
+}
+
+func (c *control) note(kind recorder.Kind, row registrar.Row) {
+	c.journal.Record(c.now(), recorder.Event{Kind: kind, Endpoint: row.Name, Detail: row.Service})
+}
+
+// loadReported brings an endpoint's load report, or the failure to get one.
+type loadReported struct {
+	endpoint string
+	report   registrar.Report
+	err      error
+}
+
+func (m loadReported) apply(c *control) {
+	if m.err != nil {
+		c.table.Fail(m.endpoint)
+	} else {
+		c.table.Report(m.endpoint, c.now(), m.report)
+	}
+}
+
+// heartbeatHeard brings heartbeats of peers.
+type heartbeatHeard struct{ heartbeats []observer.Heartbeat }
+
+func (m heartbeatHeard) apply(c *control) {
+	for _, heartbeat := range m.heartbeats {
+		c.view.Observe(c.now(), heartbeat)
+	}
+}
+
+// drainAsked begins a planned stop.
+type drainAsked struct{}
+
+func (drainAsked) apply(c *control) {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	c.urgent = true
+	c.journal.Record(c.now(), recorder.Event{Kind: recorder.KindDrain})
+}
--- /dev/null
+++ b/internal/runner/loops.go
@@ -0,0 +1,303 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/owner"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/reconciler"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/follower"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
+)
+
+const (
+	// ConfigurationStream and SnapshotStream are the log's streams of
+	// configuration records and of whole states.
+	ConfigurationStream = "configuration"
+	SnapshotStream      = "snapshots"
+
+	followWait     = 10 * time.Second
+	followRetry    = 500 * time.Millisecond
+	pushTimeout    = 500 * time.Millisecond
+	hostsInterval  = 500 * time.Millisecond
+	loadInterval   = 250 * time.Millisecond
+	loadTimeout    = time.Second
+	sweepInterval  = time.Second
+	orderInterval  = 250 * time.Millisecond
+	orderTimeout   = 2 * time.Second
+	snapshotEvery  = 256
+	metricInterval = time.Second
+)
+
+// loops starts the node's background work, which ends with ctx.
+func (n *Node) loops(ctx context.Context) {
+	go n.control.run(ctx)
+	go n.follow(ctx)
+	go n.beat(ctx)
+	go every(ctx, hostsInterval, n.listHosts)
+	go every(ctx, loadInterval, n.pollLoads)
+	go every(ctx, sweepInterval, n.sweep)
+	go every(ctx, orderInterval, n.reconcile)
+	go every(ctx, metricInterval, n.gauge)
+}
+
+func every(ctx context.Context, interval time.Duration, work func(ctx context.Context)) {
+	for {
+		work(ctx)
+		if retrier.Sleep(ctx, interval) != nil {
+			return
+		}
+	}
+}
+
+// follow reads the configuration stream, from the log or, while the log can't
+// be reached, from peers.
+func (n *Node) follow(ctx context.Context) {
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		next, err := n.followOnce(ctx, wait)
+		if err == nil {
+			if n.cell.Load().Configuration.Next() >= next {
+				n.control.send(ctx, caughtUp{source: "log"})
+				wait = followWait
+			}
+			continue
+		}
+		n.Log.Debug().Err(err).Msg("configuration stream can't be read")
+		n.followPeers(ctx)
+		_ = retrier.Sleep(ctx, followRetry)
+	}
+}
+
+// followOnce reads one page and returns the offset after the stream's end.
+func (n *Node) followOnce(ctx context.Context, wait time.Duration) (uint64, error) {
+	own := n.cell.Load().Configuration.Next()
+	reading, cancel := context.WithTimeout(ctx, wait+logTimeout)
+	defer cancel()
+	page, err := n.log.Read(reading, ConfigurationStream, own, wait)
+	if err != nil {
+		return 0, err
+	}
+	if page.Oldest > own {
+		return page.Next, n.loadSnapshot(ctx)
+	}
+	if len(page.Records) == 0 {
+		return page.Next, nil
+	}
+	records := toRecords(page.Records)
+	n.offer(ctx, records)
+	n.takeRecords(ctx, records, "log")
+	if n.cell.Load().Configuration.Next() == own {
+		return page.Next, errors.New("configuration does not advance")
+	}
+	n.keepSnapshot(ctx)
+	return page.Next, nil
+}
+
+func toRecords(read []follower.Record) []messenger.Record {
+	records := make([]messenger.Record, 0, len(read))
+	for _, record := range read {
+		records = append(records, messenger.Record(record))
+	}
+	return records
+}
+
+// offer pushes new records to peers of the failure domain before the node puts
+// them in force, so that the domain does not forget them when it is cut off and
+// this node dies. One acknowledgement is enough, and the wait is bounded.
+func (n *Node) offer(ctx context.Context, records []messenger.Record) {
+	if !n.cell.Load().Ready {
+		return
+	}
+	near := n.peersByDomain()[n.Settings.Domain]
+	if len(near) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	acknowledged := make(chan struct{}, len(near))
+	for _, address := range near[:min(fanOut, len(near))] {
+		go func() {
+			if _, err := n.peers.Push(context.WithoutCancel(ctx), address, records); err == nil {
+				acknowledged <- struct{}{}
+			}
+		}()
+	}
+	select {
+	case <-acknowledged:
+	case <-ctx.Done():
+	}
+}
+
+// followPeers takes configuration from peers. A node that has never been ready
+// becomes so with the highest state among the peers that it reaches.
+func (n *Node) followPeers(ctx context.Context) {
+	highest, reached := n.fetchFromPeers(ctx)
+	own := n.cell.Load().Configuration.Next()
+	if reached && own > 0 && own >= highest {
+		n.control.send(ctx, caughtUp{source: "peers"})
+	}
+}
+
+// loadSnapshot restores the newest whole state that the log holds.
+func (n *Node) loadSnapshot(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	end, err := n.log.Read(ctx, SnapshotStream, 1<<62, 0)
+	if err != nil {
+		return err
+	}
+	if end.Next == 0 {
+		return errors.New("configuration records are gone and there is no snapshot")
+	}
+	page, err := n.log.Read(ctx, SnapshotStream, end.Next-1, 0)
+	if err != nil {
+		return err
+	}
+	for _, record := range page.Records {
+		if err := n.restore(ctx, record.Data, "log"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// keepSnapshot appends the whole state every so many records. The fold is the
+// same on all nodes, so a doubled snapshot does no harm; the owner saves the
+// others the work.
+func (n *Node) keepSnapshot(ctx context.Context) {
+	state := n.cell.Load().Configuration
+	if state.Next()%snapshotEvery != 0 || !n.owns("snapshots") {
+		return
+	}
+	data, err := n.Snapshot()
+	if err != nil {
+		n.Log.Error().Err(err).Msg("configuration can't be encoded")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	if _, err := n.log.Append(ctx, SnapshotStream, [][]byte{data}); err != nil {
+		n.Log.Warn().Err(err).Msg("snapshot was not appended")
+	}
+}
+
+// owns reports whether this node is the owner of a piece of work among the
+// nodes that it believes to be alive.
+func (n *Node) owns(work string) bool {
+	names := []string{n.Settings.Name}
+	for _, peer := range n.cell.Load().Peers {
+		if !peer.Leaving {
+			names = append(names, peer.Name)
+		}
+	}
+	return owner.Pick(names, work) == n.Settings.Name
+}
+
+func (n *Node) listHosts(ctx context.Context) {
+	endpoints, err := n.hosts.List(ctx)
+	if err != nil {
+		n.Log.Debug().Err(err).Msg("host list can't be read")
+		return
+	}
+	n.control.send(ctx, hostsListed{endpoints: endpoints})
+}
+
+// pollLoads asks all endpoints for their load and their cache events.
+func (n *Node) pollLoads(ctx context.Context) {
+	snapshot := n.cell.Load()
+	var polls sync.WaitGroup
+	for name, rows := range snapshot.Services {
+		service, declared := snapshot.Service(name)
+		if !declared {
+			continue
+		}
+		for _, row := range rows {
+			polls.Go(func() { n.pollEndpoint(ctx, service, row) })
+		}
+	}
+	polls.Wait()
+	n.limiter.Pump()
+}
+
+func (n *Node) pollEndpoint(ctx context.Context, service configurator.Service, row registrar.Row) {
+	own := n.flight.Running(row.Name)
+	report, err := n.engine.Load(ctx, row.Address, loadTimeout)
+	report.Own = own
+	n.control.send(ctx, loadReported{endpoint: row.Name, report: report, err: err})
+	if err != nil || service.Type != configurator.ServiceModel {
+		return
+	}
+	events, err := n.engine.Events(ctx, row.Address, n.hints.Next(row.Name), loadTimeout)
+	if err != nil {
+		return
+	}
+	n.hints.Apply(row.Name, events)
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	if err := n.claims.Sweep(ctx); err != nil {
+		n.Log.Debug().Err(err).Msg("claims in doubt are not settled yet")
+	}
+}
+
+// reconcile sends the orders that bring endpoints to the configured weights.
+// Endpoints that ignore fencing get one only after a look at the log's end.
+func (n *Node) reconcile(ctx context.Context) {
+	snapshot := n.cell.Load()
+	if !snapshot.Ready || snapshot.Alarm != "" {
+		return
+	}
+	for _, order := range reconciler.Plan(snapshot) {
+		if !n.owns("orders/" + order.Service) {
+			continue
+		}
+		service, _ := snapshot.Service(order.Service)
+		if !service.Fencing && !n.atEnd(ctx) {
+			return
+		}
+		err := n.engine.Order(ctx, order.Endpoint.Address, order.Fence, order.Weights, orderTimeout)
+		if errors.Is(err, dispatcher.ErrRefused) {
+			n.Log.Info().Str("endpoint", order.Endpoint.Name).Msg("order was refused")
+			continue
+		}
+		n.journal.Record(time.Now(), recorder.Event{
+			Kind:     recorder.KindOrder,
+			Endpoint: order.Endpoint.Name,
+			Offset:   order.Fence,
+			Detail:   "weights " + order.Weights,
+		})
+	}
+}
+
+// atEnd reports whether the node has applied all of the configuration stream.
+func (n *Node) atEnd(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	own := n.cell.Load().Configuration.Next()
+	page, err := n.log.Read(ctx, ConfigurationStream, own, 0)
+	return err == nil && page.Next == own
+}
+
+func (n *Node) gauge(context.Context) {
+	watts, peak := n.limiter.Watts()
+	counts := n.gossip.Counts()
+	n.metrics.Gauge("watts").Update(watts)
+	n.metrics.Gauge("watts_peak").Update(peak)
+	n.metrics.Gauge("queued").Update(float64(n.limiter.Queued()))
+	n.metrics.Gauge("claims_abandoned").Update(float64(n.claims.Abandoned()))
+	n.metrics.Gauge("claim_keys").Update(float64(n.claims.Keys()))
+	n.metrics.Gauge("configuration_next").Update(float64(n.cell.Load().Configuration.Next()))
+	n.metrics.Gauge("peers").Update(float64(len(n.cell.Load().Peers)))
+	n.metrics.Gauge("gossip_sent_bytes").Update(float64(counts.SentBytes))
+	n.metrics.Gauge("gossip_received_bytes").Update(float64(counts.ReceivedBytes))
+	n.metrics.Gauge("gossip_refused").Update(float64(counts.Refused))
+}
--- /dev/null
+++ b/internal/runner/peers.go
@@ -0,0 +1,294 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/indexer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
+)
+
+const (
+	heartbeatInterval = time.Second
+	// fanOut is the number of peers of the own failure domain that get each
+	// heartbeat.
+	fanOut = 3
+	// digestCount is the number of other peers' heartbeats in a datagram.
+	digestCount = 4
+	// loadCount and suspectCount bound what a heartbeat reports.
+	loadCount    = 6
+	suspectCount = 4
+	// recordsPerCall bounds the configuration records of one reply.
+	recordsPerCall = 256
+)
+
+// heldPage is the newest part of the configuration stream.
+type heldPage struct {
+	next    uint64
+	records []messenger.Record
+}
+
+type recordsCell = atomic.Pointer[heldPage]
+
+// hear takes in a datagram.
+func (n *Node) hear(message packer.Message) {
+	now := time.Now()
+	n.journal.Witness(now, message.Clock)
+	for _, suspect := range message.Sender.Suspects {
+		n.suspects.Learn(now, message.Sender.Name, suspect)
+	}
+	heard := append([]observer.Heartbeat{message.Sender}, message.Digests...)
+	heard = slices.DeleteFunc(heard, func(h observer.Heartbeat) bool { return h.Name == n.Settings.Name })
+	select {
+	case n.control.messages <- heartbeatHeard{heartbeats: heard}:
+	default:
+		// A heartbeat is a hint; the next one will do.
+	}
+}
+
+// beat sends heartbeats until ctx ends.
+func (n *Node) beat(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for sequence := uint64(1); ; sequence++ {
+		n.sendHeartbeat(sequence, n.targets())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// spread tells all known peers about this node's suspects at once.
+func (n *Node) spread() {
+	var all []netip.AddrPort
+	for _, peer := range n.cell.Load().Peers {
+		all = append(all, peer.Address)
+	}
+	// Sequence zero carries suspects and never replaces a heartbeat.
+	n.sendHeartbeat(0, all)
+}
+
+func (n *Node) sendHeartbeat(sequence uint64, targets []netip.AddrPort) {
+	snapshot := n.cell.Load()
+	message := packer.Message{
+		Clock: n.journal.Now(),
+		Sender: observer.Heartbeat{
+			Name:        n.Settings.Name,
+			Domain:      n.Settings.Domain,
+			Address:     n.Settings.Peers,
+			Incarnation: n.incarnation,
+			Sequence:    sequence,
+			Applied:     snapshot.Configuration.Next(),
+			Leaving:     snapshot.Leaving,
+			Loads:       n.loads(),
+			Suspects:    n.suspects.Own(time.Now(), suspectCount),
+		},
+	}
+	for _, target := range targets {
+		message.Digests = digests(snapshot.Peers, target)
+		if err := n.gossip.Send(target, message); err != nil {
+			n.Log.Debug().Err(err).Stringer("peer", target).Msg("heartbeat was not sent")
+		}
+	}
+}
+
+func (n *Node) loads() []observer.Load {
+	var loads []observer.Load
+	for endpoint, running := range n.flight.Loads() {
+		if len(loads) == loadCount {
+			break
+		}
+		loads = append(loads, observer.Load{Endpoint: endpoint, Running: running})
+	}
+	return loads
+}
+
+// digests returns a few random peers without their loads and suspects.
+func digests(peers []observer.Peer, target netip.AddrPort) []observer.Heartbeat {
+	var chosen []observer.Heartbeat
+	for _, i := range rand.Perm(len(peers)) {
+		if len(chosen) == digestCount {
+			break
+		}
+		if peers[i].Address == target {
+			continue
+		}
+		digest := peers[i].Heartbeat
+		digest.Loads, digest.Suspects = nil, nil
+		chosen = append(chosen, digest)
+	}
+	return chosen
+}
+
+// targets returns the peers that get the next heartbeat: some of the own
+// failure domain and one of each other domain.
+func (n *Node) targets() []netip.AddrPort {
+	byDomain := n.peersByDomain()
+	var targets []netip.AddrPort
+	for domain, addresses := range byDomain {
+		count := 1
+		if domain == n.Settings.Domain {
+			count = fanOut
+		}
+		for _, i := range rand.Perm(len(addresses))[:min(count, len(addresses))] {
+			targets = append(targets, addresses[i])
+		}
+	}
+	return targets
+}
+
+// peersByDomain collects peers from the host list, from heartbeats and from the
+// seeds, which count as a domain of their own until they are heard of.
+func (n *Node) peersByDomain() map[string][]netip.AddrPort {
+	snapshot := n.cell.Load()
+	seen := map[netip.AddrPort]bool{n.Settings.Peers: true}
+	byDomain := map[string][]netip.AddrPort{}
+	add := func(domain string, address netip.AddrPort) {
+		if !seen[address] {
+			seen[address] = true
+			byDomain[domain] = append(byDomain[domain], address)
+		}
+	}
+	for _, peer := range snapshot.Peers {
+		add(peer.Domain, peer.Address)
+	}
+	for _, row := range snapshot.Nodes {
+		add(row.Domain, row.Address)
+	}
+	for _, seed := range n.Settings.Seeds {
+		add("", seed)
+	}
+	return byDomain
+}
+
+// peerAddresses returns all known peers in random order, the own domain first.
+func (n *Node) peerAddresses() []netip.AddrPort {
+	byDomain := n.peersByDomain()
+	near := byDomain[n.Settings.Domain]
+	delete(byDomain, n.Settings.Domain)
+	var far []netip.AddrPort
+	for _, addresses := range byDomain {
+		far = append(far, addresses...)
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near, far...)
+}
+
+// Records implements messenger.Node.
+func (n *Node) Records(from uint64) messenger.Records {
+	page := n.records.Load()
+	found := messenger.Records{Oldest: page.next, Next: page.next}
+	if len(page.records) > 0 {
+		found.Oldest = page.records[0].Offset
+	}
+	for _, record := range page.records {
+		if record.Offset >= from && len(found.Records) < recordsPerCall {
+			found.Records = append(found.Records, record)
+		}
+	}
+	return found
+}
+
+// Push implements messenger.Node.
+func (n *Node) Push(ctx context.Context, records []messenger.Record) uint64 {
+	applied := make(chan struct{})
+	n.control.send(ctx, recordsRead{records: records, source: "peer", applied: applied})
+	select {
+	case <-applied:
+	case <-ctx.Done():
+	}
+	return n.cell.Load().Configuration.Next()
+}
+
+// Snapshot implements messenger.Node.
+func (n *Node) Snapshot() ([]byte, error) {
+	return transcoder.EncodeSnapshot(n.cell.Load().Configuration.Snapshot())
+}
+
+// Events implements messenger.Node.
+func (n *Node) Events(filter recorder.Filter) []recorder.Event {
+	return n.journal.Events(filter)
+}
+
+// Resolve implements messenger.Node.
+func (n *Node) Resolve(ctx context.Context, partition int, key indexer.Key, offset uint64) (indexer.Entry, bool, error) {
+	return n.claims.Resolve(ctx, partition, key, offset)
+}
+
+// fetchFromPeers asks peers for configuration newer than the node's own, and
+// reports the highest offset that a peer has.
+func (n *Node) fetchFromPeers(ctx context.Context) (highest uint64, reached bool) {
+	for _, address := range n.peerAddresses() {
+		next, err := n.fetchFrom(ctx, address)
+		if err != nil {
+			continue
+		}
+		reached = true
+		highest = max(highest, next)
+	}
+	return highest, reached
+}
+
+func (n *Node) fetchFrom(ctx context.Context, address netip.AddrPort) (uint64, error) {
+	for {
+		own := n.cell.Load().Configuration.Next()
+		page, err := n.peers.Records(ctx, address, own)
+		if err != nil {
+			return 0, err
+		}
+		if page.Next <= own {
+			return page.Next, nil
+		}
+		if page.Oldest > own {
+			return page.Next, n.fetchSnapshot(ctx, address)
+		}
+		n.takeRecords(ctx, page.Records, address.String())
+		if n.cell.Load().Configuration.Next() == own {
+			return page.Next, nil
+		}
+	}
+}
+
+func (n *Node) fetchSnapshot(ctx context.Context, address netip.AddrPort) error {
+	data, err := n.peers.Snapshot(ctx, address)
+	if err != nil {
+		return err
+	}
+	return n.restore(ctx, data, address.String())
+}
+
+func (n *Node) restore(ctx context.Context, data []byte, source string) error {
+	snapshot, err := transcoder.DecodeSnapshot(data)
+	if err != nil {
+		return err
+	}
+	state, err := configurator.Restore(snapshot)
+	if err != nil {
+		return err
+	}
+	n.control.send(ctx, stateRestored{state: state, source: source})
+	return nil
+}
+
+// takeRecords hands records to the control goroutine and waits until they are
+// in force.
+func (n *Node) takeRecords(ctx context.Context, records []messenger.Record, source string) {
+	applied := make(chan struct{})
+	n.control.send(ctx, recordsRead{records: records, source: source, applied: applied})
+	select {
+	case <-applied:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/generator/run.go
@@ -0,0 +1,243 @@
+package generator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"strings"
+	"time"
+)
+
+type completion struct {
+	Model       string            `json:"model"`
+	Messages    []json.RawMessage `json:"messages"`
+	MaxTokens   int               `json:"max_tokens"`
+	Priority    int               `json:"priority"`
+	Weights     string            `json:"weights"`
+	CacheBlocks []string          `json:"cache_blocks"`
+	Resume      []string          `json:"resume"`
+}
+
+type chunk struct {
+	Object  string   `json:"object"`
+	Index   int      `json:"index"`
+	Weights string   `json:"weights"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Delta        delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content,omitempty"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	CachedTokens     int `json:"cached_tokens"`
+}
+
+// Prompt returns the text that an engine reads for a list of messages: each in
+// compact JSON with a line end.
+func Prompt(messages []json.RawMessage) []byte {
+	var prompt bytes.Buffer
+	for _, message := range messages {
+		_ = json.Compact(&prompt, message)
+		prompt.WriteByte('\n')
+	}
+	return prompt.Bytes()
+}
+
+// Token returns token i of the answer to a prompt.
+func Token(prompt []byte, i int) string {
+	sum := fnv.New32a()
+	_, _ = sum.Write(prompt)
+	_, _ = fmt.Fprint(sum, i)
+	return fmt.Sprintf("w%d ", sum.Sum32()%10000)
+}
+
+// Answer returns the first n tokens of the answer to a prompt.
+func Answer(prompt []byte, n int) string {
+	var text strings.Builder
+	for i := range n {
+		text.WriteString(Token(prompt, i))
+	}
+	return text.String()
+}
+
+// run is one request on its way through the engine.
+type run struct {
+	completion
+	prompt  []byte
+	weights string
+	cached  int
+	crashed <-chan struct{}
+}
+
+func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
+	var request completion
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	active := &run{completion: request, prompt: Prompt(request.Messages)}
+	if status := s.enter(active); status != 0 {
+		http.Error(w, "weights are not loaded", status)
+		return
+	}
+	defer s.leave()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	if !s.computePrompt(r.Context(), active) {
+		s.abandon(active)
+		return
+	}
+	if !s.stream(r.Context(), w, active) {
+		s.abandon(active)
+	}
+}
+
+func (s *Server) enter(active *run) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loading {
+		return http.StatusServiceUnavailable
+	}
+	if active.Weights != "" && active.Weights != s.Version {
+		return http.StatusConflict
+	}
+	active.weights = s.Version
+	active.crashed = s.crashed
+	s.running++
+	s.queued += active.promptTokens()
+	s.stats.Runs++
+	s.stats.PeakRunning = max(s.stats.PeakRunning, s.running)
+	s.stats.PromptTokens += active.promptTokens()
+	return 0
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+func (s *Server) abandon(active *run) {
+	s.mu.Lock()
+	s.stats.Cancelled++
+	s.mu.Unlock()
+	select {
+	case <-active.crashed:
+		panic(http.ErrAbortHandler)
+	default:
+	}
+}
+
+func (a *run) promptTokens() int {
+	return len(a.prompt)/TokenBytes + 1
+}
+
+// computePrompt waits for its turn and for the prefill of uncached tokens.
+func (s *Server) computePrompt(ctx context.Context, active *run) bool {
+	defer s.unqueue(active.promptTokens())
+	if !s.prefill.lock(ctx, active.Priority) {
+		return false
+	}
+	defer s.prefill.unlock()
+	s.mu.Lock()
+	active.cached = s.cache.prefix(active.CacheBlocks) * BlockTokens
+	uncached := max(active.promptTokens()-active.cached, 0)
+	s.mu.Unlock()
+	if !active.sleep(ctx, time.Duration(float64(uncached)/s.PrefillRate*float64(time.Second))) {
+		return false
+	}
+	if bytes.Contains(active.prompt, []byte(CrashMarker)) {
+		s.crash()
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.ComputedTokens += uncached
+	if active.weights == s.Version {
+		s.cache.insert(active.CacheBlocks)
+	}
+	return true
+}
+
+func (s *Server) unqueue(tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queued -= tokens
+}
+
+func (a *run) sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-a.crashed:
+		return false
+	}
+}
+
+func (s *Server) stream(ctx context.Context, w http.ResponseWriter, active *run) bool {
+	tokens := active.MaxTokens
+	if tokens <= 0 {
+		tokens = defaultTokens
+	}
+	tokens = min(tokens, maxTokens)
+	for i := len(active.Resume); i < tokens; i++ {
+		if !active.sleep(ctx, s.interval()) {
+			return false
+		}
+		if !send(w, active.chunk(i, Token(active.prompt, i), nil, nil)) {
+			return false
+		}
+	}
+	reason := "length"
+	total := &usage{PromptTokens: active.promptTokens(), CompletionTokens: tokens, CachedTokens: active.cached}
+	if !send(w, active.chunk(tokens, "", &reason, total)) {
+		return false
+	}
+	_, err := fmt.Fprint(w, "data: [DONE]\n\n")
+	return err == nil
+}
+
+func (s *Server) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.TokenInterval + s.TokenInterval*time.Duration(s.running)/batchPerSlowing
+}
+
+func (a *run) chunk(index int, text string, reason *string, total *usage) chunk {
+	return chunk{
+		Object:  "chat.completion.chunk",
+		Index:   index,
+		Weights: a.weights,
+		Choices: []choice{{Delta: delta{Content: text}, FinishReason: reason}},
+		Usage:   total,
+	}
+}
+
+func send(w http.ResponseWriter, c chunk) bool {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return false
+	}
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+		return false
+	}
+	return http.NewResponseController(w).Flush() == nil
+}
--- /dev/null
+++ b/internal/standin/responder/responder.go
@@ -0,0 +1,107 @@
+// Package responder is a stand-in of a plain service: it takes orders and
+// payments, answers status lookups and counts how often each order ran.
+//
+// # Usage
+//
+//	service := &responder.Server{Name: "atolye-1"}
+//	http.Serve(listener, service)
+//
+// The protocol:
+//
+//	POST /orders  {"order":"ID",…} -> {"order":"ID","by":NAME,"executions":N}
+//	GET  /orders/ID                -> {"order":"ID","by":NAME,"executions":N}
+//	GET  /executions               -> {"ID":N,…}
+//	GET  /v1/load                  -> {"running":N}
+package responder
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Server is one worker of the service. Its fields are set before it serves.
+type Server struct {
+	Name string
+	// Work is the time that one request takes.
+	Work time.Duration
+
+	mu         sync.Mutex
+	executions map[string]int
+	running    atomic.Int32
+}
+
+type wireOrder struct {
+	Order string `json:"order"`
+}
+
+type wireReply struct {
+	Order      string `json:"order"`
+	By         string `json:"by"`
+	Executions int    `json:"executions"`
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /orders", s.order)
+	mux.HandleFunc("GET /orders/{id}", s.status)
+	mux.HandleFunc("GET /executions", s.list)
+	mux.HandleFunc("GET /v1/load", s.load)
+	mux.ServeHTTP(w, r)
+}
+
+// Executions returns how often each order ran.
+func (s *Server) Executions() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.executions)
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var order wireOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.work()
+	s.mu.Lock()
+	if s.executions == nil {
+		s.executions = map[string]int{}
+	}
+	s.executions[order.Order]++
+	reply := wireReply{Order: order.Order, By: s.Name, Executions: s.executions[order.Order]}
+	s.mu.Unlock()
+	writeJSON(w, http.StatusCreated, reply)
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	s.work()
+	s.mu.Lock()
+	reply := wireReply{Order: r.PathValue("id"), By: s.Name, Executions: s.executions[r.PathValue("id")]}
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (s *Server) work() {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	time.Sleep(s.Work)
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, map[string]int32{"running": s.running.Load()})
+}
+
+func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Executions())
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/state/configurator/configurator.go
@@ -0,0 +1,247 @@
+// Package configurator folds the records of the configuration stream into the
+// configuration in force.
+//
+// The fold is a pure function of the stream's prefix: every node that has read
+// the same records holds the same State and has reached the same verdicts. A
+// record is accepted when none of the objects it touches has changed at or
+// after the record's base and when the resulting whole is valid.
+//
+// # Usage
+//
+//	state := configurator.New()
+//	next, verdict, err := state.Apply(state.Next(), record)
+//	if err != nil {
+//		// The record needs newer rules than this program knows; stay at state.
+//	}
+//	if !verdict.Accepted() {
+//		log.Print(verdict.Reason)
+//	}
+//	state = next
+package configurator
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// RulesVersion is the newest version of the fold's rules that this program knows.
+const RulesVersion = 1
+
+// Sentinel errors of the fold.
+var (
+	// ErrConflict marks a record whose objects changed at or after its base.
+	ErrConflict = errors.New("object changed since the record's base")
+	// ErrInvalid marks a record that would make the whole configuration invalid.
+	ErrInvalid = errors.New("configuration is invalid")
+	// ErrMalformed marks a record that could not be decoded.
+	ErrMalformed = errors.New("configuration record is malformed")
+	// ErrUnknownRules marks a record that needs rules newer than RulesVersion.
+	ErrUnknownRules = errors.New("configuration record needs newer rules")
+	// ErrOutOfOrder marks a record that is not the next one of the stream.
+	ErrOutOfOrder = errors.New("configuration record is out of order")
+)
+
+// Op is what a change does to an object.
+type Op string
+
+// The operations of a change.
+const (
+	OpPut    Op = "put"
+	OpDelete Op = "delete"
+)
+
+// Change puts or deletes one object.
+type Change struct {
+	Op  Op
+	Ref Ref
+	// Object is nil for OpDelete.
+	Object Object
+}
+
+// Put returns the change that stores object.
+func Put(object Object) Change {
+	return Change{Op: OpPut, Ref: object.Ref(), Object: object}
+}
+
+// Delete returns the change that removes the object named by ref.
+func Delete(ref Ref) Change {
+	return Change{Op: OpDelete, Ref: ref}
+}
+
+// Record is one entry of the configuration stream.
+type Record struct {
+	// ID is unique per publication and finds a record whose append was in doubt.
+	ID string
+	// Base is the Next offset of the state that the changes were made from.
+	Base uint64
+	// Rules is the version of the fold's rules that the record needs.
+	Rules   int
+	Changes []Change
+}
+
+// Verdict is the fold's decision on one record.
+type Verdict struct {
+	Offset uint64
+	ID     string
+	// Reason is nil for an accepted record.
+	Reason error
+}
+
+// Accepted reports whether the record is in force.
+func (v Verdict) Accepted() bool { return v.Reason == nil }
+
+// entry keeps the offset of an object's last change; a deleted object stays as
+// a tombstone, so that a change made before the deletion still conflicts.
+type entry struct {
+	object Object
+	offset uint64
+}
+
+// State is the configuration after a prefix of the stream. It is immutable.
+type State struct {
+	next    uint64
+	entries map[Ref]entry
+}
+
+// New returns the state before the first record.
+func New() *State {
+	return &State{entries: map[Ref]entry{}}
+}
+
+// Next returns the offset of the next record to apply.
+func (s *State) Next() uint64 { return s.next }
+
+// Get returns the object named by ref.
+func (s *State) Get(ref Ref) (Object, bool) {
+	found, ok := s.entries[ref]
+	if !ok || found.object == nil {
+		return nil, false
+	}
+	return found.object, true
+}
+
+// Objects returns all objects ordered by kind and name.
+func (s *State) Objects() []Object {
+	var objects []Object
+	for _, held := range s.entries {
+		if held.object != nil {
+			objects = append(objects, held.object)
+		}
+	}
+	SortObjects(objects)
+	return objects
+}
+
+// SortObjects orders objects by the order of Kinds and then by name.
+func SortObjects(objects []Object) {
+	order := Kinds()
+	slices.SortFunc(objects, func(a, b Object) int {
+		left, right := a.Ref(), b.Ref()
+		if left.Kind != right.Kind {
+			return slices.Index(order, left.Kind) - slices.Index(order, right.Kind)
+		}
+		return strings.Compare(left.Name, right.Name)
+	})
+}
+
+// Find returns the object of type T named name.
+func Find[T Object](s *State, kind Kind, name string) (T, bool) {
+	object, ok := s.Get(Ref{kind, name})
+	typed, match := object.(T)
+	return typed, ok && match
+}
+
+// All returns the objects of type T ordered by name.
+func All[T Object](s *State) []T {
+	var found []T
+	for _, object := range s.Objects() {
+		if typed, ok := object.(T); ok {
+			found = append(found, typed)
+		}
+	}
+	return found
+}
+
+// Apply folds the record at offset into the state. A rejected record still
+// advances Next. It returns ErrUnknownRules when this program can't judge the
+// record, and ErrOutOfOrder when offset isn't Next; the state is then unchanged.
+func (s *State) Apply(offset uint64, record Record) (*State, Verdict, error) {
+	if offset != s.next {
+		return s, Verdict{}, errors.Wrapf(ErrOutOfOrder, "offset %d, expected %d", offset, s.next)
+	}
+	if record.Rules > RulesVersion {
+		return s, Verdict{}, errors.Wrapf(ErrUnknownRules, "offset %d: rules %d, known %d", offset, record.Rules, RulesVersion)
+	}
+	verdict := Verdict{Offset: offset, ID: record.ID}
+	candidate, reason := s.change(offset, record)
+	if reason != nil {
+		verdict.Reason = reason
+		return s.skip(), verdict, nil
+	}
+	return candidate, verdict, nil
+}
+
+// Skip advances the state past a record that could not be decoded.
+func (s *State) Skip(offset uint64, cause error) (*State, Verdict, error) {
+	if offset != s.next {
+		return s, Verdict{}, errors.Wrapf(ErrOutOfOrder, "offset %d, expected %d", offset, s.next)
+	}
+	return s.skip(), Verdict{Offset: offset, Reason: errors.Mark(cause, ErrMalformed)}, nil
+}
+
+func (s *State) skip() *State {
+	return &State{next: s.next + 1, entries: s.entries}
+}
+
+func (s *State) change(offset uint64, record Record) (*State, error) {
+	for _, change := range record.Changes {
+		held, ok := s.entries[change.Ref]
+		if ok && held.offset >= record.Base {
+			return nil, errors.Wrapf(ErrConflict, "%s changed at offset %d, base is %d", change.Ref, held.offset, record.Base)
+		}
+	}
+	entries := maps.Clone(s.entries)
+	for _, change := range record.Changes {
+		entries[change.Ref] = entry{object: change.Object, offset: offset}
+	}
+	candidate := &State{next: offset + 1, entries: entries}
+	if err := Validate(candidate); err != nil {
+		return nil, err
+	}
+	return candidate, nil
+}
+
+// Diff returns the changes that turn s into the declared objects. Objects that
+// are not declared are deleted only when prune is set.
+func (s *State) Diff(declared []Object, prune bool) []Change {
+	var changes []Change
+	kept := map[Ref]bool{}
+	for _, object := range declared {
+		kept[object.Ref()] = true
+		held, ok := s.Get(object.Ref())
+		if !ok || !equal(held, object) {
+			changes = append(changes, Put(object))
+		}
+	}
+	if !prune {
+		return changes
+	}
+	for _, object := range s.Objects() {
+		if !kept[object.Ref()] {
+			changes = append(changes, Delete(object.Ref()))
+		}
+	}
+	return changes
+}
+
+func equal(a, b Object) bool {
+	left, ok := a.(Ceiling)
+	if !ok {
+		return a == b
+	}
+	right, ok := b.(Ceiling)
+	return ok && left.Watts == right.Watts && maps.Equal(left.Shares, right.Shares)
+}
--- /dev/null
+++ b/internal/state/observer/observer.go
@@ -0,0 +1,105 @@
+// Package observer keeps a node's view of its peers from their heartbeats.
+//
+// The view is a hint that saves work: no promise of the system depends on it.
+// A heartbeat counts only when it is newer than the last one of the same peer,
+// by incarnation and then by sequence number, so late, doubled and reordered
+// heartbeats change nothing.
+//
+// # Usage
+//
+//	view := observer.New(3 * time.Second)
+//	changed := view.Observe(now, heartbeat)
+//	alive := view.Alive(now)
+package observer
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Load is the number of requests a peer runs on one endpoint.
+type Load struct {
+	Endpoint string
+	Running  int
+}
+
+// Heartbeat is one report of a peer about itself.
+type Heartbeat struct {
+	Name        string
+	Domain      string
+	Address     netip.AddrPort
+	Incarnation uint64
+	Sequence    uint64
+	// Applied is the next configuration offset of the peer.
+	Applied uint64
+	Leaving bool
+	Loads   []Load
+	// Suspects holds the hashes of requests that were running when an
+	// endpoint crashed, with the number of crashes.
+	Suspects []Suspect
+}
+
+// Suspect is a request fingerprint and the number of endpoints it crashed.
+type Suspect struct {
+	Fingerprint uint64
+	Crashes     uint8
+}
+
+// Peer is the last accepted heartbeat of a peer and when it came.
+type Peer struct {
+	Heartbeat
+	Seen time.Time
+}
+
+// View is a node's knowledge of its peers. It belongs to the control goroutine.
+type View struct {
+	timeout time.Duration
+	peers   map[string]Peer
+}
+
+// New returns an empty view in which a peer without heartbeats for timeout is
+// taken for dead.
+func New(timeout time.Duration) *View {
+	return &View{timeout: timeout, peers: map[string]Peer{}}
+}
+
+// Observe takes in a heartbeat and reports whether it was newer than what the
+// view held.
+func (v *View) Observe(now time.Time, heartbeat Heartbeat) bool {
+	held, ok := v.peers[heartbeat.Name]
+	if ok && !newer(heartbeat, held.Heartbeat) {
+		return false
+	}
+	v.peers[heartbeat.Name] = Peer{Heartbeat: heartbeat, Seen: now}
+	return true
+}
+
+func newer(a, b Heartbeat) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Sequence > b.Sequence
+}
+
+// Alive returns the peers heard of within the timeout, ordered by name.
+func (v *View) Alive(now time.Time) []Peer {
+	var alive []Peer
+	for _, peer := range v.peers {
+		if now.Sub(peer.Seen) < v.timeout {
+			alive = append(alive, peer)
+		}
+	}
+	slices.SortFunc(alive, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+	return alive
+}
+
+// Forget drops peers that have been silent for the given time.
+func (v *View) Forget(now time.Time, after time.Duration) {
+	for name, peer := range v.peers {
+		if now.Sub(peer.Seen) >= after {
+			delete(v.peers, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/dialer/engine.go
@@ -0,0 +1,300 @@
+package dialer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/hinter"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+)
+
+// Engine is the adapter to model engines. It implements dispatcher.Engine.
+type Engine struct {
+	Pools *Pools
+}
+
+const (
+	dataPrefix = "data: "
+	doneMark   = "[DONE]"
+	// maxLineBytes is the longest line of an engine's stream.
+	maxLineBytes = 1 << 20
+)
+
+type wireChunk struct {
+	Index   int    `json:"index"`
+	Weights string `json:"weights"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens     int `json:"prompt_tokens"`
+		CompletionTokens int `json:"completion_tokens"`
+		CachedTokens     int `json:"cached_tokens"`
+	} `json:"usage"`
+}
+
+// Complete implements dispatcher.Engine.
+func (e *Engine) Complete(ctx context.Context, endpoint registrar.Endpoint, completion dispatcher.Completion) (dispatcher.TokenStream, error) {
+	body, err := encodeCompletion(completion)
+	if err != nil {
+		return nil, errors.Mark(err, dispatcher.ErrNotSent)
+	}
+	ctx, ex := start(ctx, completion.Stall)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, endpointURL(endpoint.Address, "/v1/chat/completions"), bytes.NewReader(body))
+	if err != nil {
+		ex.end()
+		return nil, errors.Mark(err, dispatcher.ErrNotSent)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Request-Id", completion.Request)
+	response, err := e.Pools.get(endpoint.Address).RoundTrip(request)
+	if err != nil {
+		return nil, e.fail(ex, endpoint, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		drain(response.Body)
+		ex.end()
+		return nil, errors.Wrapf(dispatcher.ErrRefused, "%s answered %s", endpoint.Name, response.Status)
+	}
+	ex.progress()
+	scanner := bufio.NewScanner(response.Body)
+	scanner.Buffer(nil, maxLineBytes)
+	return &stream{engine: e, endpoint: endpoint, exchange: ex, body: response.Body, scanner: scanner}, nil
+}
+
+func (e *Engine) fail(ex *exchange, endpoint registrar.Endpoint, err error) error {
+	defer ex.end()
+	marked := ex.mark(errors.Wrap(err, endpoint.Name))
+	if errors.Is(marked, dispatcher.ErrStalled) {
+		e.Pools.Drop(endpoint.Address)
+	}
+	return marked
+}
+
+// encodeCompletion adds the engine's members to the caller's own options.
+func encodeCompletion(completion dispatcher.Completion) ([]byte, error) {
+	members := map[string]any{}
+	if len(completion.Options) > 0 {
+		options := map[string]json.RawMessage{}
+		if err := json.Unmarshal(completion.Options, &options); err != nil {
+			return nil, errors.Wrap(err, "options")
+		}
+		for name, value := range options {
+			members[name] = value
+		}
+	}
+	messages := make([]json.RawMessage, 0, len(completion.Messages))
+	for _, message := range completion.Messages {
+		messages = append(messages, message)
+	}
+	members["model"] = completion.Model
+	members["messages"] = messages
+	members["stream"] = true
+	members["priority"] = completion.Priority
+	members["weights"] = completion.Weights
+	members["cache_blocks"] = completion.Blocks
+	if completion.MaxTokens > 0 {
+		members["max_tokens"] = completion.MaxTokens
+	}
+	if len(completion.Delivered) > 0 {
+		members["resume"] = completion.Delivered
+	}
+	return json.Marshal(members)
+}
+
+// stream implements dispatcher.TokenStream on a server-sent event stream.
+type stream struct {
+	engine   *Engine
+	endpoint registrar.Endpoint
+	exchange *exchange
+	body     io.ReadCloser
+	scanner  *bufio.Scanner
+	usage    dispatcher.Usage
+	finished bool
+}
+
+// Next implements dispatcher.TokenStream.
+func (s *stream) Next() (dispatcher.Token, error) {
+	for s.scanner.Scan() {
+		s.exchange.progress()
+		data, ok := strings.CutPrefix(s.scanner.Text(), dataPrefix)
+		if !ok {
+			continue
+		}
+		if data == doneMark {
+			return dispatcher.Token{}, s.end()
+		}
+		token, isToken, err := s.decode(data)
+		if err != nil {
+			return dispatcher.Token{}, err
+		}
+		if isToken {
+			return token, nil
+		}
+	}
+	err := s.scanner.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return dispatcher.Token{}, s.engine.fail(s.exchange, s.endpoint, err)
+}
+
+func (s *stream) end() error {
+	if !s.finished {
+		return errors.Wrapf(dispatcher.ErrBroken, "%s ended without usage", s.endpoint.Name)
+	}
+	return io.EOF
+}
+
+func (s *stream) decode(data string) (dispatcher.Token, bool, error) {
+	var chunk wireChunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return dispatcher.Token{}, false, errors.Mark(errors.Wrap(err, s.endpoint.Name), dispatcher.ErrBroken)
+	}
+	if chunk.Usage != nil {
+		s.finished = true
+		s.usage = dispatcher.Usage{
+			Prompt:     chunk.Usage.PromptTokens,
+			Completion: chunk.Usage.CompletionTokens,
+			Cached:     chunk.Usage.CachedTokens,
+		}
+	}
+	if len(chunk.Choices) == 0 {
+		return dispatcher.Token{}, false, nil
+	}
+	if reason := chunk.Choices[0].FinishReason; reason != nil {
+		s.usage.Reason = *reason
+	}
+	text := chunk.Choices[0].Delta.Content
+	return dispatcher.Token{Index: chunk.Index, Text: text, Weights: chunk.Weights}, text != "", nil
+}
+
+// Usage implements dispatcher.TokenStream.
+func (s *stream) Usage() dispatcher.Usage { return s.usage }
+
+// Close implements dispatcher.TokenStream. Closing before the end cancels the
+// run on the engine.
+func (s *stream) Close() {
+	s.exchange.end()
+	_ = s.body.Close()
+}
+
+type wireLoad struct {
+	Weights      string  `json:"weights"`
+	Running      int     `json:"running"`
+	QueuedTokens int     `json:"queued_tokens"`
+	Watts        float64 `json:"watts"`
+	PrefillRate  float64 `json:"prefill_rate"`
+	Loading      bool    `json:"loading"`
+}
+
+// Load asks an engine for its load report.
+func (e *Engine) Load(ctx context.Context, address netip.AddrPort, timeout time.Duration) (registrar.Report, error) {
+	var load wireLoad
+	if err := e.getJSON(ctx, address, "/v1/load", timeout, &load); err != nil {
+		return registrar.Report{}, err
+	}
+	return registrar.Report{
+		Version:      load.Weights,
+		Running:      load.Running,
+		QueuedTokens: load.QueuedTokens,
+		Watts:        load.Watts,
+		PrefillRate:  load.PrefillRate,
+		Loading:      load.Loading,
+	}, nil
+}
+
+type wireEvents struct {
+	Next   uint64 `json:"next"`
+	Events []struct {
+		Sequence uint64 `json:"sequence"`
+		Type     string `json:"type"`
+		Block    string `json:"block"`
+	} `json:"events"`
+}
+
+// Events asks an engine for its cache events from a sequence number on.
+func (e *Engine) Events(ctx context.Context, address netip.AddrPort, from uint64, timeout time.Duration) ([]hinter.Event, error) {
+	var wire wireEvents
+	if err := e.getJSON(ctx, address, fmt.Sprintf("/v1/cache/events?from=%d", from), timeout, &wire); err != nil {
+		return nil, err
+	}
+	events := make([]hinter.Event, 0, len(wire.Events))
+	for _, event := range wire.Events {
+		events = append(events, hinter.Event{
+			Sequence: event.Sequence,
+			Type:     hinter.EventType(event.Type),
+			Block:    fingerprinter.Block(event.Block),
+		})
+	}
+	return events, nil
+}
+
+// Order tells an engine which weights to load. The fencing number is the
+// configuration offset that the order follows from; an engine that checks it
+// refuses an older one with ErrRefused.
+func (e *Engine) Order(ctx context.Context, address netip.AddrPort, fence uint64, weights string, timeout time.Duration) error {
+	body, err := json.Marshal(struct {
+		Fence   uint64 `json:"fence"`
+		Weights string `json:"weights"`
+	}{fence, weights})
+	if err != nil {
+		return err
+	}
+	ctx, ex := start(ctx, timeout)
+	defer ex.end()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, endpointURL(address, "/v1/orders"), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := e.Pools.get(address).RoundTrip(request)
+	if err != nil {
+		return ex.mark(err)
+	}
+	defer drain(response.Body)
+	if response.StatusCode != http.StatusAccepted {
+		return errors.Wrapf(dispatcher.ErrRefused, "order: %s", response.Status)
+	}
+	return nil
+}
+
+func (e *Engine) getJSON(ctx context.Context, address netip.AddrPort, target string, timeout time.Duration, value any) error {
+	ctx, ex := start(ctx, timeout)
+	defer ex.end()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, endpointURL(address, target), nil)
+	if err != nil {
+		return err
+	}
+	response, err := e.Pools.get(address).RoundTrip(request)
+	if err != nil {
+		marked := ex.mark(err)
+		if errors.Is(marked, dispatcher.ErrStalled) {
+			e.Pools.Drop(address)
+		}
+		return marked
+	}
+	defer drain(response.Body)
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("%s answered %s", target, response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(value)
+}
+
+func endpointURL(address netip.AddrPort, target string) string {
+	return "http://" + address.String() + target
+}
--- /dev/null
+++ b/internal/transport/dialer/hosts.go
@@ -0,0 +1,66 @@
+package dialer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+)
+
+// Hosts is the adapter to the platform's host list.
+type Hosts struct {
+	Address netip.AddrPort
+	HTTP    *http.Client
+}
+
+type wireHosts struct {
+	Hosts []struct {
+		Name    string `json:"name"`
+		Service string `json:"service"`
+		Domain  string `json:"domain"`
+		Address string `json:"address"`
+		State   string `json:"state"`
+	} `json:"hosts"`
+}
+
+const stateLeaving = "leaving"
+
+// List returns the endpoints and nodes on the host list. An entry that can't be
+// read fails the whole list, so that a bad list never empties the table.
+func (h *Hosts) List(ctx context.Context) ([]registrar.Endpoint, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, endpointURL(h.Address, "/v1/hosts"), nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := h.HTTP.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "host list")
+	}
+	defer drain(response.Body)
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("host list answered %s", response.Status)
+	}
+	var wire wireHosts
+	if err := json.NewDecoder(response.Body).Decode(&wire); err != nil {
+		return nil, errors.Wrap(err, "host list")
+	}
+	endpoints := make([]registrar.Endpoint, 0, len(wire.Hosts))
+	for _, host := range wire.Hosts {
+		address, err := netip.ParseAddrPort(host.Address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "host %s", host.Name)
+		}
+		endpoints = append(endpoints, registrar.Endpoint{
+			Name:    host.Name,
+			Service: host.Service,
+			Domain:  host.Domain,
+			Address: address,
+			Leaving: host.State == stateLeaving,
+		})
+	}
+	return endpoints, nil
+}
--- /dev/null
+++ b/internal/transport/dialer/service.go
@@ -0,0 +1,78 @@
+package dialer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+)
+
+// maxAnswerBytes is the largest answer of a plain service.
+const maxAnswerBytes = 16 << 20
+
+// Service is the adapter to plain services. It implements dispatcher.Caller.
+type Service struct {
+	Pools *Pools
+}
+
+// Do implements dispatcher.Caller. A call that is not repeatable goes out on a
+// new connection: its handshake has just proved that the connection is live,
+// and the HTTP client never sends on it twice.
+func (s *Service) Do(ctx context.Context, endpoint registrar.Endpoint, call dispatcher.Call) (dispatcher.Response, error) {
+	ctx, ex := start(ctx, call.Service.Timeout)
+	defer ex.end()
+	request, err := http.NewRequestWithContext(ctx, call.Method, endpointURL(endpoint.Address, call.Target), bytes.NewReader(call.Body))
+	if err != nil {
+		return dispatcher.Response{}, errors.Mark(err, dispatcher.ErrNotSent)
+	}
+	request.Header = call.Header.Clone()
+	request.Header.Set("X-Request-Id", call.Request)
+	transport := s.Pools.get(endpoint.Address)
+	if !call.Repeatable {
+		request.GetBody = nil
+		transport = s.Pools.fresh()
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return dispatcher.Response{}, s.fail(ex, endpoint, err)
+	}
+	defer response.Body.Close()
+	body, err := readWhole(ex, response.Body)
+	if err != nil {
+		return dispatcher.Response{}, s.fail(ex, endpoint, err)
+	}
+	return dispatcher.Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+func (s *Service) fail(ex *exchange, endpoint registrar.Endpoint, err error) error {
+	marked := ex.mark(errors.Wrap(err, endpoint.Name))
+	if errors.Is(marked, dispatcher.ErrStalled) {
+		s.Pools.Drop(endpoint.Address)
+	}
+	return marked
+}
+
+// readWhole reads a body to its end and counts each part as progress.
+func readWhole(ex *exchange, body io.Reader) ([]byte, error) {
+	var whole bytes.Buffer
+	for {
+		n, err := io.CopyN(&whole, body, 64<<10)
+		if n > 0 {
+			ex.progress()
+		}
+		if errors.Is(err, io.EOF) {
+			return whole.Bytes(), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if whole.Len() > maxAnswerBytes {
+			return nil, errors.Newf("answer is over %d bytes", maxAnswerBytes)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/follower/claims.go
@@ -0,0 +1,49 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/indexer"
+)
+
+// Claims implements claimer.Stream on the log's claim streams.
+type Claims struct {
+	Client *Client
+}
+
+// ClaimStream returns the name of a claim stream.
+func ClaimStream(partition int) string {
+	return fmt.Sprintf("claims-%d", partition)
+}
+
+// Append implements claimer.Stream.
+func (c *Claims) Append(ctx context.Context, partition int, records []indexer.Record) (uint64, error) {
+	encoded := make([][]byte, 0, len(records))
+	for _, record := range records {
+		data, err := transcoder.EncodeClaim(record)
+		if err != nil {
+			return 0, errors.Mark(err, claimer.ErrNotAppended)
+		}
+		encoded = append(encoded, data)
+	}
+	return c.Client.Append(ctx, ClaimStream(partition), encoded)
+}
+
+// Read implements claimer.Stream.
+func (c *Claims) Read(ctx context.Context, partition int, from uint64) (claimer.Page, error) {
+	page, err := c.Client.Read(ctx, ClaimStream(partition), from, 0)
+	if err != nil {
+		return claimer.Page{}, err
+	}
+	decoded := claimer.Page{Oldest: page.Oldest, Next: page.Next}
+	for _, record := range page.Records {
+		claim, err := transcoder.DecodeClaim(record.Data)
+		decoded.Records = append(decoded.Records, claimer.Positioned{Offset: record.Offset, Record: claim, Err: err})
+	}
+	return decoded, nil
+}
--- /dev/null
+++ b/internal/transport/follower/follower.go
@@ -0,0 +1,162 @@
+// Package follower speaks to the platform's log service over HTTP: it appends
+// to streams, reads them, and follows the configuration stream.
+//
+// It is the only package that knows the log service's wire format.
+//
+// # Usage
+//
+//	client := &follower.Client{Address: address, HTTP: httpClient}
+//	page, err := client.Read(ctx, "configuration", 0, time.Second)
+package follower
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
+)
+
+// pageLimit is the number of records asked for at once.
+const pageLimit = 1000
+
+// ErrUnreachable marks a failed read.
+var ErrUnreachable = errors.New("log service is unreachable")
+
+// Record is one record of a stream.
+type Record struct {
+	Offset uint64
+	Data   []byte
+}
+
+// Page is a part of a stream.
+type Page struct {
+	// Oldest is the first offset that the log still holds.
+	Oldest uint64
+	// Next is the offset after the newest record.
+	Next    uint64
+	Records []Record
+}
+
+// Client is a client of the log service. Its fields are set before use.
+type Client struct {
+	Address netip.AddrPort
+	HTTP    *http.Client
+}
+
+type wireAppend struct {
+	Records [][]byte `json:"records"`
+}
+
+type wireAppended struct {
+	First uint64 `json:"first"`
+}
+
+type wirePage struct {
+	Oldest  uint64       `json:"oldest"`
+	Next    uint64       `json:"next"`
+	Records []wireRecord `json:"records"`
+}
+
+type wireRecord struct {
+	Offset uint64 `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// Append adds records to a stream and returns the offset of the first. An error
+// is marked claimer.ErrNotAppended when the records provably did not reach the
+// log, and claimer.ErrInDoubt otherwise.
+func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (uint64, error) {
+	body, err := json.Marshal(wireAppend{Records: records})
+	if err != nil {
+		return 0, errors.Mark(err, claimer.ErrNotAppended)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(stream, nil), bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.Mark(err, claimer.ErrNotAppended)
+	}
+	// Without GetBody the HTTP client never sends the request a second time.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return 0, appendError(err)
+	}
+	defer response.Body.Close()
+	return decodeAppended(response)
+}
+
+func appendError(err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return errors.Mark(err, claimer.ErrNotAppended)
+	}
+	return errors.Mark(err, claimer.ErrInDoubt)
+}
+
+func decodeAppended(response *http.Response) (uint64, error) {
+	if response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests {
+		return 0, errors.Wrapf(claimer.ErrNotAppended, "log answered %s", response.Status)
+	}
+	if response.StatusCode != http.StatusOK {
+		return 0, errors.Wrapf(claimer.ErrInDoubt, "log answered %s", response.Status)
+	}
+	var appended wireAppended
+	if err := json.NewDecoder(response.Body).Decode(&appended); err != nil {
+		return 0, errors.Mark(err, claimer.ErrInDoubt)
+	}
+	return appended.First, nil
+}
+
+// Read returns records of a stream from an offset on. With no record there it
+// waits for one, at most the given time. Errors are marked ErrUnreachable.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Page, error) {
+	query := url.Values{}
+	query.Set("from", strconv.FormatUint(from, 10))
+	query.Set("limit", strconv.Itoa(pageLimit))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(stream, query), nil)
+	if err != nil {
+		return Page{}, errors.Mark(err, ErrUnreachable)
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return Page{}, errors.Mark(err, ErrUnreachable)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return Page{}, errors.Wrapf(ErrUnreachable, "log answered %s", response.Status)
+	}
+	var wire wirePage
+	if err := json.NewDecoder(response.Body).Decode(&wire); err != nil {
+		return Page{}, errors.Mark(err, ErrUnreachable)
+	}
+	return decodePage(wire), nil
+}
+
+func decodePage(wire wirePage) Page {
+	page := Page{Oldest: wire.Oldest, Next: wire.Next}
+	for _, record := range wire.Records {
+		page.Records = append(page.Records, Record(record))
+	}
+	return page
+}
+
+func (c *Client) url(stream string, query url.Values) string {
+	target := url.URL{
+		Scheme:   "http",
+		Host:     c.Address.String(),
+		Path:     fmt.Sprintf("/v1/streams/%s/records", stream),
+		RawQuery: query.Encode(),
+	}
+	return target.String()
+}
--- /dev/null
+++ b/internal/transport/gossiper/gossiper.go
@@ -0,0 +1,184 @@
+// Package gossiper sends and receives the nodes' heartbeat datagrams over UDP,
+// on gnet event loops.
+//
+// Datagrams that are not authentic are counted and dropped. Those that are may
+// still be late, doubled or reordered; the observer sorts that out.
+//
+// # Usage
+//
+//	g := &gossiper.Gossiper{Address: address, Packer: packer, Receive: handle}
+//	go g.Run(ctx)
+//	err := g.Send(peer, message)
+package gossiper
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/gnet/v2"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
+)
+
+// ErrNotRunning is returned by Send before Run has started.
+var ErrNotRunning = errors.New("gossiper is not running")
+
+const stopTimeout = 2 * time.Second
+
+// Counts are totals since the start.
+type Counts struct {
+	SentBytes     uint64
+	ReceivedBytes uint64
+	Refused       uint64
+}
+
+// Gossiper exchanges heartbeats. Its exported fields are set before Run.
+type Gossiper struct {
+	Address netip.AddrPort
+	Packer  packer.Packer
+	// Receive is called on an event loop and must not block.
+	Receive func(message packer.Message)
+
+	gnet.BuiltinEventEngine
+	sent, received, refused atomic.Uint64
+
+	mu     sync.Mutex
+	client *gnet.Client
+	conns  map[netip.AddrPort]gnet.Conn
+	engine gnet.Engine
+}
+
+// Counts returns the totals.
+func (g *Gossiper) Counts() Counts {
+	return Counts{
+		SentBytes:     g.sent.Load(),
+		ReceivedBytes: g.received.Load(),
+		Refused:       g.refused.Load(),
+	}
+}
+
+// Run serves until ctx ends.
+func (g *Gossiper) Run(ctx context.Context) error {
+	if err := g.startClient(); err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, g.stop)
+	defer stop()
+	err := gnet.Run(g, "udp://"+g.Address.String(), gnet.WithLogger(silent{}))
+	return errors.Wrapf(err, "gossip on %s", g.Address)
+}
+
+func (g *Gossiper) startClient() error {
+	client, err := gnet.NewClient(&clientEvents{gossiper: g}, gnet.WithLogger(silent{}))
+	if err != nil {
+		return errors.Wrap(err, "gossip client")
+	}
+	if err := client.Start(); err != nil {
+		return errors.Wrap(err, "gossip client")
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.client = client
+	g.conns = map[netip.AddrPort]gnet.Conn{}
+	return nil
+}
+
+func (g *Gossiper) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	g.mu.Lock()
+	client, engine := g.client, g.engine
+	g.client = nil
+	g.mu.Unlock()
+	_ = client.Stop()
+	_ = engine.Stop(ctx)
+}
+
+// OnBoot implements gnet.EventHandler.
+func (g *Gossiper) OnBoot(engine gnet.Engine) gnet.Action {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.engine = engine
+	return gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (g *Gossiper) OnTraffic(c gnet.Conn) gnet.Action {
+	datagram, err := c.Next(-1)
+	if err != nil {
+		return gnet.None
+	}
+	g.received.Add(uint64(len(datagram)))
+	message, err := g.Packer.Unpack(datagram)
+	if err != nil {
+		g.refused.Add(1)
+		return gnet.None
+	}
+	g.Receive(message)
+	return gnet.None
+}
+
+// Send sends a message to a peer. A lost datagram is no error.
+func (g *Gossiper) Send(to netip.AddrPort, message packer.Message) error {
+	datagram, err := g.Packer.Pack(message)
+	if err != nil {
+		return err
+	}
+	conn, err := g.conn(to)
+	if err != nil {
+		return err
+	}
+	g.sent.Add(uint64(len(datagram)))
+	return conn.AsyncWrite(datagram, nil)
+}
+
+func (g *Gossiper) conn(to netip.AddrPort) (gnet.Conn, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.client == nil {
+		return nil, ErrNotRunning
+	}
+	if conn, ok := g.conns[to]; ok {
+		return conn, nil
+	}
+	conn, err := g.client.DialContext("udp", to.String(), to)
+	if err != nil {
+		return nil, errors.Wrapf(err, "gossip to %s", to)
+	}
+	g.conns[to] = conn
+	return conn, nil
+}
+
+// clientEvents forgets closed connections.
+type clientEvents struct {
+	gnet.BuiltinEventEngine
+	gossiper *Gossiper
+}
+
+// OnTraffic implements gnet.EventHandler; peers answer to the listening socket.
+func (e *clientEvents) OnTraffic(c gnet.Conn) gnet.Action {
+	_, _ = c.Discard(-1)
+	return gnet.None
+}
+
+// OnClose implements gnet.EventHandler.
+func (e *clientEvents) OnClose(c gnet.Conn, _ error) gnet.Action {
+	to, ok := c.Context().(netip.AddrPort)
+	if !ok {
+		return gnet.None
+	}
+	go e.gossiper.forget(to, c)
+	return gnet.None
+}
+
+func (g *Gossiper) forget(to netip.AddrPort, conn gnet.Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conns[to] == conn {
+		delete(g.conns, to)
+	}
+}
--- /dev/null
+++ b/internal/transport/listener/chat.go
@@ -0,0 +1,180 @@
+package listener
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/chatter"
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/refuser"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
+)
+
+func (s *Server) chat(e *exchange) {
+	// Prompts are repeatable: a key on them has no meaning.
+	e.key = ""
+	request, err := chatter.DecodeRequest(e.body)
+	if err != nil {
+		e.refuse(problem{status: http.StatusBadRequest, kind: "malformed", title: "chat request can't be read", detail: err.Error()})
+		return
+	}
+	model, ok := e.snapshot.Model(request.Model)
+	if !ok {
+		e.refuse(problem{status: http.StatusNotFound, kind: "no-model", title: "there is no such model", detail: request.Model})
+		return
+	}
+	service, _ := e.snapshot.Service(model.Service)
+	if len(e.snapshot.Services[service.Name]) == 0 {
+		e.refuse(problem{status: http.StatusServiceUnavailable, kind: "no-endpoint", title: "no endpoint is available", retry: shortRetry})
+		return
+	}
+	ticket, ok := e.admit(service)
+	if !ok {
+		return
+	}
+	defer func() { s.Limiter.Leave(s.Now(), ticket) }()
+	s.runPrompt(e, request, model, service)
+}
+
+func (s *Server) runPrompt(e *exchange, request chatter.Request, model configurator.Model, service configurator.Service) {
+	priority, _ := e.snapshot.Priority(e.r.Header.Get(headerPriority), service)
+	prompt := dispatcher.Prompt{
+		Request:   e.id,
+		Team:      e.team.Name,
+		Model:     model,
+		Service:   service,
+		Priority:  priority,
+		Options:   request.Options,
+		Messages:  request.Messages,
+		MaxTokens: request.MaxTokens,
+		Text:      request.Text,
+	}
+	out := s.newSink(e, request, priority.Name)
+	usage, err := s.Prompts.Run(e.r.Context(), prompt, out)
+	if err != nil {
+		out.fail(err)
+		e.finish(priority.Name, err)
+		return
+	}
+	s.countUsage(priority.Name, usage)
+	out.end(usage)
+	e.finish(priority.Name, nil)
+}
+
+func (s *Server) countUsage(class string, usage dispatcher.Usage) {
+	scope := s.Metrics.Tagged(map[string]string{"class": class})
+	scope.Counter("prompt_tokens").Inc(int64(usage.Prompt))
+	scope.Counter("recomputed_tokens").Inc(int64(usage.Prompt - usage.Cached))
+	scope.Counter("answer_tokens").Inc(int64(usage.Completion))
+}
+
+// sink is where an answer goes: streamed or collected.
+type sink interface {
+	dispatcher.Sink
+	end(usage dispatcher.Usage)
+	fail(err error)
+}
+
+func (s *Server) newSink(e *exchange, request chatter.Request, class string) sink {
+	base := answerSink{
+		exchange: e,
+		class:    class,
+		answer:   chatter.Answer{Request: e.id, Model: request.Model, Created: e.started},
+	}
+	if request.Stream {
+		return &streamSink{answerSink: base}
+	}
+	return &wholeSink{answerSink: base}
+}
+
+type answerSink struct {
+	*exchange
+	class  string
+	answer chatter.Answer
+	began  bool
+}
+
+// first records the time to the first token.
+func (a *answerSink) first() {
+	if a.began {
+		return
+	}
+	a.began = true
+	took := a.server.Now().Sub(a.started)
+	a.server.Metrics.Tagged(map[string]string{"class": a.class}).Timer("first_token_time").Record(took)
+}
+
+// streamSink writes server-sent events.
+type streamSink struct{ answerSink }
+
+// Token implements dispatcher.Sink.
+func (s *streamSink) Token(token dispatcher.Token) error {
+	if !s.began {
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-store")
+	}
+	s.first()
+	event, err := chatter.EncodeToken(s.answer, token.Text)
+	if err != nil {
+		return err
+	}
+	return s.write(event)
+}
+
+func (s *streamSink) write(event []byte) error {
+	if _, err := s.w.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+func (s *streamSink) end(usage dispatcher.Usage) {
+	event, err := chatter.EncodeEnd(s.answer, usage.Reason, callerUsage(usage))
+	if err != nil {
+		return
+	}
+	_ = s.write(append(event, chatter.Done...))
+}
+
+// fail ends the stream with an error event and without the end mark.
+func (s *streamSink) fail(err error) {
+	if !s.began {
+		s.refuse(problemOf(err))
+		return
+	}
+	document, encodeErr := refuser.Encode(s.document(problemOf(err)))
+	if encodeErr != nil {
+		return
+	}
+	_ = s.write(chatter.EncodeError(document))
+}
+
+// wholeSink collects the answer and writes it at its end.
+type wholeSink struct {
+	answerSink
+	text strings.Builder
+}
+
+// Token implements dispatcher.Sink.
+func (s *wholeSink) Token(token dispatcher.Token) error {
+	s.first()
+	s.text.WriteString(token.Text)
+	return s.r.Context().Err()
+}
+
+func (s *wholeSink) end(usage dispatcher.Usage) {
+	body, err := chatter.EncodeAnswer(s.answer, s.text.String(), usage.Reason, callerUsage(usage))
+	if err != nil {
+		return
+	}
+	s.w.Header().Set("Content-Type", "application/json")
+	_, _ = s.w.Write(body)
+	_, _ = io.WriteString(s.w, "\n")
+}
+
+func (s *wholeSink) fail(err error) { s.refuse(problemOf(err)) }
+
+func callerUsage(usage dispatcher.Usage) chatter.Usage {
+	return chatter.Usage{Prompt: usage.Prompt, Completion: usage.Completion, Cached: usage.Cached}
+}
--- /dev/null
+++ b/internal/transport/listener/listener.go
@@ -0,0 +1,274 @@
+// Package listener serves callers over HTTP: chat completions, plain services
+// and health.
+//
+// # Usage
+//
+//	server := &listener.Server{Cell: cell, Prompts: prompts, Orders: orders, …}
+//	http.Serve(listener, server.Handler())
+//
+// Routes:
+//
+//	POST /v1/chat/completions      OpenAI-style, streamed or whole
+//	GET  /v1/models
+//	ANY  /v1/services/NAME/PATH    forwarded to the plain service NAME
+//	GET  /healthz, /readyz
+//
+// Every refusal is a problem document with the member run; see refuser.
+package listener
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/refuser"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/indexer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/publisher"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+)
+
+// MaxBodyBytes is the largest request body.
+const MaxBodyBytes = 8 << 20
+
+const (
+	headerRequest    = "X-Request-Id"
+	headerPriority   = "X-Priority"
+	headerKey        = "Idempotency-Key"
+	headerRepeatable = "Repeatable"
+	headerRepeated   = "Idempotent-Replayed"
+
+	startingRetry = 2 * time.Second
+)
+
+// Prompter runs prompts.
+type Prompter interface {
+	Run(ctx context.Context, prompt dispatcher.Prompt, sink dispatcher.Sink) (dispatcher.Usage, error)
+}
+
+// Caller runs calls to plain services.
+type Caller interface {
+	Run(ctx context.Context, team string, call dispatcher.Call) (dispatcher.Response, error)
+}
+
+// Orderer runs calls at most once.
+type Orderer interface {
+	Run(ctx context.Context, team, idempotencyKey string, call dispatcher.Call) (dispatcher.OrderResult, error)
+	Finish(ctx context.Context, result dispatcher.OrderResult) error
+}
+
+// Inspector looks up idempotency keys.
+type Inspector interface {
+	Inspect(ctx context.Context, key indexer.Key) (claimer.State, error)
+}
+
+// Server serves callers. Its exported fields are set before Handler.
+type Server struct {
+	Node     string
+	Cell     *publisher.Cell
+	Limiter  *limiter.Limiter
+	Prompts  Prompter
+	Calls    Caller
+	Orders   Orderer
+	Inspect  Inspector
+	Journal  dispatcher.Journal
+	Metrics  tally.Scope
+	Log      zerolog.Logger
+	Now      func() time.Time
+	Instance uint64
+
+	counter    atomic.Uint64
+	inspecting atomic.Int32
+	background sync.WaitGroup
+}
+
+// Wait returns when the work that outlives its requests is done.
+func (s *Server) Wait() { s.background.Wait() }
+
+// Handler returns the callers' handler.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.authenticated(s.chat))
+	mux.HandleFunc("GET /v1/models", s.authenticated(s.models))
+	mux.HandleFunc("/v1/services/{service}/{path...}", s.authenticated(s.service))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		refuser.Write(w, refuser.Problem{
+			Type: "no-route", Status: http.StatusNotFound, Title: "there is no such route",
+			Detail: r.Method + " " + r.URL.Path, Run: refuser.NotRun,
+		})
+	})
+	return mux
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	snapshot := s.Cell.Load()
+	switch {
+	case snapshot.Leaving:
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !snapshot.Ready:
+		http.Error(w, "configuration is not read yet", http.StatusServiceUnavailable)
+	default:
+		_, _ = io.WriteString(w, "ready\n")
+	}
+}
+
+// exchange is one caller's request.
+type exchange struct {
+	server   *Server
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	team     configurator.Team
+	snapshot *publisher.Snapshot
+	body     []byte
+	started  time.Time
+	// key is the request's idempotency key, if it has one.
+	key string
+}
+
+// authenticated identifies the team by its bearer key and reads the body.
+func (s *Server) authenticated(handle func(e *exchange)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e := &exchange{
+			server:   s,
+			w:        w,
+			r:        r,
+			id:       s.newID(),
+			snapshot: s.Cell.Load(),
+			started:  s.Now(),
+			key:      r.Header.Get(headerKey),
+		}
+		w.Header().Set(headerRequest, e.id)
+		if !e.snapshot.Ready {
+			e.refuse(problem{status: http.StatusServiceUnavailable, kind: "starting", title: "node has not read the configuration yet", retry: startingRetry})
+			return
+		}
+		if !e.identify() || !e.readBody() {
+			return
+		}
+		e.event(recorder.KindReceive, r.Method+" "+r.URL.Path)
+		handle(e)
+	}
+}
+
+func (s *Server) newID() string {
+	return fmt.Sprintf("%s-%08x-%d", s.Node, uint32(s.Instance), s.counter.Add(1))
+}
+
+func (e *exchange) identify() bool {
+	key, ok := strings.CutPrefix(e.r.Header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(key))
+	team, known := e.snapshot.Teams[hex.EncodeToString(sum[:])]
+	if !ok || !known {
+		// Without a team there is no key to look up, so nothing can have run.
+		e.key = ""
+		e.refuse(problem{status: http.StatusUnauthorized, kind: "no-team", title: "bearer key belongs to no team"})
+		return false
+	}
+	e.team = team
+	return true
+}
+
+func (e *exchange) readBody() bool {
+	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, MaxBodyBytes))
+	if err != nil {
+		e.refuse(problem{status: http.StatusRequestEntityTooLarge, kind: "body", title: "request body can't be read", detail: err.Error()})
+		return false
+	}
+	e.body = body
+	return true
+}
+
+func (e *exchange) event(kind recorder.Kind, detail string) {
+	e.server.Journal.Record(e.server.Now(), recorder.Event{
+		Kind:    kind,
+		Request: e.id,
+		Team:    e.team.Name,
+		Detail:  detail,
+	})
+}
+
+// finish counts and logs the end of a request.
+func (e *exchange) finish(class string, err error) {
+	took := e.server.Now().Sub(e.started)
+	scope := e.server.Metrics.Tagged(map[string]string{"class": class})
+	scope.Timer("request_time").Record(took)
+	if err != nil {
+		scope.Counter("requests_failed").Inc(1)
+		e.event(recorder.KindFail, err.Error())
+		e.server.Log.Warn().Err(err).Str("request", e.id).Str("team", e.team.Name).Dur("took", took).Msg("request failed")
+		return
+	}
+	scope.Counter("requests_answered").Inc(1)
+	e.event(recorder.KindAnswer, "")
+	e.server.Log.Debug().Str("request", e.id).Str("team", e.team.Name).Dur("took", took).Msg("request answered")
+}
+
+// admit waits for admission; it refuses the request itself when there is none.
+func (e *exchange) admit(service configurator.Service) (*limiter.Ticket, bool) {
+	priority, ok := e.snapshot.Priority(e.r.Header.Get(headerPriority), service)
+	if !ok {
+		e.refuse(problem{status: http.StatusBadRequest, kind: "priority", title: "there is no such priority", detail: e.r.Header.Get(headerPriority)})
+		return nil, false
+	}
+	request := limiter.Request{Team: e.team, Priority: priority, Service: service.Name, Watts: service.RunWatts}
+	ticket, err := e.server.Limiter.Enter(e.server.Now(), request)
+	if err != nil {
+		e.refuseLimit(err)
+		return nil, false
+	}
+	return ticket, e.await(ticket)
+}
+
+func (e *exchange) await(ticket *limiter.Ticket) bool {
+	timer := time.NewTimer(ticket.Deadline().Sub(e.server.Now()))
+	defer timer.Stop()
+	select {
+	case <-ticket.Ready():
+		e.event(recorder.KindAdmit, "")
+		return true
+	case <-e.r.Context().Done():
+		e.server.Limiter.Leave(e.server.Now(), ticket)
+		return false
+	case <-timer.C:
+	}
+	if err := e.server.Limiter.Expire(ticket); err != nil {
+		e.refuseLimit(err)
+		return false
+	}
+	e.event(recorder.KindAdmit, "")
+	return true
+}
+
+func (s *Server) models(e *exchange) {
+	type wireModel struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := struct {
+		Object string      `json:"object"`
+		Data   []wireModel `json:"data"`
+	}{Object: "list", Data: []wireModel{}}
+	for _, model := range configurator.All[configurator.Model](e.snapshot.Configuration) {
+		list.Data = append(list.Data, wireModel{ID: model.Name, Object: "model", OwnedBy: model.Service})
+	}
+	e.w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(e.w).Encode(list)
+}
--- /dev/null
+++ b/internal/transport/listener/problem.go
@@ -0,0 +1,134 @@
+package listener
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/refuser"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/indexer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+)
+
+const (
+	// inspectTimeout bounds the look-up of a refused request's key.
+	inspectTimeout = 100 * time.Millisecond
+	// maxInspecting bounds the look-ups that run at once.
+	maxInspecting = 32
+
+	shortRetry  = time.Second
+	poisonRetry = 10 * time.Minute
+)
+
+// problem is a refusal before what ran has been established.
+type problem struct {
+	status int
+	kind   string
+	title  string
+	detail string
+	retry  time.Duration
+	// sent is set when a byte of the request may have left.
+	sent bool
+}
+
+// failures maps errors of the dispatcher and the claimer to problems, the first
+// match first.
+var failures = []struct {
+	is      error
+	problem problem
+}{
+	{dispatcher.ErrKeyReused, problem{status: http.StatusUnprocessableEntity, kind: "key-reused", title: "idempotency key was used for another request"}},
+	{dispatcher.ErrOutcomeUnknown, problem{status: http.StatusConflict, kind: "outcome-unknown", title: "an earlier request with this key may have run", retry: shortRetry}},
+	{claimer.ErrUnavailable, problem{status: http.StatusServiceUnavailable, kind: "claim-log", title: "claim log can't be read", retry: shortRetry}},
+	{dispatcher.ErrPoison, problem{status: http.StatusUnprocessableEntity, kind: "poison", title: "request has crashed endpoints", retry: poisonRetry, sent: true}},
+	{dispatcher.ErrNoEndpoint, problem{status: http.StatusServiceUnavailable, kind: "no-endpoint", title: "no endpoint is available", retry: shortRetry}},
+	{dispatcher.ErrNotSent, problem{status: http.StatusServiceUnavailable, kind: "not-sent", title: "no endpoint could be reached", retry: shortRetry}},
+	{dispatcher.ErrRefused, problem{status: http.StatusServiceUnavailable, kind: "refused", title: "endpoints refused the request", retry: shortRetry}},
+	{dispatcher.ErrVersionGone, problem{status: http.StatusBadGateway, kind: "version-gone", title: "weights of the started answer are gone", retry: shortRetry, sent: true}},
+	{dispatcher.ErrBudget, problem{status: http.StatusBadGateway, kind: "retry-budget", title: "endpoint failed and the retry budget is used up", retry: shortRetry, sent: true}},
+	{dispatcher.ErrStalled, problem{status: http.StatusGatewayTimeout, kind: "stalled", title: "endpoint stopped making progress", retry: shortRetry, sent: true}},
+	{dispatcher.ErrBroken, problem{status: http.StatusBadGateway, kind: "broken", title: "endpoint broke off", retry: shortRetry, sent: true}},
+}
+
+func problemOf(err error) problem {
+	for _, failure := range failures {
+		if errors.Is(err, failure.is) {
+			found := failure.problem
+			found.detail = err.Error()
+			return found
+		}
+	}
+	return problem{status: http.StatusBadGateway, kind: "failed", title: "request failed", detail: err.Error(), sent: true}
+}
+
+func (e *exchange) refuseLimit(err error) {
+	found := problem{status: http.StatusTooManyRequests, kind: "limit", title: err.Error(), retry: shortRetry}
+	var refusal *limiter.Refusal
+	if errors.As(err, &refusal) {
+		found.retry = max(refusal.Retry, time.Millisecond)
+	}
+	if errors.Is(err, limiter.ErrDeadline) || errors.Is(err, limiter.ErrPower) {
+		found.status = http.StatusServiceUnavailable
+		found.kind = "overload"
+	}
+	e.refuse(found)
+}
+
+// refuse writes the final answer to a refused request.
+func (e *exchange) refuse(p problem) {
+	document := e.document(p)
+	e.event(recorder.KindRefuse, p.kind+", run "+string(document.Run))
+	e.server.Metrics.Tagged(map[string]string{"kind": p.kind}).Counter("refusals").Inc(1)
+	refuser.Write(e.w, document)
+}
+
+func (e *exchange) document(p problem) refuser.Problem {
+	return refuser.Problem{
+		Type:    p.kind,
+		Status:  p.status,
+		Title:   p.title,
+		Detail:  p.detail,
+		Request: e.id,
+		Run:     e.ran(p),
+		Sent:    p.sent,
+		Retry:   p.retry,
+	}
+}
+
+// ran establishes whether the request ran. A request with an idempotency key is
+// one with all earlier requests of that key, so "not run" is only said once the
+// log shows that none of them holds it.
+func (e *exchange) ran(p problem) refuser.Run {
+	switch {
+	case p.sent:
+		return refuser.Unknown
+	case e.key == "":
+		return refuser.NotRun
+	case p.kind == "claim-log", p.kind == "outcome-unknown":
+		return refuser.Unknown
+	}
+	return e.inspect()
+}
+
+func (e *exchange) inspect() refuser.Run {
+	defer e.server.inspecting.Add(-1)
+	if e.server.inspecting.Add(1) > maxInspecting {
+		return refuser.Unknown
+	}
+	ctx, cancel := context.WithTimeout(e.r.Context(), inspectTimeout)
+	defer cancel()
+	state, err := e.server.Inspect.Inspect(ctx, indexer.NewKey(e.team.Name, e.key))
+	switch {
+	case err != nil, state == claimer.StateClaimed:
+		return refuser.Unknown
+	case state == claimer.StateDone:
+		return refuser.Done
+	default:
+		return refuser.NotRun
+	}
+}
--- /dev/null
+++ b/internal/transport/listener/service.go
@@ -0,0 +1,156 @@
+package listener
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
+)
+
+const (
+	// finishTimeout bounds the recording of an order's answer.
+	finishTimeout = 30 * time.Second
+	finishBackoff = 100 * time.Millisecond
+	finishLimit   = 5 * time.Second
+
+	maxKeyBytes = 255
+
+	servicesPath = "/v1/services/"
+)
+
+func (s *Server) service(e *exchange) {
+	name := e.r.PathValue("service")
+	service, ok := e.snapshot.Service(name)
+	if !ok || service.Type != configurator.ServicePlain {
+		e.refuse(problem{status: http.StatusNotFound, kind: "no-service", title: "there is no such plain service", detail: name})
+		return
+	}
+	if len(e.key) > maxKeyBytes {
+		e.key = ""
+		e.refuse(problem{status: http.StatusBadRequest, kind: "key", title: "idempotency key is over 255 bytes"})
+		return
+	}
+	if len(e.snapshot.Services[name]) == 0 {
+		e.refuse(problem{status: http.StatusServiceUnavailable, kind: "no-endpoint", title: "no endpoint is available", retry: shortRetry})
+		return
+	}
+	ticket, ok := e.admit(service)
+	if !ok {
+		return
+	}
+	defer func() { s.Limiter.Leave(s.Now(), ticket) }()
+	if e.key == "" {
+		s.runCall(e, service)
+		return
+	}
+	s.runOrder(e, service)
+}
+
+func (s *Server) runCall(e *exchange, service configurator.Service) {
+	call := e.call(service)
+	call.Repeatable = repeatable(e.r)
+	response, err := s.Calls.Run(e.r.Context(), e.team.Name, call)
+	e.finish(service.Name, err)
+	if err != nil {
+		e.refuse(problemOf(err))
+		return
+	}
+	e.write(response)
+}
+
+// repeatable reports whether the caller lets a request run more than once: by
+// its method (RFC 9110, section 9.2.2) or by its own word.
+func repeatable(r *http.Request) bool {
+	if word := r.Header.Get(headerRepeatable); word != "" {
+		return word == "true"
+	}
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+func (s *Server) runOrder(e *exchange, service configurator.Service) {
+	// The order's fate no longer depends on whether its caller waits.
+	ctx := context.WithoutCancel(e.r.Context())
+	result, err := s.Orders.Run(ctx, e.team.Name, e.key, e.call(service))
+	e.finish(service.Name, err)
+	if err != nil {
+		e.refuse(problemOf(err))
+		return
+	}
+	if result.Omitted {
+		e.w.Header().Set(headerRepeated, "true")
+		e.refuse(problem{status: http.StatusConflict, kind: "answer-omitted", title: "the request ran, its answer was too large to keep"})
+		return
+	}
+	if result.Repeated {
+		e.w.Header().Set(headerRepeated, "true")
+	}
+	s.background.Go(func() { s.recordAnswer(ctx, e, result) })
+	e.write(result.Response)
+}
+
+// recordAnswer keeps an order's answer for repeats; without it a repeat gets
+// "outcome unknown".
+func (s *Server) recordAnswer(ctx context.Context, e *exchange, result dispatcher.OrderResult) {
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	for attempt := 0; ; attempt++ {
+		err := s.Orders.Finish(ctx, result)
+		if err == nil {
+			return
+		}
+		if retrier.Sleep(ctx, retrier.Backoff(attempt, finishBackoff, finishLimit)) != nil {
+			s.Log.Error().Err(err).Str("request", e.id).Msg("answer of an order was not recorded")
+			return
+		}
+	}
+}
+
+func (e *exchange) call(service configurator.Service) dispatcher.Call {
+	_, path, _ := strings.Cut(strings.TrimPrefix(e.r.URL.EscapedPath(), servicesPath), "/")
+	target := "/" + path
+	if e.r.URL.RawQuery != "" {
+		target += "?" + e.r.URL.RawQuery
+	}
+	return dispatcher.Call{
+		Request: e.id,
+		Service: service,
+		Method:  e.r.Method,
+		Target:  target,
+		Header:  forwardedHeader(e.r.Header),
+		Body:    e.body,
+	}
+}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1), or are the
+// system's own.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization", headerRepeatable, headerPriority,
+}
+
+func forwardedHeader(header http.Header) http.Header {
+	forwarded := header.Clone()
+	for _, name := range hopHeaders {
+		forwarded.Del(name)
+	}
+	return forwarded
+}
+
+func (e *exchange) write(response dispatcher.Response) {
+	header := e.w.Header()
+	for name, values := range forwardedHeader(response.Header) {
+		if name != headerRequest {
+			header[name] = values
+		}
+	}
+	e.w.WriteHeader(response.Status)
+	_, _ = e.w.Write(response.Body)
+}
--- /dev/null
+++ b/internal/transport/messenger/messenger.go
@@ -0,0 +1,220 @@
+// Package messenger carries calls between nodes over twirp. Requests and
+// replies are authenticated with the key that the nodes share.
+//
+// # Usage
+//
+//	handler := messenger.NewHandler(node, key)
+//	http.Serve(listener, handler)
+//
+//	client := messenger.NewClient(httpClient, key)
+//	page, err := client.Records(ctx, peer, from)
+package messenger
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/wire"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/indexer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+)
+
+// Record is an encoded configuration record at its offset.
+type Record struct {
+	Offset uint64
+	Data   []byte
+}
+
+// Records is a part of the configuration stream as a peer holds it.
+type Records struct {
+	// Oldest is the first offset that the peer still holds.
+	Oldest  uint64
+	Next    uint64
+	Records []Record
+}
+
+// Node answers the calls of peers.
+type Node interface {
+	Records(from uint64) Records
+	Push(ctx context.Context, records []Record) (next uint64)
+	Snapshot() ([]byte, error)
+	Events(filter recorder.Filter) []recorder.Event
+	Resolve(ctx context.Context, partition int, key indexer.Key, offset uint64) (indexer.Entry, bool, error)
+}
+
+// NewHandler returns the HTTP handler of a node's peer service.
+func NewHandler(node Node, key []byte) http.Handler {
+	return verify(key, wire.NewPeerServer(&server{node: node}))
+}
+
+type server struct{ node Node }
+
+// Records implements wire.Peer.
+func (s *server) Records(_ context.Context, request *wire.RecordsRequest) (*wire.RecordsReply, error) {
+	held := s.node.Records(request.From)
+	reply := &wire.RecordsReply{Oldest: held.Oldest, Next: held.Next}
+	for _, record := range held.Records {
+		reply.Records = append(reply.Records, &wire.Record{Offset: record.Offset, Data: record.Data})
+	}
+	return reply, nil
+}
+
+// Push implements wire.Peer.
+func (s *server) Push(ctx context.Context, request *wire.PushRequest) (*wire.PushReply, error) {
+	return &wire.PushReply{Next: s.node.Push(ctx, decodeRecords(request.Records))}, nil
+}
+
+// Snapshot implements wire.Peer.
+func (s *server) Snapshot(context.Context, *wire.SnapshotRequest) (*wire.SnapshotReply, error) {
+	data, err := s.node.Snapshot()
+	return &wire.SnapshotReply{Data: data}, err
+}
+
+// Events implements wire.Peer.
+func (s *server) Events(_ context.Context, request *wire.EventsRequest) (*wire.EventsReply, error) {
+	reply := &wire.EventsReply{}
+	filter := recorder.Filter{Request: request.Request, Kind: recorder.Kind(request.Kind)}
+	for _, event := range s.node.Events(filter) {
+		reply.Events = append(reply.Events, encodeEvent(event))
+	}
+	return reply, nil
+}
+
+// Resolve implements wire.Peer.
+func (s *server) Resolve(ctx context.Context, request *wire.ResolveRequest) (*wire.ResolveReply, error) {
+	if len(request.Key) != indexer.HashBytes {
+		return nil, errors.New("key has the wrong size")
+	}
+	entry, found, err := s.node.Resolve(ctx, int(request.Partition), indexer.Key(request.Key), request.Offset)
+	if err != nil || !found {
+		return &wire.ResolveReply{}, err
+	}
+	return &wire.ResolveReply{
+		Found:    true,
+		Process:  entry.Attempt.Process,
+		Counter:  entry.Attempt.Counter,
+		Digest:   entry.Digest[:],
+		Claimed:  entry.Claimed,
+		Finished: entry.Finished,
+	}, nil
+}
+
+// Client calls peers. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client that authenticates its calls with key.
+func NewClient(transport http.RoundTripper, timeout time.Duration, key []byte) *Client {
+	return &Client{http: &http.Client{Transport: &signer{key: key, next: transport}, Timeout: timeout}}
+}
+
+func (c *Client) peer(address netip.AddrPort) wire.Peer {
+	return wire.NewPeerProtobufClient("http://"+address.String(), c.http)
+}
+
+// Records asks a peer for configuration records from an offset on.
+func (c *Client) Records(ctx context.Context, address netip.AddrPort, from uint64) (Records, error) {
+	reply, err := c.peer(address).Records(ctx, &wire.RecordsRequest{From: from})
+	if err != nil {
+		return Records{}, errors.Wrapf(err, "records of %s", address)
+	}
+	return Records{Oldest: reply.Oldest, Next: reply.Next, Records: decodeRecords(reply.Records)}, nil
+}
+
+// Push offers records to a peer and returns the peer's next offset.
+func (c *Client) Push(ctx context.Context, address netip.AddrPort, records []Record) (uint64, error) {
+	request := &wire.PushRequest{}
+	for _, record := range records {
+		request.Records = append(request.Records, &wire.Record{Offset: record.Offset, Data: record.Data})
+	}
+	reply, err := c.peer(address).Push(ctx, request)
+	if err != nil {
+		return 0, errors.Wrapf(err, "push to %s", address)
+	}
+	return reply.Next, nil
+}
+
+// Snapshot asks a peer for its whole configuration state, encoded.
+func (c *Client) Snapshot(ctx context.Context, address netip.AddrPort) ([]byte, error) {
+	reply, err := c.peer(address).Snapshot(ctx, &wire.SnapshotRequest{})
+	if err != nil {
+		return nil, errors.Wrapf(err, "snapshot of %s", address)
+	}
+	return reply.Data, nil
+}
+
+// Events asks a peer for its events.
+func (c *Client) Events(ctx context.Context, address netip.AddrPort, filter recorder.Filter) ([]recorder.Event, error) {
+	request := &wire.EventsRequest{Request: filter.Request, Kind: string(filter.Kind)}
+	reply, err := c.peer(address).Events(ctx, request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "events of %s", address)
+	}
+	events := make([]recorder.Event, 0, len(reply.Events))
+	for _, event := range reply.Events {
+		events = append(events, decodeEvent(event))
+	}
+	return events, nil
+}
+
+// Resolve asks the owner of a claim stream for a key's entry once the owner has
+// read the stream up to offset.
+func (c *Client) Resolve(ctx context.Context, address netip.AddrPort, partition int, key indexer.Key, offset uint64) (indexer.Entry, bool, error) {
+	request := &wire.ResolveRequest{Partition: uint32(partition), Key: key[:], Offset: offset}
+	reply, err := c.peer(address).Resolve(ctx, request)
+	if err != nil {
+		return indexer.Entry{}, false, errors.Wrapf(err, "resolve at %s", address)
+	}
+	if !reply.Found {
+		return indexer.Entry{}, false, nil
+	}
+	if len(reply.Digest) != indexer.HashBytes {
+		return indexer.Entry{}, false, errors.Newf("resolve at %s: digest has the wrong size", address)
+	}
+	return indexer.Entry{
+		Attempt:  indexer.Attempt{Process: reply.Process, Counter: reply.Counter},
+		Digest:   indexer.Digest(reply.Digest),
+		Claimed:  reply.Claimed,
+		Finished: reply.Finished,
+	}, true, nil
+}
+
+func decodeRecords(wires []*wire.Record) []Record {
+	records := make([]Record, 0, len(wires))
+	for _, record := range wires {
+		records = append(records, Record{Offset: record.Offset, Data: record.Data})
+	}
+	return records
+}
+
+func encodeEvent(event recorder.Event) *wire.Event {
+	return &wire.Event{
+		Wall:     event.Stamp.Wall.UnixNano(),
+		Counter:  event.Stamp.Counter,
+		Node:     event.Node,
+		Kind:     string(event.Kind),
+		Request:  event.Request,
+		Team:     event.Team,
+		Endpoint: event.Endpoint,
+		Offset:   event.Offset,
+		Detail:   event.Detail,
+	}
+}
+
+func decodeEvent(event *wire.Event) recorder.Event {
+	return recorder.Event{
+		Stamp:    recorder.Stamp{Wall: time.Unix(0, event.Wall), Counter: event.Counter},
+		Node:     event.Node,
+		Kind:     recorder.Kind(event.Kind),
+		Request:  event.Request,
+		Team:     event.Team,
+		Endpoint: event.Endpoint,
+		Offset:   event.Offset,
+		Detail:   event.Detail,
+	}
+}
