Prove the whole path with separate processes

Scenario nodes.txtar: two node processes and five stand-in processes; prompts and an order through both nodes, a weight change in force within 7 s, kill -9 of one node while the other serves on, SIGTERM during a stream of 100 tokens that ends whole. Scenario input.txtar: bad settings and configurations are refused with file, line and reason.

--- /dev/null
+++ b/cmd/lacewingrelay/script_test.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/standin/assembler"
+	"github.com/lacewingrelay/lacewingrelay/internal/standin/launcher"
+)
+
+const awaitTimeout = 30 * time.Second
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"lacewingrelay": main,
+		"standin":       launcher.Main,
+		"caller":        caller,
+	})
+}
+
+// TestScripts runs the scenarios, each with its own processes.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"address":  freeAddress,
+			"settings": settings,
+			"site":     site,
+			"await":    await,
+			"signal":   signalProcess,
+		},
+	})
+}
+
+// caller sends one request: METHOD URL BODY [HEADER:VALUE …]. It prints the
+// status line, the headers that callers test for, and the body as it arrives.
+func caller() {
+	request, err := http.NewRequest(os.Args[1], os.Args[2], strings.NewReader(os.Args[3]))
+	if err != nil {
+		panic(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+assembler.TeamKey)
+	for _, header := range os.Args[4:] {
+		name, value, _ := strings.Cut(header, ":")
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		fmt.Println("no answer:", err)
+		os.Exit(1)
+	}
+	fmt.Println(response.Status, "replayed="+response.Header.Get("Idempotent-Replayed"), "retry-after="+response.Header.Get("Retry-After"))
+	if _, err := io.Copy(os.Stdout, response.Body); err != nil {
+		fmt.Println("answer broke off:", err)
+		os.Exit(1)
+	}
+}
+
+// address sets each named variable to a free loopback address.
+func freeAddress(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		bound, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		ts.Setenv(name, bound.Addr().String())
+		ts.Check(bound.Close())
+	}
+}
+
+// settings writes a node's settings: NAME DOMAIN, with the addresses in
+// $NAME_CALLERS, $NAME_PEERS and $NAME_OPERATORS, and a seed for each further
+// argument.
+func settings(ts *testscript.TestScript, _ bool, args []string) {
+	name := args[0]
+	prefix := strings.ToUpper(name)
+	freeAddress(ts, false, []string{prefix + "_CALLERS", prefix + "_PEERS", prefix + "_OPERATORS"})
+	var seeds []string
+	for _, seed := range args[2:] {
+		seeds = append(seeds, fmt.Sprintf("%q", seed))
+	}
+	text := fmt.Sprintf(`name = %q
+domain = %q
+[listen]
+callers = %q
+peers = %q
+operators = %q
+[platform]
+log = %q
+hosts = %q
+[peers]
+key = "a-key-that-all-nodes-share"
+seeds = [%s]
+[operators]
+key = "the-operators-own-key"
+[drain]
+grace = "200ms"
+[logging]
+level = "warn"
+`, name, args[1], ts.Getenv(prefix+"_CALLERS"), ts.Getenv(prefix+"_PEERS"), ts.Getenv(prefix+"_OPERATORS"),
+		ts.Getenv("LOG"), ts.Getenv("HOSTS"), strings.Join(seeds, ", "))
+	ts.Check(os.WriteFile(ts.MkAbs(name+".toml"), []byte(text), 0o600))
+}
+
+// site writes the printed configuration of a stand-in site.
+func site(ts *testscript.TestScript, _ bool, args []string) {
+	plan := &assembler.Site{Plan: assembler.Plan{Domains: []string{"kadikoy", "bursa"}}}
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), plan.Print(args[1]), 0o600))
+}
+
+// await polls a URL until its body matches a pattern.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile(args[1])
+	deadline := time.Now().Add(awaitTimeout)
+	last := ""
+	for time.Now().Before(deadline) {
+		response, err := http.Get(args[0])
+		if err == nil {
+			body, _ := io.ReadAll(response.Body)
+			response.Body.Close()
+			last = string(body)
+			if pattern.Match(body) {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("%s never matched %s; last: %s", args[0], args[1], last)
+}
+
+// signalProcess sends a signal to the background process whose arguments hold
+// a word: SIGNAL WORD.
+func signalProcess(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
+	for _, running := range ts.BackgroundCmds() {
+		if hasWord(running, args[1]) {
+			ts.Check(running.Process.Signal(signals[args[0]]))
+			return
+		}
+	}
+	ts.Fatalf("no background process has the argument %s", args[1])
+}
+
+func hasWord(running *exec.Cmd, word string) bool {
+	for _, arg := range running.Args {
+		if arg == word {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/parser/parser.go
+++ b/internal/parser/parser.go
@@ -59,8 +59,9 @@
 	defaultDrainLimit = 30 * time.Minute
 	minKeyBytes       = 16
 
-	// FormatJSON and FormatConsole are the log formats.
-	FormatJSON    = "json"
+	// FormatJSON logs one JSON object a line.
+	FormatJSON = "json"
+	// FormatConsole logs for a person's eyes.
 	FormatConsole = "console"
 )
 
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// ConfigurationStream and SnapshotStream are the log's streams of
-	// configuration records and of whole states.
+	// ConfigurationStream is the log's stream of configuration records.
 	ConfigurationStream = "configuration"
-	SnapshotStream      = "snapshots"
+	// SnapshotStream is the log's stream of whole configuration states.
+	SnapshotStream = "snapshots"
 
 	followWait     = 10 * time.Second
 	followRetry    = 500 * time.Millisecond
--- a/internal/standin/assembler/assembler.go
+++ b/internal/standin/assembler/assembler.go
@@ -34,13 +34,15 @@
 )
 
 const (
-	// ModelService and PlainService are the services of a site.
+	// ModelService is the service of a site's engines.
 	ModelService = "usta-llm"
+	// PlainService is the service of a site's workers.
 	PlainService = "atolye"
 	// StoreService is the service of a site's store hosts.
 	StoreService = "hafiza-a"
-	// TeamKey and OtherKey are the bearer keys of the site's teams.
-	TeamKey  = "members-key"
+	// TeamKey is the bearer key of a site's first team.
+	TeamKey = "members-key"
+	// OtherKey is the bearer key of a site's second team.
 	OtherKey = "collectors-key"
 
 	peerKey     = "peer-key-of-the-stand-in-site"
@@ -219,6 +221,15 @@
 	return transcoder.Declaration{Rules: configurator.RulesVersion, Objects: objects}
 }
 
+// Print returns the site's configuration as operators publish it.
+func (s *Site) Print(weights string) []byte {
+	printed, err := transcoder.EncodeDeclaration(s.Declaration(weights))
+	if err != nil {
+		panic(err)
+	}
+	return printed
+}
+
 func (s *Site) objective() configurator.Objective {
 	if s.Plan.Objective == "" {
 		return configurator.ObjectiveRecompute
