Answer claim verdicts from stream owners and carry claims forward

Cause: every node read every claim stream that it touched, which is 90 KB/s a node at 100 orders/s; and a key was forgotten when the log dropped its claim. Weighed for ageing: wall clocks in records (put aside: a clock comparison), ages since a process read a record (put aside: an owner that restarts daily would never see an entry age, so the window would grow without end). Change: the owner of a stream answers 'entry of key k at offset n'; the entry node reads the stream itself when it can't. The retention is configured.

--- a/internal/coordination/claimer/claimer.go
+++ b/internal/coordination/claimer/claimer.go
@@ -63,7 +63,15 @@
 // Stream reads and appends claim records.
 type Stream interface {
 	Append(ctx context.Context, partition int, records []indexer.Record) (first uint64, err error)
-	Read(ctx context.Context, partition int, from uint64) (Page, error)
+	// Read returns at most limit records from an offset on.
+	Read(ctx context.Context, partition int, from uint64, limit int) (Page, error)
+}
+
+// Owner answers for a claim stream in place of the log. It returns an error
+// when it can't, and the claimer then reads the stream itself: an owner saves
+// work and decides nothing.
+type Owner interface {
+	Resolve(ctx context.Context, partition int, key indexer.Key, offset uint64) (indexer.Entry, bool, error)
 }
 
 // State is what a claim found.
@@ -106,7 +114,11 @@
 	Timeout time.Duration
 	// PauseLimit is the time after which an undispatched claim is dropped.
 	PauseLimit time.Duration
-	Now        func() time.Time
+	// Owner is asked before the stream is read; nil for none.
+	Owner Owner
+	// Keep is the least time for which a key is remembered.
+	Keep func() time.Duration
+	Now  func() time.Time
 
 	counter    atomic.Uint64
 	once       sync.Once
@@ -129,7 +141,7 @@
 	p := c.partition(key.Partition(Partitions))
 	attempt := indexer.Attempt{Process: c.Process, Counter: c.counter.Add(1)}
 	decision := Decision{Key: key, Attempt: attempt, Partition: p.number, started: c.Now()}
-	record := indexer.Record{Type: indexer.TypeClaim, Key: key, Attempt: attempt, Digest: digest}
+	record := indexer.Record{Type: indexer.TypeClaim, Key: key, Attempt: attempt, Digest: digest, Left: c.Keep()}
 	offset, err := p.append(ctx, record)
 	if errors.Is(err, ErrNotAppended) {
 		return decision, errors.Mark(err, ErrUnavailable)
@@ -137,33 +149,49 @@
 	if err != nil {
 		return c.settle(ctx, p, decision, digest, err)
 	}
-	if err := p.catchUp(ctx, offset+1); err != nil {
+	entry, found, err := c.entry(ctx, p, key, offset+1)
+	if err != nil {
 		p.abandon(c.Now(), key, attempt)
 		return decision, errors.Mark(err, ErrUnavailable)
 	}
-	return c.judge(ctx, p, decision, digest)
+	return c.judge(ctx, p, decision, digest, entry, found)
+}
+
+// entry returns a key's entry once the stream has been read up to offset, or to
+// its end for zero, from the owner or else from the stream.
+func (c *Claimer) entry(ctx context.Context, p *partition, key indexer.Key, offset uint64) (indexer.Entry, bool, error) {
+	if c.Owner != nil {
+		entry, found, err := c.Owner.Resolve(ctx, p.number, key, offset)
+		if err == nil {
+			return entry, found, nil
+		}
+	}
+	if err := p.catchUp(ctx, c.Now(), offset); err != nil {
+		return indexer.Entry{}, false, err
+	}
+	entry, found := p.lookup(key)
+	return entry, found, nil
 }
 
 // settle looks for a claim whose append was in doubt. A claim that the log does
 // not show may still arrive, so the attempt is given up and left to Sweep.
 func (c *Claimer) settle(ctx context.Context, p *partition, decision Decision, digest indexer.Digest, cause error) (Decision, error) {
-	if err := p.catchUp(ctx, 0); err != nil {
+	entry, found, err := c.entry(ctx, p, decision.Key, 0)
+	if err != nil {
 		p.abandon(c.Now(), decision.Key, decision.Attempt)
 		return decision, errors.Mark(errors.CombineErrors(cause, err), ErrUnavailable)
 	}
-	entry, found := p.lookup(decision.Key)
 	if found && entry.Attempt == decision.Attempt {
-		return c.judge(ctx, p, decision, digest)
+		return c.judge(ctx, p, decision, digest, entry, found)
 	}
 	p.abandon(c.Now(), decision.Key, decision.Attempt)
 	if found {
-		return c.judge(ctx, p, decision, digest)
+		return c.judge(ctx, p, decision, digest, entry, found)
 	}
 	return decision, errors.Mark(cause, ErrUnavailable)
 }
 
-func (c *Claimer) judge(ctx context.Context, p *partition, decision Decision, digest indexer.Digest) (Decision, error) {
-	entry, found := p.lookup(decision.Key)
+func (c *Claimer) judge(ctx context.Context, p *partition, decision Decision, digest indexer.Digest, entry indexer.Entry, found bool) (Decision, error) {
 	if !found {
 		// The claim lost to one that was released since.
 		decision.State = StateFree
@@ -200,10 +228,10 @@
 // Inspect returns the state of a key at the end of the log without claiming it.
 func (c *Claimer) Inspect(ctx context.Context, key indexer.Key) (State, error) {
 	p := c.partition(key.Partition(Partitions))
-	if err := p.catchUp(ctx, 0); err != nil {
+	entry, found, err := c.entry(ctx, p, key, 0)
+	if err != nil {
 		return StateFree, errors.Mark(err, ErrUnavailable)
 	}
-	entry, found := p.lookup(key)
 	switch {
 	case !found:
 		return StateFree, nil
@@ -242,13 +270,34 @@
 func (c *Claimer) Sweep(ctx context.Context) error {
 	var failed error
 	for i := range Partitions {
-		if err := c.partition(i).sweep(ctx, c.Now()); err != nil {
+		if err := c.sweep(ctx, c.partition(i)); err != nil {
 			failed = errors.CombineErrors(failed, err)
 		}
 	}
 	return failed
 }
 
+// sweep releases abandoned attempts that hold their keys. An attempt that the
+// log does not show stays remembered, since its append may still arrive; a
+// release is conditional, so it harms no other attempt.
+func (c *Claimer) sweep(ctx context.Context, p *partition) error {
+	p.expire(c.Now())
+	for attempt, key := range p.abandonedKeys() {
+		entry, found, err := c.entry(ctx, p, key, 0)
+		if err != nil {
+			return err
+		}
+		if !found || entry.Attempt != attempt {
+			continue
+		}
+		if err := p.release(ctx, key, attempt); err != nil {
+			return err
+		}
+		p.forget(attempt)
+	}
+	return nil
+}
+
 // Abandoned returns the number of claims that Sweep has still to settle.
 func (c *Claimer) Abandoned() int {
 	sum := 0
@@ -290,7 +339,7 @@
 		return indexer.Entry{}, false, errors.Newf("there is no claim stream %d", partition)
 	}
 	p := c.partition(partition)
-	if err := p.catchUp(ctx, offset); err != nil {
+	if err := p.catchUp(ctx, c.Now(), offset); err != nil {
 		return indexer.Entry{}, false, errors.Mark(err, ErrUnavailable)
 	}
 	entry, found := p.lookup(key)
--- a/internal/coordination/claimer/partition.go
+++ b/internal/coordination/claimer/partition.go
@@ -22,12 +22,18 @@
 	mu        sync.Mutex
 	index     *indexer.Index
 	abandoned map[indexer.Attempt]abandonedClaim
+	// ticked is when this process read the newest tick, or the stream for the
+	// first time.
+	ticked time.Time
 
 	batchMu  sync.Mutex
 	pending  []*pendingAppend
 	flushing bool
 }
 
+// pageLimit is the number of records read at once.
+const pageLimit = 1000
+
 // abandonedWindow is the time after which an append in doubt is taken for lost.
 // A claim that arrives later still leaves its key held, and so never run twice.
 const abandonedWindow = time.Hour
@@ -109,17 +115,17 @@
 
 // catchUp reads the stream until the index has folded all records below until;
 // zero stands for the end of the stream at the time of the call.
-func (p *partition) catchUp(ctx context.Context, until uint64) error {
+func (p *partition) catchUp(ctx context.Context, now time.Time, until uint64) error {
 	p.reading.Lock()
 	defer p.reading.Unlock()
 	for until == 0 || p.next() < until {
 		ctx, cancel := context.WithTimeout(ctx, p.timeout)
-		page, err := p.stream.Read(ctx, p.number, p.next())
+		page, err := p.stream.Read(ctx, p.number, p.next(), pageLimit)
 		cancel()
 		if err != nil {
 			return err
 		}
-		if err := p.apply(page); err != nil {
+		if err := p.apply(now, page); err != nil {
 			return err
 		}
 		if p.next() >= page.Next {
@@ -132,9 +138,15 @@
 	return nil
 }
 
-func (p *partition) apply(page Page) error {
+func (p *partition) apply(now time.Time, page Page) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.index.LastTick()
+	defer func() {
+		if p.ticked.IsZero() || p.index.LastTick() != before {
+			p.ticked = now
+		}
+	}()
 	for _, positioned := range page.Records {
 		if positioned.Offset < p.index.Next() {
 			continue
@@ -167,7 +179,7 @@
 func (p *partition) answer(ctx context.Context, entry indexer.Entry) (*indexer.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
-	page, err := p.stream.Read(ctx, p.number, entry.AnswerOffset())
+	page, err := p.stream.Read(ctx, p.number, entry.AnswerOffset(), 1)
 	if err != nil {
 		return nil, err
 	}
@@ -203,26 +215,6 @@
 	return err
 }
 
-// sweep releases abandoned attempts that hold their keys. An attempt that the
-// log does not show stays remembered, since its append may still arrive; the
-// release is conditional, so releasing early is harmless.
-func (p *partition) sweep(ctx context.Context, now time.Time) error {
-	if p.abandonedCount() == 0 {
-		return nil
-	}
-	if err := p.catchUp(ctx, 0); err != nil {
-		return err
-	}
-	for attempt, key := range p.held() {
-		if err := p.release(ctx, key, attempt); err != nil {
-			return err
-		}
-		p.forget(attempt)
-	}
-	p.expire(now)
-	return nil
-}
-
 func (p *partition) expire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -233,18 +225,15 @@
 	}
 }
 
-// held returns the abandoned attempts that hold their keys now.
-func (p *partition) held() map[indexer.Attempt]indexer.Key {
+// abandonedKeys returns the abandoned attempts with their keys.
+func (p *partition) abandonedKeys() map[indexer.Attempt]indexer.Key {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	held := map[indexer.Attempt]indexer.Key{}
+	keys := make(map[indexer.Attempt]indexer.Key, len(p.abandoned))
 	for attempt, claim := range p.abandoned {
-		entry, found := p.index.Lookup(claim.key)
-		if found && entry.Attempt == attempt {
-			held[attempt] = claim.key
-		}
+		keys[attempt] = claim.key
 	}
-	return held
+	return keys
 }
 
 func (p *partition) forget(attempt indexer.Attempt) {
--- a/internal/protocol/transcoder/claim.go
+++ b/internal/protocol/transcoder/claim.go
@@ -15,6 +15,10 @@
 	Process uint64      `json:"process"`
 	Counter uint64      `json:"counter"`
 	Digest  string      `json:"digest,omitempty"`
+	LeftMS  int64       `json:"left_ms,omitempty"`
+	Through uint64      `json:"through,omitempty"`
+
+	ElapsedMS int64 `json:"elapsed_ms,omitempty"`
 	Answer  *wireAnswer `json:"answer,omitempty"`
 }
 
@@ -35,6 +39,11 @@
 	}
 	if record.Type == indexer.TypeClaim || record.Type == indexer.TypeCarry {
 		wire.Digest = hex.EncodeToString(record.Digest[:])
+		wire.LeftMS = record.Left.Milliseconds()
+	}
+	if record.Type == indexer.TypeCarry || record.Type == indexer.TypeTick {
+		wire.Through = record.Through
+		wire.ElapsedMS = record.Elapsed.Milliseconds()
 	}
 	if answer := record.Answer; answer != nil {
 		wire.Answer = &wireAnswer{
@@ -70,6 +79,7 @@
 }
 
 func decodeClaimBody(wire wireClaim, record *indexer.Record) error {
+	record.Through = wire.Through
 	switch record.Type {
 	case indexer.TypeClaim, indexer.TypeCarry:
 		digest, err := decodeHash(wire.Digest)
@@ -77,11 +87,14 @@
 			return errors.Wrap(err, "digest")
 		}
 		record.Digest = digest
+		record.Left = milliseconds(wire.LeftMS)
 	case indexer.TypeOutcome:
 		if wire.Answer == nil {
 			return errors.Wrap(ErrMalformed, "outcome has no answer")
 		}
 	case indexer.TypeRelease:
+	case indexer.TypeTick:
+		record.Elapsed = milliseconds(wire.ElapsedMS)
 	default:
 		return errors.Wrapf(ErrMalformed, "unknown claim type %q", wire.Type)
 	}
--- a/internal/protocol/transcoder/object.go
+++ b/internal/protocol/transcoder/object.go
@@ -71,6 +71,12 @@
 	LinkBytes int64  `json:"link_bytes"`
 }
 
+type wireRetention struct {
+	header
+	KeepMS int64 `json:"keep_ms"`
+	LogMS  int64 `json:"log_ms"`
+}
+
 // EncodeObject returns an object as one line of canonical JSON.
 func EncodeObject(object configurator.Object) ([]byte, error) {
 	ref := object.Ref()
@@ -92,6 +98,8 @@
 		return compact(wireVersion{head, typed.Model, typed.Weights})
 	case configurator.Store:
 		return compact(wireStore{head, typed.Domain, typed.Bytes, typed.LinkBytes})
+	case configurator.Retention:
+		return compact(wireRetention{head, typed.Keep.Milliseconds(), typed.Log.Milliseconds()})
 	}
 	return nil, errors.Newf("object %s has an unknown kind", ref)
 }
@@ -149,6 +157,9 @@
 	configurator.KindStore: decodeAs(func(w wireStore) configurator.Object {
 		return configurator.Store{Name: w.Name, Domain: w.Domain, Bytes: w.Bytes, LinkBytes: w.LinkBytes}
 	}),
+	configurator.KindRetention: decodeAs(func(w wireRetention) configurator.Object {
+		return configurator.Retention{Name: w.Name, Keep: milliseconds(w.KeepMS), Log: milliseconds(w.LogMS)}
+	}),
 }
 
 func decodeAs[W any](convert func(W) configurator.Object) objectDecoder {
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/owner"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/reconciler"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
@@ -46,6 +45,7 @@
 	go every(ctx, loadInterval, n.pollLoads)
 	go every(ctx, sweepInterval, n.sweep)
 	go every(ctx, orderInterval, n.reconcile)
+	go every(ctx, carryInterval, n.carry)
 	go every(ctx, metricInterval, n.gauge)
 }
 
@@ -193,13 +193,8 @@
 // owns reports whether this node is the owner of a piece of work among the
 // nodes that it believes to be alive.
 func (n *Node) owns(work string) bool {
-	names := []string{n.Settings.Name}
-	for _, peer := range n.cell.Load().Peers {
-		if !peer.Leaving {
-			names = append(names, peer.Name)
-		}
-	}
-	return owner.Pick(names, work) == n.Settings.Name
+	_, own := n.ownerOf(work)
+	return own
 }
 
 func (n *Node) listHosts(ctx context.Context) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -191,6 +191,8 @@
 		Process:    n.process,
 		Timeout:    logTimeout,
 		PauseLimit: pauseLimit,
+		Owner:      &streamOwner{node: n},
+		Keep:       func() time.Duration { return n.retention().Keep },
 		Now:        time.Now,
 	}
 	n.gossip = &gossiper.Gossiper{Address: n.Settings.Peers, Packer: packer.Packer{Key: n.Settings.PeerKey}, Receive: n.hear}
--- a/internal/state/configurator/object.go
+++ b/internal/state/configurator/object.go
@@ -15,13 +15,15 @@
 	KindModel    Kind = "model"
 	KindVersion  Kind = "version"
 	KindStore    Kind = "store"
+	// KindRetention has one object at most, named by RetentionName.
+	KindRetention Kind = "retention"
 )
 
 // Kinds lists every kind in the order in which declarations print them.
 func Kinds() []Kind {
 	return []Kind{
 		KindDomain, KindCeiling, KindPriority, KindTeam,
-		KindService, KindModel, KindVersion, KindStore,
+		KindService, KindModel, KindVersion, KindStore, KindRetention,
 	}
 }
 
@@ -164,3 +166,18 @@
 
 // Ref implements Object.
 func (s Store) Ref() Ref { return Ref{KindStore, s.Name} }
+
+// RetentionName is the name of the one retention object.
+const RetentionName = "claims"
+
+// Retention tells how long idempotency keys count.
+type Retention struct {
+	Name string
+	// Keep is the least time for which a key is remembered.
+	Keep time.Duration
+	// Log is the time for which the log service keeps records.
+	Log time.Duration
+}
+
+// Ref implements Object.
+func (r Retention) Ref() Ref { return Ref{KindRetention, r.Name} }
--- a/internal/state/configurator/validator.go
+++ b/internal/state/configurator/validator.go
@@ -46,6 +46,8 @@
 		return requireRef(s, Ref{KindModel, typed.Model})
 	case Store:
 		return validateStore(s, typed)
+	case Retention:
+		return validateRetention(typed)
 	}
 	return errors.New("kind is unknown")
 }
@@ -118,6 +120,13 @@
 	return requireRef(s, Ref{KindDomain, store.Domain})
 }
 
+func validateRetention(r Retention) error {
+	if r.Name != RetentionName {
+		return errors.Newf("the only retention is named %q", RetentionName)
+	}
+	return require(r.Keep > 0 && r.Log > 0, "keep and log must be positive")
+}
+
 func validateKeys(s *State) error {
 	owners := map[string]string{}
 	for _, team := range All[Team](s) {
--- a/internal/state/indexer/indexer.go
+++ b/internal/state/indexer/indexer.go
@@ -15,7 +15,9 @@
 
 import (
 	"crypto/sha256"
+	"iter"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -73,6 +75,8 @@
 	TypeRelease Type = "release"
 	// TypeCarry repeats an entry before its first record leaves the log.
 	TypeCarry Type = "carry"
+	// TypeTick tells that time has passed since the tick before it.
+	TypeTick Type = "tick"
 )
 
 // Answer is the response to a finished request.
@@ -91,6 +95,15 @@
 	Attempt Attempt
 	// Digest is set for claims and carries.
 	Digest Digest
+	// Left is the time for which the key still has to be remembered. It is set
+	// for claims and carries.
+	Left time.Duration
+	// Through is the offset up to which the sender of a carry had read, and
+	// for a tick one more than the offset of the tick before it.
+	Through uint64
+	// Elapsed is the time that the sender of a tick has seen pass itself since
+	// it read the tick before.
+	Elapsed time.Duration
 	// Answer is set for outcomes, and for carries of finished keys.
 	Answer *Answer
 }
@@ -104,6 +117,9 @@
 	// Finished is one more than the offset of the record that holds the
 	// answer; zero while there is none.
 	Finished uint64
+	// Left is the time for which the key has to be remembered, counted from
+	// the record at Claimed.
+	Left time.Duration
 }
 
 // Done reports whether the key has an answer.
@@ -119,6 +135,21 @@
 	entries map[Key]Entry
 	// order lists claims and carries by offset, for Trim.
 	order []positionedKey
+	// released holds what carries that were under way must not bring back.
+	released map[Key]release
+	trimmed  uint64
+	ticks    []tick
+}
+
+// tick is an accepted tick with the sum of all elapsed times up to it.
+type tick struct {
+	offset uint64
+	total  time.Duration
+}
+
+type release struct {
+	attempt Attempt
+	offset  uint64
 }
 
 type positionedKey struct {
@@ -128,7 +159,7 @@
 
 // New returns an index before the first record.
 func New() *Index {
-	return &Index{entries: map[Key]Entry{}}
+	return &Index{entries: map[Key]Entry{}, released: map[Key]release{}}
 }
 
 // Next returns the offset of the next record to apply.
@@ -154,7 +185,7 @@
 	switch record.Type {
 	case TypeClaim:
 		if !ok {
-			x.hold(record.Key, Entry{Attempt: record.Attempt, Digest: record.Digest, Claimed: offset})
+			x.hold(record.Key, Entry{Attempt: record.Attempt, Digest: record.Digest, Claimed: offset, Left: record.Left})
 		}
 	case TypeOutcome:
 		if ok && held.Attempt == record.Attempt && !held.Done() {
@@ -164,9 +195,12 @@
 	case TypeRelease:
 		if ok && held.Attempt == record.Attempt && !held.Done() {
 			delete(x.entries, record.Key)
+			x.released[record.Key] = release{attempt: record.Attempt, offset: offset}
 		}
 	case TypeCarry:
 		x.carry(offset, record, held, ok)
+	case TypeTick:
+		x.tick(offset, record)
 	}
 	return nil
 }
@@ -175,13 +209,56 @@
 	if ok && held.Attempt != record.Attempt {
 		return
 	}
-	entry := Entry{Attempt: record.Attempt, Digest: record.Digest, Claimed: offset, Finished: held.Finished}
+	freed, was := x.released[record.Key]
+	if was && freed.attempt == record.Attempt && freed.offset >= record.Through {
+		return
+	}
+	entry := Entry{
+		Attempt:  record.Attempt,
+		Digest:   record.Digest,
+		Claimed:  offset,
+		Finished: held.Finished,
+		Left:     record.Left,
+	}
 	if record.Answer != nil {
 		entry.Finished = offset + 1
 	}
 	x.hold(record.Key, entry)
 }
 
+// tick accepts a tick that follows the newest one; of two owners' ticks for the
+// same time only the first counts.
+func (x *Index) tick(offset uint64, record Record) {
+	if record.Through != x.LastTick() || record.Elapsed <= 0 {
+		return
+	}
+	total := record.Elapsed
+	if len(x.ticks) > 0 {
+		total += x.ticks[len(x.ticks)-1].total
+	}
+	x.ticks = append(x.ticks, tick{offset: offset, total: total})
+}
+
+// LastTick returns one more than the offset of the newest accepted tick, or
+// zero.
+func (x *Index) LastTick() uint64 {
+	if len(x.ticks) == 0 {
+		return 0
+	}
+	return x.ticks[len(x.ticks)-1].offset + 1
+}
+
+// Age returns the least time that has passed since the record at offset, by the
+// ticks after it.
+func (x *Index) Age(offset uint64) time.Duration {
+	for _, t := range x.ticks {
+		if t.offset > offset {
+			return x.ticks[len(x.ticks)-1].total - t.total
+		}
+	}
+	return 0
+}
+
 func (x *Index) hold(key Key, entry Entry) {
 	x.entries[key] = entry
 	x.order = append(x.order, positionedKey{offset: entry.Claimed, key: key})
@@ -203,18 +280,36 @@
 			delete(x.entries, oldest.key)
 		}
 	}
+	// The newest tick stays, since the next one names it.
+	for len(x.ticks) > 1 && x.ticks[0].offset < first {
+		x.ticks = x.ticks[1:]
+	}
+	x.trimReleased(first)
 }
 
-// Before returns the keys whose newest claim or carry lies below offset.
-func (x *Index) Before(offset uint64) []Key {
-	var keys []Key
-	for _, claimed := range x.order {
-		if claimed.offset >= offset {
-			break
+func (x *Index) trimReleased(first uint64) {
+	if first <= x.trimmed {
+		return
+	}
+	x.trimmed = first + releasedSlack
+	for key, freed := range x.released {
+		if freed.offset < first {
+			delete(x.released, key)
 		}
-		if entry, ok := x.entries[claimed.key]; ok && entry.Claimed == claimed.offset {
-			keys = append(keys, claimed.key)
+	}
+}
+
+// releasedSlack is the number of offsets between two looks at the releases.
+const releasedSlack = 1000
+
+// Oldest yields the held keys with their entries, the oldest first.
+func (x *Index) Oldest() iter.Seq2[Key, Entry] {
+	return func(yield func(Key, Entry) bool) {
+		for _, claimed := range x.order {
+			entry, ok := x.entries[claimed.key]
+			if ok && entry.Claimed == claimed.offset && !yield(claimed.key, entry) {
+				return
+			}
 		}
 	}
-	return keys
 }
--- a/internal/transport/follower/claims.go
+++ b/internal/transport/follower/claims.go
@@ -35,8 +35,8 @@
 }
 
 // Read implements claimer.Stream.
-func (c *Claims) Read(ctx context.Context, partition int, from uint64) (claimer.Page, error) {
-	page, err := c.Client.Read(ctx, ClaimStream(partition), from, 0)
+func (c *Claims) Read(ctx context.Context, partition int, from uint64, limit int) (claimer.Page, error) {
+	page, err := c.Client.ReadSome(ctx, ClaimStream(partition), from, limit, 0)
 	if err != nil {
 		return claimer.Page{}, err
 	}
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -120,9 +120,14 @@
 // Read returns records of a stream from an offset on. With no record there it
 // waits for one, at most the given time. Errors are marked ErrUnreachable.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Page, error) {
+	return c.ReadSome(ctx, stream, from, pageLimit, wait)
+}
+
+// ReadSome is Read with a limit on the number of records.
+func (c *Client) ReadSome(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Page, error) {
 	query := url.Values{}
 	query.Set("from", strconv.FormatUint(from, 10))
-	query.Set("limit", strconv.Itoa(pageLimit))
+	query.Set("limit", strconv.Itoa(limit))
 	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(stream, query), nil)
 	if err != nil {
