Move the following of the configuration behind interfaces

Cause: the follow loop spoke to the log client and to peers directly, so its failures could only be produced with real processes. Change: replicator holds the loop and reaches log, peers and control state through three interfaces. Ruled out: a second loop for tests.

--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -4,13 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/replicator"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/publisher"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
-	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
 )
 
 const (
@@ -41,7 +41,7 @@
 	state   *configurator.State
 	table   *registrar.Table
 	view    *observer.View
-	held    []messenger.Record
+	held    []replicator.Record
 	teams   map[string]configurator.Team
 	ready   bool
 	leaving bool
@@ -79,6 +79,40 @@
 	}
 }
 
+// State implements replicator.Sink.
+func (c *control) State() *configurator.State { return c.cell.Load().Configuration }
+
+// Ready implements replicator.Sink.
+func (c *control) Ready() bool { return c.cell.Load().Ready }
+
+// Take implements replicator.Sink.
+func (c *control) Take(ctx context.Context, records []replicator.Record, source string) {
+	applied := make(chan struct{})
+	c.send(ctx, recordsRead{records: records, source: source, applied: applied})
+	await(ctx, applied)
+}
+
+// Restore implements replicator.Sink.
+func (c *control) Restore(ctx context.Context, state *configurator.State, source string) {
+	applied := make(chan struct{})
+	c.send(ctx, stateRestored{state: state, source: source, applied: applied})
+	await(ctx, applied)
+}
+
+// CaughtUp implements replicator.Sink.
+func (c *control) CaughtUp(ctx context.Context, source string) {
+	if !c.Ready() {
+		c.send(ctx, caughtUp{source: source})
+	}
+}
+
+func await(ctx context.Context, applied <-chan struct{}) {
+	select {
+	case <-applied:
+	case <-ctx.Done():
+	}
+}
+
 func (c *control) publish() {
 	snapshot := publisher.Build(c.state, c.teams, c.table.Rows())
 	c.teams = snapshot.Teams
@@ -94,7 +128,7 @@
 // recordsRead brings records of the configuration stream, from the log or from
 // a peer.
 type recordsRead struct {
-	records []messenger.Record
+	records []replicator.Record
 	// source names where the records came from.
 	source string
 	// applied is closed once the records have been taken in.
@@ -102,7 +136,7 @@
 }
 
 func (m recordsRead) apply(c *control) {
-	defer close(m.applied)
+	defer c.confirm(m.applied)
 	for _, record := range m.records {
 		if record.Offset != c.state.Next() {
 			continue
@@ -113,9 +147,17 @@
 	}
 }
 
+// confirm publishes what has changed and tells the sender.
+func (c *control) confirm(applied chan struct{}) {
+	if c.urgent {
+		c.publish()
+	}
+	close(applied)
+}
+
 // fold takes in the next record. It reports false when the record can't be
 // judged, and the state then stays where it is.
-func (c *control) fold(record messenger.Record, source string) bool {
+func (c *control) fold(record replicator.Record, source string) bool {
 	decoded, err := transcoder.DecodeRecord(record.Data)
 	var next *configurator.State
 	var verdict configurator.Verdict
@@ -150,21 +192,23 @@
 	c.journal.Record(c.now(), recorder.Event{Kind: recorder.KindAlarm, Offset: c.state.Next(), Detail: c.alarm})
 }
 
-func (c *control) hold(record messenger.Record) {
+func (c *control) hold(record replicator.Record) {
 	c.held = append(c.held, record)
 	if len(c.held) > heldRecords {
-		c.held = append([]messenger.Record(nil), c.held[len(c.held)-heldRecords/2:]...)
+		c.held = append([]replicator.Record(nil), c.held[len(c.held)-heldRecords/2:]...)
 	}
 	c.records.Store(&heldPage{next: c.state.Next(), records: c.held})
 }
 
 // stateRestored brings a whole state that is newer than the node's own.
 type stateRestored struct {
-	state  *configurator.State
-	source string
+	state   *configurator.State
+	source  string
+	applied chan struct{}
 }
 
 func (m stateRestored) apply(c *control) {
+	defer c.confirm(m.applied)
 	if m.state.Next() <= c.state.Next() {
 		return
 	}
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -13,8 +13,6 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
-	"github.com/lacewingrelay/lacewingrelay/internal/transport/follower"
-	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
 )
 
 const (
@@ -23,23 +21,19 @@
 	// SnapshotStream is the log's stream of whole configuration states.
 	SnapshotStream = "snapshots"
 
-	followWait     = 10 * time.Second
-	followRetry    = 500 * time.Millisecond
-	pushTimeout    = 500 * time.Millisecond
 	hostsInterval  = 500 * time.Millisecond
 	loadInterval   = 250 * time.Millisecond
 	loadTimeout    = time.Second
 	sweepInterval  = time.Second
 	orderInterval  = 250 * time.Millisecond
 	orderTimeout   = 2 * time.Second
-	snapshotEvery  = 256
 	metricInterval = time.Second
 )
 
 // loops starts the node's background work, which ends with ctx.
 func (n *Node) loops(ctx context.Context) {
 	go n.control.run(ctx)
-	go n.follow(ctx)
+	go n.replicator().Run(ctx)
 	go n.beat(ctx)
 	go every(ctx, hostsInterval, n.listHosts)
 	go every(ctx, loadInterval, n.pollLoads)
@@ -58,138 +52,6 @@
 	}
 }
 
-// follow reads the configuration stream, from the log or, while the log can't
-// be reached, from peers.
-func (n *Node) follow(ctx context.Context) {
-	wait := time.Duration(0)
-	for ctx.Err() == nil {
-		next, err := n.followOnce(ctx, wait)
-		if err == nil {
-			if n.cell.Load().Configuration.Next() >= next {
-				n.control.send(ctx, caughtUp{source: "log"})
-				wait = followWait
-			}
-			continue
-		}
-		n.Log.Debug().Err(err).Msg("configuration stream can't be read")
-		n.followPeers(ctx)
-		_ = retrier.Sleep(ctx, followRetry)
-	}
-}
-
-// followOnce reads one page and returns the offset after the stream's end.
-func (n *Node) followOnce(ctx context.Context, wait time.Duration) (uint64, error) {
-	own := n.cell.Load().Configuration.Next()
-	reading, cancel := context.WithTimeout(ctx, wait+logTimeout)
-	defer cancel()
-	page, err := n.log.Read(reading, ConfigurationStream, own, wait)
-	if err != nil {
-		return 0, err
-	}
-	if page.Oldest > own {
-		return page.Next, n.loadSnapshot(ctx)
-	}
-	if len(page.Records) == 0 {
-		return page.Next, nil
-	}
-	records := toRecords(page.Records)
-	n.offer(ctx, records)
-	n.takeRecords(ctx, records, "log")
-	if n.cell.Load().Configuration.Next() == own {
-		return page.Next, errors.New("configuration does not advance")
-	}
-	n.keepSnapshot(ctx)
-	return page.Next, nil
-}
-
-func toRecords(read []follower.Record) []messenger.Record {
-	records := make([]messenger.Record, 0, len(read))
-	for _, record := range read {
-		records = append(records, messenger.Record(record))
-	}
-	return records
-}
-
-// offer pushes new records to peers of the failure domain before the node puts
-// them in force, so that the domain does not forget them when it is cut off and
-// this node dies. One acknowledgement is enough, and the wait is bounded.
-func (n *Node) offer(ctx context.Context, records []messenger.Record) {
-	if !n.cell.Load().Ready {
-		return
-	}
-	near := n.peersByDomain()[n.Settings.Domain]
-	if len(near) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
-	defer cancel()
-	acknowledged := make(chan struct{}, len(near))
-	for _, address := range near[:min(fanOut, len(near))] {
-		go func() {
-			if _, err := n.peers.Push(context.WithoutCancel(ctx), address, records); err == nil {
-				acknowledged <- struct{}{}
-			}
-		}()
-	}
-	select {
-	case <-acknowledged:
-	case <-ctx.Done():
-	}
-}
-
-// followPeers takes configuration from peers. A node that has never been ready
-// becomes so with the highest state among the peers that it reaches.
-func (n *Node) followPeers(ctx context.Context) {
-	highest, reached := n.fetchFromPeers(ctx)
-	own := n.cell.Load().Configuration.Next()
-	if reached && own > 0 && own >= highest {
-		n.control.send(ctx, caughtUp{source: "peers"})
-	}
-}
-
-// loadSnapshot restores the newest whole state that the log holds.
-func (n *Node) loadSnapshot(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
-	defer cancel()
-	end, err := n.log.Read(ctx, SnapshotStream, 1<<62, 0)
-	if err != nil {
-		return err
-	}
-	if end.Next == 0 {
-		return errors.New("configuration records are gone and there is no snapshot")
-	}
-	page, err := n.log.Read(ctx, SnapshotStream, end.Next-1, 0)
-	if err != nil {
-		return err
-	}
-	for _, record := range page.Records {
-		if err := n.restore(ctx, record.Data, "log"); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// keepSnapshot appends the whole state every so many records. The fold is the
-// same on all nodes, so a doubled snapshot does no harm; the owner saves the
-// others the work.
-func (n *Node) keepSnapshot(ctx context.Context) {
-	state := n.cell.Load().Configuration
-	if state.Next()%snapshotEvery != 0 || !n.owns("snapshots") {
-		return
-	}
-	data, err := n.Snapshot()
-	if err != nil {
-		n.Log.Error().Err(err).Msg("configuration can't be encoded")
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
-	defer cancel()
-	if _, err := n.log.Append(ctx, SnapshotStream, [][]byte{data}); err != nil {
-		n.Log.Warn().Err(err).Msg("snapshot was not appended")
-	}
-}
-
 // owns reports whether this node is the owner of a piece of work among the
 // nodes that it believes to be alive.
 func (n *Node) owns(work string) bool {
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -8,13 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/replicator"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
-	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/indexer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
-	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
 )
 
 const (
@@ -34,7 +33,7 @@
 // heldPage is the newest part of the configuration stream.
 type heldPage struct {
 	next    uint64
-	records []messenger.Record
+	records []replicator.Record
 }
 
 type recordsCell = atomic.Pointer[heldPage]
@@ -187,9 +186,9 @@
 }
 
 // Records implements messenger.Node.
-func (n *Node) Records(from uint64) messenger.Records {
+func (n *Node) Records(from uint64) replicator.Page {
 	page := n.records.Load()
-	found := messenger.Records{Oldest: page.next, Next: page.next}
+	found := replicator.Page{Oldest: page.next, Next: page.next}
 	if len(page.records) > 0 {
 		found.Oldest = page.records[0].Offset
 	}
@@ -202,19 +201,14 @@
 }
 
 // Push implements messenger.Node.
-func (n *Node) Push(ctx context.Context, records []messenger.Record) uint64 {
-	applied := make(chan struct{})
-	n.control.send(ctx, recordsRead{records: records, source: "peer", applied: applied})
-	select {
-	case <-applied:
-	case <-ctx.Done():
-	}
+func (n *Node) Push(ctx context.Context, records []replicator.Record) uint64 {
+	n.control.Take(ctx, records, "peer")
 	return n.cell.Load().Configuration.Next()
 }
 
 // Snapshot implements messenger.Node.
-func (n *Node) Snapshot() ([]byte, error) {
-	return transcoder.EncodeSnapshot(n.cell.Load().Configuration.Snapshot())
+func (n *Node) Snapshot() configurator.Snapshot {
+	return n.cell.Load().Configuration.Snapshot()
 }
 
 // Events implements messenger.Node.
@@ -226,69 +220,3 @@
 func (n *Node) Resolve(ctx context.Context, partition int, key indexer.Key, offset uint64) (indexer.Entry, bool, error) {
 	return n.claims.Resolve(ctx, partition, key, offset)
 }
-
-// fetchFromPeers asks peers for configuration newer than the node's own, and
-// reports the highest offset that a peer has.
-func (n *Node) fetchFromPeers(ctx context.Context) (highest uint64, reached bool) {
-	for _, address := range n.peerAddresses() {
-		next, err := n.fetchFrom(ctx, address)
-		if err != nil {
-			continue
-		}
-		reached = true
-		highest = max(highest, next)
-	}
-	return highest, reached
-}
-
-func (n *Node) fetchFrom(ctx context.Context, address netip.AddrPort) (uint64, error) {
-	for {
-		own := n.cell.Load().Configuration.Next()
-		page, err := n.peers.Records(ctx, address, own)
-		if err != nil {
-			return 0, err
-		}
-		if page.Next <= own {
-			return page.Next, nil
-		}
-		if page.Oldest > own {
-			return page.Next, n.fetchSnapshot(ctx, address)
-		}
-		n.takeRecords(ctx, page.Records, address.String())
-		if n.cell.Load().Configuration.Next() == own {
-			return page.Next, nil
-		}
-	}
-}
-
-func (n *Node) fetchSnapshot(ctx context.Context, address netip.AddrPort) error {
-	data, err := n.peers.Snapshot(ctx, address)
-	if err != nil {
-		return err
-	}
-	return n.restore(ctx, data, address.String())
-}
-
-func (n *Node) restore(ctx context.Context, data []byte, source string) error {
-	snapshot, err := transcoder.DecodeSnapshot(data)
-	if err != nil {
-		return err
-	}
-	state, err := configurator.Restore(snapshot)
-	if err != nil {
-		return err
-	}
-	n.control.send(ctx, stateRestored{state: state, source: source})
-	return nil
-}
-
-// takeRecords hands records to the control goroutine and waits until they are
-// in force.
-func (n *Node) takeRecords(ctx context.Context, records []messenger.Record, source string) {
-	applied := make(chan struct{})
-	n.control.send(ctx, recordsRead{records: records, source: source, applied: applied})
-	select {
-	case <-applied:
-	case <-ctx.Done():
-	}
-}
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -18,30 +18,19 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/replicator"
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/wire"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/indexer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
 )
 
-// Record is an encoded configuration record at its offset.
-type Record struct {
-	Offset uint64
-	Data   []byte
-}
-
-// Records is a part of the configuration stream as a peer holds it.
-type Records struct {
-	// Oldest is the first offset that the peer still holds.
-	Oldest  uint64
-	Next    uint64
-	Records []Record
-}
-
 // Node answers the calls of peers.
 type Node interface {
-	Records(from uint64) Records
-	Push(ctx context.Context, records []Record) (next uint64)
-	Snapshot() ([]byte, error)
+	Records(from uint64) replicator.Page
+	Push(ctx context.Context, records []replicator.Record) (next uint64)
+	Snapshot() configurator.Snapshot
 	Events(filter recorder.Filter) []recorder.Event
 	Resolve(ctx context.Context, partition int, key indexer.Key, offset uint64) (indexer.Entry, bool, error)
 }
@@ -70,7 +59,7 @@
 
 // Snapshot implements wire.Peer.
 func (s *server) Snapshot(context.Context, *wire.SnapshotRequest) (*wire.SnapshotReply, error) {
-	data, err := s.node.Snapshot()
+	data, err := transcoder.EncodeSnapshot(s.node.Snapshot())
 	return &wire.SnapshotReply{Data: data}, err
 }
 
@@ -118,34 +107,31 @@
 }
 
 // Records asks a peer for configuration records from an offset on.
-func (c *Client) Records(ctx context.Context, address netip.AddrPort, from uint64) (Records, error) {
+func (c *Client) Records(ctx context.Context, address netip.AddrPort, from uint64) (replicator.Page, error) {
 	reply, err := c.peer(address).Records(ctx, &wire.RecordsRequest{From: from})
 	if err != nil {
-		return Records{}, errors.Wrapf(err, "records of %s", address)
+		return replicator.Page{}, errors.Wrapf(err, "records of %s", address)
 	}
-	return Records{Oldest: reply.Oldest, Next: reply.Next, Records: decodeRecords(reply.Records)}, nil
+	return replicator.Page{Oldest: reply.Oldest, Next: reply.Next, Records: decodeRecords(reply.Records)}, nil
 }
 
-// Push offers records to a peer and returns the peer's next offset.
-func (c *Client) Push(ctx context.Context, address netip.AddrPort, records []Record) (uint64, error) {
+// Push offers records to a peer; it returns once they are in force there.
+func (c *Client) Push(ctx context.Context, address netip.AddrPort, records []replicator.Record) error {
 	request := &wire.PushRequest{}
 	for _, record := range records {
 		request.Records = append(request.Records, &wire.Record{Offset: record.Offset, Data: record.Data})
 	}
-	reply, err := c.peer(address).Push(ctx, request)
-	if err != nil {
-		return 0, errors.Wrapf(err, "push to %s", address)
-	}
-	return reply.Next, nil
+	_, err := c.peer(address).Push(ctx, request)
+	return errors.Wrapf(err, "push to %s", address)
 }
 
-// Snapshot asks a peer for its whole configuration state, encoded.
-func (c *Client) Snapshot(ctx context.Context, address netip.AddrPort) ([]byte, error) {
+// Snapshot asks a peer for its whole configuration state.
+func (c *Client) Snapshot(ctx context.Context, address netip.AddrPort) (configurator.Snapshot, error) {
 	reply, err := c.peer(address).Snapshot(ctx, &wire.SnapshotRequest{})
 	if err != nil {
-		return nil, errors.Wrapf(err, "snapshot of %s", address)
+		return configurator.Snapshot{}, errors.Wrapf(err, "snapshot of %s", address)
 	}
-	return reply.Data, nil
+	return transcoder.DecodeSnapshot(reply.Data)
 }
 
 // Events asks a peer for its events.
@@ -184,10 +170,10 @@
 	}, true, nil
 }
 
-func decodeRecords(wires []*wire.Record) []Record {
-	records := make([]Record, 0, len(wires))
+func decodeRecords(wires []*wire.Record) []replicator.Record {
+	records := make([]replicator.Record, 0, len(wires))
 	for _, record := range wires {
-		records = append(records, Record{Offset: record.Offset, Data: record.Data})
+		records = append(records, replicator.Record{Offset: record.Offset, Data: record.Data})
 	}
 	return records
 }
