--- a/internal/coordination/claimer/partition.go
+++ b/internal/coordination/claimer/partition.go
@@ -16,8 +16,9 @@
 	stream  Stream
 	timeout time.Duration
 
-	// reading lets one goroutine read the stream at a time.
-	reading sync.Mutex
+	// reading lets one goroutine read the stream at a time. It is a channel,
+	// so that those who wait for a slow read can give up.
+	reading chan struct{}
 
 	mu        sync.Mutex
 	index     *indexer.Index
@@ -59,6 +60,7 @@
 		number:    number,
 		stream:    stream,
 		timeout:   timeout,
+		reading:   make(chan struct{}, 1),
 		index:     indexer.New(),
 		abandoned: map[indexer.Attempt]abandonedClaim{},
 	}
@@ -116,8 +118,12 @@
 // catchUp reads the stream until the index has folded all records below until;
 // zero stands for the end of the stream at the time of the call.
 func (p *partition) catchUp(ctx context.Context, now time.Time, until uint64) error {
-	p.reading.Lock()
-	defer p.reading.Unlock()
+	select {
+	case p.reading <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-p.reading }()
 	for until == 0 || p.next() < until {
 		ctx, cancel := context.WithTimeout(ctx, p.timeout)
 		page, err := p.stream.Read(ctx, p.number, p.next(), pageLimit)
