--- a/internal/coordination/replicator/replicator.go
+++ b/internal/coordination/replicator/replicator.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,10 +25,16 @@
 )
 
 const (
-	followWait  = 10 * time.Second
-	readTimeout = 2 * time.Second
-	retryWait   = 500 * time.Millisecond
+	// followWait and readTimeout bound a read: a connection that has gone
+	// silent is given up after their sum, well within the time in which a
+	// change has to be in force.
+	followWait  = 2 * time.Second
+	readTimeout = time.Second
+	retryWait   = 200 * time.Millisecond
 	pushTimeout = 500 * time.Millisecond
+	// fetchTimeout bounds a peer's answers, fetchCount the peers asked at once.
+	fetchTimeout = time.Second
+	fetchCount   = 6
 	// pushCount is the number of peers that a new record is offered to.
 	pushCount = 3
 	// snapshotEvery is the number of records between two snapshots.
@@ -65,7 +72,8 @@
 
 // Peers are the other nodes.
 type Peers interface {
-	// Near returns peers of the own failure domain, All returns all of them.
+	// Near returns peers of the own failure domain, All returns all of them,
+	// both in random order and All with the near ones first.
 	Near() []netip.AddrPort
 	All() []netip.AddrPort
 	Records(ctx context.Context, peer netip.AddrPort, from uint64) (Page, error)
@@ -208,23 +216,48 @@
 	}
 }
 
-// followPeers takes configuration from peers. A node that has never been ready
-// becomes so with the highest state among the peers that it reaches.
+// followPeers takes configuration from some peers at once. A node that has
+// never been ready becomes so with the highest state among those that it reaches.
 func (r *Replicator) followPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	peers := r.some()
+	answers := make(chan answer, len(peers))
+	for _, peer := range peers {
+		go func() {
+			next, err := r.fetch(ctx, peer)
+			answers <- answer{next, err}
+		}()
+	}
 	highest, reached := uint64(0), false
-	for _, peer := range r.Peers.All() {
-		next, err := r.fetch(ctx, peer)
-		if err != nil {
-			continue
+	for range peers {
+		got := <-answers
+		if got.err == nil {
+			reached = true
+			highest = max(highest, got.next)
 		}
-		reached = true
-		highest = max(highest, next)
 	}
 	if own := r.next(); reached && own > 0 && own >= highest {
 		r.Sink.CaughtUp(ctx, "peers")
 	}
 }
 
+// answer is a peer's next offset.
+type answer struct {
+	next uint64
+	err  error
+}
+
+// some returns peers to ask: near ones and, so that a failure domain does not
+// only ask itself, the last of the far ones.
+func (r *Replicator) some() []netip.AddrPort {
+	all := r.Peers.All()
+	if len(all) <= fetchCount {
+		return all
+	}
+	return append(slices.Clone(all[:fetchCount/2]), all[len(all)-fetchCount/2:]...)
+}
+
 // fetch takes what a peer has and this node lacks, and returns the peer's next
 // offset.
 func (r *Replicator) fetch(ctx context.Context, peer netip.AddrPort) (uint64, error) {
--- a/internal/protocol/transcoder/claim.go
+++ b/internal/protocol/transcoder/claim.go
@@ -10,16 +10,16 @@
 )
 
 type wireClaim struct {
-	Type    string      `json:"type"`
-	Key     string      `json:"key"`
-	Process uint64      `json:"process"`
-	Counter uint64      `json:"counter"`
-	Digest  string      `json:"digest,omitempty"`
-	LeftMS  int64       `json:"left_ms,omitempty"`
-	Through uint64      `json:"through,omitempty"`
+	Type    string `json:"type"`
+	Key     string `json:"key"`
+	Process uint64 `json:"process"`
+	Counter uint64 `json:"counter"`
+	Digest  string `json:"digest,omitempty"`
+	LeftMS  int64  `json:"left_ms,omitempty"`
+	Through uint64 `json:"through,omitempty"`
 
-	ElapsedMS int64 `json:"elapsed_ms,omitempty"`
-	Answer  *wireAnswer `json:"answer,omitempty"`
+	ElapsedMS int64       `json:"elapsed_ms,omitempty"`
+	Answer    *wireAnswer `json:"answer,omitempty"`
 }
 
 type wireAnswer struct {
