Keep cache blocks on store hosts and bring them back

Change: export after a run under fresh names with the manifest last, look-up by block names on the chain's rendezvous host, import before a run, freeing with the manifest first and the data after the longest import, link budgets. Causes, from the time line: an import of a chain's tail pushed out the same chain's head, and hints of blocks evicted within the events' lag kept the node from asking the store. Ruled out: lost exports (all 6 conversations were exported whole).

--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
@@ -138,10 +139,20 @@
 	Options   []byte
 	Messages  [][]byte
 	MaxTokens int
+	// Return is the caller's word on when the prompt comes back; zero for none.
+	Return time.Duration
 	// Text is what fingerprints and token counts are taken of.
 	Text []byte
 }
 
+// Archive is the store tier.
+type Archive interface {
+	Lookup(ctx context.Context, hosts []registrar.Row, chain []fingerprinter.Block) archiver.Found
+	Wait(found archiver.Found, from int) time.Duration
+	Import(ctx context.Context, endpoint registrar.Endpoint, found archiver.Found, from int) []fingerprinter.Block
+	Export(ctx context.Context, hosts []registrar.Row, endpoint registrar.Endpoint, chain []fingerprinter.Block, hint time.Duration) (int, error)
+}
+
 // Journal records events.
 type Journal interface {
 	Record(now time.Time, event recorder.Event) recorder.Stamp
--- a/internal/coordination/dispatcher/prompts.go
+++ b/internal/coordination/dispatcher/prompts.go
@@ -8,10 +8,12 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/hinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/router"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/publisher"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
@@ -39,6 +41,10 @@
 	Hints    *hinter.Table
 	Budget   *retrier.Budget
 	Suspects *retrier.Suspects
+	// Archive is the store tier; nil for none.
+	Archive Archive
+	// Background runs work that outlives the request.
+	Background func(work func(ctx context.Context))
 	// Spread tells the peers about a new suspect at once.
 	Spread  func()
 	Journal Journal
@@ -60,6 +66,18 @@
 	// weights is set by the first delivered token; later attempts must match.
 	weights string
 	usage   Usage
+	// found holds what the store tier has of the prompt, by weights.
+	found map[string]archiver.Found
+}
+
+// place is where an attempt runs.
+type place struct {
+	row registrar.Row
+	// chain holds the prompt's blocks under the endpoint's weights.
+	chain []fingerprinter.Block
+	found archiver.Found
+	// transfer asks for the stored blocks to be brought first.
+	transfer bool
 }
 
 // Run runs a prompt to its end and returns the usage of the last attempt. On
@@ -71,6 +89,7 @@
 		sink:        sink,
 		fingerprint: fingerprinter.Request(prompt.Team, prompt.Text),
 		tried:       map[string]bool{},
+		found:       map[string]archiver.Found{},
 	}
 	p.Budget.Request()
 	if err := run.judge(); err != nil {
@@ -134,18 +153,22 @@
 }
 
 func (r *promptRun) attempt(ctx context.Context) error {
-	row, blocks, err := r.choose(ctx)
+	chosen, err := r.choose(ctx)
 	if err != nil {
 		return err
 	}
+	row := chosen.row
 	defer r.Flight.leave(row.Name, r.alone)
 	r.tried[row.Name] = true
+	if chosen.transfer {
+		r.bring(ctx, chosen)
+	}
 	kind := recorder.KindDispatch
 	if len(r.delivered) > 0 {
 		kind = recorder.KindResume
 	}
 	r.event(kind, row.Name, fmt.Sprintf("weights %s, %d tokens delivered", row.Report.Version, len(r.delivered)))
-	stream, err := r.Engine.Complete(ctx, row.Endpoint, r.completion(row, blocks))
+	stream, err := r.Engine.Complete(ctx, row.Endpoint, r.completion(row, chosen.chain))
 	if err != nil {
 		return err
 	}
@@ -156,10 +179,34 @@
 		}
 		return err
 	}
-	r.Hints.Stored(row.Name, blocks)
+	r.Hints.Stored(row.Name, chosen.chain)
+	r.store(chosen)
 	return nil
 }
 
+// bring imports stored blocks to the chosen endpoint. What does not arrive is
+// recomputed.
+func (r *promptRun) bring(ctx context.Context, chosen place) {
+	from := r.Hints.Prefix(chosen.row.Name, chosen.chain)
+	arrived := r.Archive.Import(ctx, chosen.row.Endpoint, chosen.found, from)
+	r.Hints.Stored(chosen.row.Name, arrived)
+	r.event(recorder.KindImport, chosen.row.Name, fmt.Sprintf("%d of %d blocks, %d believed cached", len(arrived), chosen.found.Blocks(), from))
+}
+
+// store exports the prompt's blocks in the background.
+func (r *promptRun) store(chosen place) {
+	if r.Archive == nil || chosen.found.Blocks() >= len(chosen.chain) {
+		return
+	}
+	hosts := r.Cell.Load().Stores()
+	r.Background(func(ctx context.Context) {
+		sealed, err := r.Archive.Export(ctx, hosts, chosen.row.Endpoint, chosen.chain, r.prompt.Return)
+		if sealed > 0 || err != nil {
+			r.event(recorder.KindExport, chosen.row.Name, fmt.Sprintf("%d blocks, error %v", sealed, err))
+		}
+	})
+}
+
 func (r *promptRun) completion(row registrar.Row, blocks []fingerprinter.Block) Completion {
 	return Completion{
 		Request:   r.prompt.Request,
@@ -218,50 +265,88 @@
 }
 
 // choose picks an endpoint and counts the request there.
-func (r *promptRun) choose(ctx context.Context) (registrar.Row, []fingerprinter.Block, error) {
+func (r *promptRun) choose(ctx context.Context) (place, error) {
 	deadline := r.Now().Add(aloneWait)
 	for {
-		row, blocks, err := r.pick()
+		chosen, err := r.pick(ctx)
 		if err == nil || !r.alone || r.Now().After(deadline) {
-			return row, blocks, err
+			return chosen, err
 		}
 		if err := retrier.Sleep(ctx, alonePoll); err != nil {
-			return row, nil, err
+			return place{}, err
 		}
 	}
 }
 
-func (r *promptRun) pick() (registrar.Row, []fingerprinter.Block, error) {
+func (r *promptRun) pick(ctx context.Context) (place, error) {
 	snapshot := r.Cell.Load()
 	rows, err := r.rows(snapshot)
 	if err != nil {
-		return registrar.Row{}, nil, err
+		return place{}, err
 	}
 	chains := r.chains(rows)
-	var chosen registrar.Row
+	r.lookup(ctx, snapshot, rows, chains)
+	var chosen place
 	_, ok := r.Flight.take(r.alone, func(turn uint64) (string, bool) {
 		candidates := r.candidates(rows, chains)
-		request := router.Request{
-			Tokens:    fingerprinter.Tokens(r.prompt.Text),
-			Root:      fingerprinter.Root(r.seed(""), r.prompt.Text),
-			Objective: r.prompt.Service.Objective,
-			Turn:      turn,
-			Alone:     r.alone,
-		}
-		choice, picked := r.Policy.Pick(request, candidates)
+		choice, picked := r.Policy.Pick(r.request(turn), candidates)
 		if !picked && !r.alone {
 			choice, picked = leastLoaded(candidates)
 		}
 		if !picked {
 			return "", false
 		}
-		chosen = rows[choice.Index]
-		return chosen.Name, true
+		row := rows[choice.Index]
+		version := row.Report.Version
+		chosen = place{row: row, chain: chains[version], found: r.found[version], transfer: choice.Import}
+		chosen.transfer = choice.Import || r.distrust() && chosen.found.Blocks() > 0
+		return row.Name, true
 	})
 	if !ok {
-		return registrar.Row{}, nil, ErrNoEndpoint
+		return place{}, ErrNoEndpoint
+	}
+	return chosen, nil
+}
+
+func (r *promptRun) request(turn uint64) router.Request {
+	return router.Request{
+		Tokens:    fingerprinter.Tokens(r.prompt.Text),
+		Root:      fingerprinter.Root(r.seed(""), r.prompt.Text),
+		Objective: r.prompt.Service.Objective,
+		Turn:      turn,
+		Alone:     r.alone,
 	}
-	return chosen, chains[chosen.Report.Version], nil
+}
+
+// lookup asks the store tier, once per version, for what no endpoint is
+// believed to hold whole.
+func (r *promptRun) lookup(ctx context.Context, snapshot *publisher.Snapshot, rows []registrar.Row, chains map[string][]fingerprinter.Block) {
+	if r.Archive == nil {
+		return
+	}
+	for version, chain := range chains {
+		if _, asked := r.found[version]; asked || !r.distrust() && r.held(rows, version, chain) {
+			continue
+		}
+		r.found[version] = r.Archive.Lookup(ctx, snapshot.Stores(), chain)
+	}
+}
+
+// distrust reports whether blocks are brought even to an endpoint that is
+// believed to hold them. Hints lag behind evictions; the order costs a round
+// trip, and the endpoint fetches only what it lacks.
+func (r *promptRun) distrust() bool {
+	return r.prompt.Service.Objective == configurator.ObjectiveRecompute
+}
+
+// held reports whether some endpoint is believed to hold the whole chain.
+func (r *promptRun) held(rows []registrar.Row, version string, chain []fingerprinter.Block) bool {
+	for _, row := range rows {
+		if row.Report.Version == version && r.Hints.Prefix(row.Name, chain) == len(chain) {
+			return true
+		}
+	}
+	return false
 }
 
 // leastLoaded serves a request that was admitted on counts that have since
@@ -325,15 +410,21 @@
 func (r *promptRun) candidates(rows []registrar.Row, chains map[string][]fingerprinter.Block) []router.Candidate {
 	candidates := make([]router.Candidate, 0, len(rows))
 	for _, row := range rows {
+		chain, found := chains[row.Report.Version], r.found[row.Report.Version]
+		cached := r.Hints.Prefix(row.Name, chain)
 		candidate := router.Candidate{
 			Name:         row.Name,
 			Near:         row.Domain == r.Domain,
 			Running:      row.Others() + r.Flight.running[row.Name],
 			Slots:        r.prompt.Service.Concurrency,
 			QueuedTokens: row.Report.QueuedTokens,
-			CachedTokens: r.Hints.Prefix(row.Name, chains[row.Report.Version]) * fingerprinter.BlockTokens,
+			CachedTokens: cached * fingerprinter.BlockTokens,
 			PrefillRate:  row.Report.PrefillRate,
 		}
+		if found.Blocks() > cached {
+			candidate.StoredTokens = found.Blocks() * fingerprinter.BlockTokens
+			candidate.ImportWait = r.Archive.Wait(found, cached)
+		}
 		if r.Flight.reserved[row.Name] {
 			candidate.Slots = 0
 		}
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -21,12 +22,16 @@
 	// SnapshotStream is the log's stream of whole configuration states.
 	SnapshotStream = "snapshots"
 
-	hostsInterval  = 500 * time.Millisecond
-	loadInterval   = 250 * time.Millisecond
-	loadTimeout    = time.Second
-	sweepInterval  = time.Second
-	orderInterval  = 250 * time.Millisecond
-	orderTimeout   = 2 * time.Second
+	hostsInterval = 500 * time.Millisecond
+	loadInterval  = 250 * time.Millisecond
+	loadTimeout   = time.Second
+	sweepInterval = time.Second
+	orderInterval = 250 * time.Millisecond
+	orderTimeout  = 2 * time.Second
+	freeInterval  = time.Second
+	// collectEvery is the number of rounds of freeing between two searches for
+	// data without manifest.
+	collectEvery   = 600
 	metricInterval = time.Second
 )
 
@@ -40,6 +45,7 @@
 	go every(ctx, sweepInterval, n.sweep)
 	go every(ctx, orderInterval, n.reconcile)
 	go every(ctx, carryInterval, n.carry)
+	go every(ctx, freeInterval, n.free)
 	go every(ctx, metricInterval, n.gauge)
 }
 
@@ -144,9 +150,61 @@
 	return err == nil && page.Next == own
 }
 
+// free makes room on the store hosts that this node owns.
+func (n *Node) free(ctx context.Context) {
+	n.freeRounds++
+	for _, row := range n.cell.Load().Stores() {
+		if row.Left() || !n.owns("store/"+row.Name) {
+			continue
+		}
+		freed, err := n.freer.Free(ctx, row.Endpoint)
+		if err != nil {
+			n.Log.Debug().Err(err).Str("store", row.Name).Msg("store host can't be freed")
+			continue
+		}
+		if freed > 0 {
+			n.journal.Record(time.Now(), recorder.Event{Kind: recorder.KindFree, Endpoint: row.Name, Detail: fmt.Sprintf("%d blocks", freed)})
+		}
+		if n.freeRounds%collectEvery == 0 {
+			n.collect(ctx, row.Endpoint)
+		}
+	}
+}
+
+func (n *Node) collect(ctx context.Context, host registrar.Endpoint) {
+	names, err := n.store.Data(ctx, host.Address)
+	if err != nil {
+		return
+	}
+	listed, err := n.store.List(ctx, host.Address)
+	if err != nil {
+		return
+	}
+	if _, err := n.freer.Collect(ctx, host, names, listed); err != nil {
+		n.Log.Debug().Err(err).Str("store", host.Name).Msg("data without manifest was not deleted")
+	}
+}
+
+// linkBudget is this node's fixed share of a store host's link.
+func (n *Node) linkBudget(host string) int64 {
+	snapshot := n.cell.Load()
+	nodes := int64(max(capacity(snapshot, n.Settings.Domain).Nodes, 1))
+	for _, store := range configurator.All[configurator.Store](snapshot.Configuration) {
+		for _, row := range snapshot.Services[store.Name] {
+			if row.Name == host {
+				return store.LinkBytes / nodes
+			}
+		}
+	}
+	return 0
+}
+
 func (n *Node) gauge(context.Context) {
 	watts, peak := n.limiter.Watts()
 	counts := n.gossip.Counts()
+	imported, exported := n.links.Totals()
+	n.metrics.Gauge("store_imported_bytes").Update(float64(imported))
+	n.metrics.Gauge("store_exported_bytes").Update(float64(exported))
 	n.metrics.Gauge("watts").Update(watts)
 	n.metrics.Gauge("watts_peak").Update(peak)
 	n.metrics.Gauge("queued").Update(float64(n.limiter.Queued()))
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -26,8 +26,10 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/evictor"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/hinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
@@ -60,6 +62,7 @@
 	retryShare     = 0.1
 	retryReserve   = 20
 	suspectExpiry  = 10 * time.Minute
+	evictionPolicy = "return"
 
 	readHeaderTimeout = 10 * time.Second
 )
@@ -80,6 +83,10 @@
 	claims   *claimer.Claimer
 	engine   *dialer.Engine
 	pools    *dialer.Pools
+	store    *dialer.Store
+	links    *archiver.Links
+	archive  *archiver.Archive
+	freer    *archiver.Freer
 	hosts    *dialer.Hosts
 	log      *follower.Client
 	gossip   *gossiper.Gossiper
@@ -92,6 +99,7 @@
 	incarnation uint64
 	process     uint64
 	drainOnce   sync.Once
+	freeRounds  int
 	drain       chan struct{}
 }
 
@@ -195,6 +203,10 @@
 		Keep:       func() time.Duration { return n.retention().Keep },
 		Now:        time.Now,
 	}
+	n.links = &archiver.Links{Budget: n.linkBudget}
+	n.store = &dialer.Store{Pools: n.pools}
+	n.archive = &archiver.Archive{Store: n.store, Mover: n.engine, Links: n.links, Process: n.process, Now: time.Now}
+	n.freer = &archiver.Freer{Store: n.store, Policy: evictor.Must(evictionPolicy), Now: time.Now}
 	n.gossip = &gossiper.Gossiper{Address: n.Settings.Peers, Packer: packer.Packer{Key: n.Settings.PeerKey}, Receive: n.hear}
 	between := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	n.peers = messenger.NewClient(between, peerCall, n.Settings.PeerKey)
@@ -225,10 +237,14 @@
 		Hints:    n.hints,
 		Budget:   budget,
 		Suspects: n.suspects,
-		Spread:   n.spread,
-		Journal:  n.journal,
-		Domain:   n.Settings.Domain,
-		Now:      time.Now,
+		Archive:  n.archive,
+		Background: func(work func(ctx context.Context)) {
+			n.callers.Background(work)
+		},
+		Spread:  n.spread,
+		Journal: n.journal,
+		Domain:  n.Settings.Domain,
+		Now:     time.Now,
 	}
 	calls := &dispatcher.Calls{
 		Cell:    n.cell,
--- a/internal/standin/generator/blocks.go
+++ b/internal/standin/generator/blocks.go
@@ -16,6 +16,8 @@
 	Bytes    int    `json:"bytes,omitempty"`
 	Checksum string `json:"checksum,omitempty"`
 	Failed   bool   `json:"failed,omitempty"`
+	// Held is set in replies for a block that was in the cache already.
+	Held bool `json:"held,omitempty"`
 }
 
 type blockItems struct {
@@ -82,18 +84,25 @@
 	}
 	weights := s.Weights()
 	var imported []string
+	fetched := 0
 	for i := range request.Items {
 		item := &request.Items[i]
-		item.Failed = !s.fetchBlock(r.Context(), *item)
+		s.mu.Lock()
+		item.Held = s.cache.has(item.Block)
+		s.mu.Unlock()
+		item.Failed = !item.Held && !s.fetchBlock(r.Context(), *item)
 		if item.Failed {
 			break
 		}
+		if !item.Held {
+			fetched++
+		}
 		imported = append(imported, item.Block)
 	}
 	s.mu.Lock()
 	if weights == s.Version {
 		s.cache.insert(imported)
-		s.stats.ImportedBlocks += len(imported)
+		s.stats.ImportedBlocks += fetched
 	}
 	s.mu.Unlock()
 	writeJSON(w, request)
--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -15,7 +15,8 @@
 //	GET  /v1/load              load report, lagging
 //	GET  /v1/cache/events?from=N  cache events, late and with gaps
 //	POST /v1/kv/export         {"items":[{"block":…,"url":…}]}
-//	POST /v1/kv/import         {"items":[{"block":…,"url":…,"bytes":…,"checksum":…}]}
+//	POST /v1/kv/import         {"items":[{"block":…,"url":…,"bytes":…,"checksum":…}]};
+//	     a block that is in the cache already is not fetched
 //	POST /v1/orders            {"fence":N,"weights":…}; 409 for an old fence
 //	GET  /v1/stats             counters for tests
 //
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -8,10 +8,14 @@
 //
 // The protocol:
 //
-//	PUT    /v1/blobs/NAME   201, or 507 when the host is full
+//	PUT    /v1/blobs/NAME   201, 507 when the host is full, or with
+//	       If-None-Match: * 412 when the name is taken
+//	POST   /v1/read         {"names":[…]} -> {"blobs":{NAME:"BASE64",…}}, found ones only
+//	GET    /v1/usage        {"bytes":…,"capacity":…,"moved":…}
 //	GET    /v1/blobs/NAME
 //	DELETE /v1/blobs/NAME
-//	GET    /v1/blobs?prefix=P  {"bytes":…,"capacity":…,"blobs":[{"name":…,"bytes":…},…]}
+//	GET    /v1/blobs?prefix=P  {"blobs":[{"name":…,"bytes":…,"idle_ms":…,"reads":…,"data":"BASE64"},…]},
+//	       with the data of small blobs
 package keeper
 
 import (
@@ -32,12 +36,33 @@
 	LinkBytes int64
 
 	mu       sync.Mutex
-	blobs    map[string][]byte
+	blobs    map[string]*blob
 	used     int64
 	moved    int64
 	linkFree time.Time
 }
 
+type blob struct {
+	content []byte
+	read    time.Time
+	reads   int
+}
+
+func (b *blob) size() int64 {
+	if b == nil {
+		return 0
+	}
+	return int64(len(b.content))
+}
+
+func (b *blob) touch() {
+	b.read = time.Now()
+	b.reads++
+}
+
+// smallBytes is the largest blob that lists and batched reads carry.
+const smallBytes = 4096
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	mux := http.NewServeMux()
@@ -45,6 +70,8 @@
 	mux.HandleFunc("GET /v1/blobs/{name}", s.get)
 	mux.HandleFunc("DELETE /v1/blobs/{name}", s.remove)
 	mux.HandleFunc("GET /v1/blobs", s.list)
+	mux.HandleFunc("POST /v1/read", s.readSome)
+	mux.HandleFunc("GET /v1/usage", s.usage)
 	mux.ServeHTTP(w, r)
 }
 
@@ -83,62 +110,106 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	name := r.PathValue("name")
-	grown := s.used - int64(len(s.blobs[name])) + int64(len(content))
+	if s.blobs[name] != nil && r.Header.Get("If-None-Match") == "*" {
+		http.Error(w, "name is taken", http.StatusPreconditionFailed)
+		return
+	}
+	grown := s.used - s.blobs[name].size() + int64(len(content))
 	if grown > s.Capacity {
 		http.Error(w, "full", http.StatusInsufficientStorage)
 		return
 	}
 	if s.blobs == nil {
-		s.blobs = map[string][]byte{}
+		s.blobs = map[string]*blob{}
 	}
-	s.blobs[name] = content
+	s.blobs[name] = &blob{content: content, read: time.Now()}
 	s.used = grown
 	w.WriteHeader(http.StatusCreated)
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	content, ok := s.blobs[r.PathValue("name")]
+	held, ok := s.blobs[r.PathValue("name")]
+	if ok {
+		held.touch()
+	}
 	s.mu.Unlock()
 	if !ok {
 		http.NotFound(w, r)
 		return
 	}
-	s.transfer(len(content))
-	_, _ = w.Write(content)
+	s.transfer(len(held.content))
+	_, _ = w.Write(held.content)
 }
 
 func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	name := r.PathValue("name")
-	s.used -= int64(len(s.blobs[name]))
+	s.used -= s.blobs[name].size()
 	delete(s.blobs, name)
 	w.WriteHeader(http.StatusNoContent)
 }
 
-type listReply struct {
-	Bytes    int64      `json:"bytes"`
-	Capacity int64      `json:"capacity"`
-	Moved    int64      `json:"moved"`
-	Blobs    []listBlob `json:"blobs"`
+type wireUsage struct {
+	Bytes    int64 `json:"bytes"`
+	Capacity int64 `json:"capacity"`
+	Moved    int64 `json:"moved"`
+}
+
+func (s *Server) usage(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, wireUsage{Bytes: s.used, Capacity: s.Capacity, Moved: s.moved})
+}
+
+func (s *Server) readSome(w http.ResponseWriter, r *http.Request) {
+	var request struct {
+		Names []string `json:"names"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := map[string][]byte{}
+	for _, name := range request.Names {
+		if held, ok := s.blobs[name]; ok && held.size() <= smallBytes {
+			held.touch()
+			found[name] = held.content
+		}
+	}
+	writeJSON(w, map[string]any{"blobs": found})
 }
 
 type listBlob struct {
-	Name  string `json:"name"`
-	Bytes int    `json:"bytes"`
+	Name   string `json:"name"`
+	Bytes  int64  `json:"bytes"`
+	IdleMS int64  `json:"idle_ms"`
+	Reads  int    `json:"reads"`
+	Data   []byte `json:"data,omitempty"`
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply := listReply{Bytes: s.used, Capacity: s.Capacity, Moved: s.moved, Blobs: []listBlob{}}
-	for name, content := range s.blobs {
-		if strings.HasPrefix(name, r.URL.Query().Get("prefix")) {
-			reply.Blobs = append(reply.Blobs, listBlob{Name: name, Bytes: len(content)})
+	blobs := []listBlob{}
+	for name, held := range s.blobs {
+		if !strings.HasPrefix(name, r.URL.Query().Get("prefix")) {
+			continue
 		}
+		listed := listBlob{Name: name, Bytes: held.size(), IdleMS: time.Since(held.read).Milliseconds(), Reads: held.reads}
+		if held.size() <= smallBytes {
+			listed.Data = held.content
+		}
+		blobs = append(blobs, listed)
 	}
-	slices.SortFunc(reply.Blobs, func(a, b listBlob) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(blobs, func(a, b listBlob) int { return strings.Compare(a.Name, b.Name) })
+	writeJSON(w, map[string]any{"blobs": blobs})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(reply)
+	_ = json.NewEncoder(w).Encode(value)
 }
--- a/internal/state/publisher/publisher.go
+++ b/internal/state/publisher/publisher.go
@@ -71,6 +71,15 @@
 	return configurator.Find[configurator.Service](s.Configuration, configurator.KindService, name)
 }
 
+// Stores returns the hosts of all declared stores.
+func (s *Snapshot) Stores() []registrar.Row {
+	var hosts []registrar.Row
+	for _, store := range configurator.All[configurator.Store](s.Configuration) {
+		hosts = append(hosts, s.Services[store.Name]...)
+	}
+	return hosts
+}
+
 // Model returns a model's declaration.
 func (s *Snapshot) Model(name string) (configurator.Model, bool) {
 	return configurator.Find[configurator.Model](s.Configuration, configurator.KindModel, name)
--- a/internal/transport/dialer/dialer.go
+++ b/internal/transport/dialer/dialer.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// failed marks the error of a failed exchange and, after a stall, drops the
+// connections to the address.
+func (p *Pools) failed(ex *exchange, address netip.AddrPort, err error) error {
+	marked := ex.mark(err)
+	if errors.Is(marked, dispatcher.ErrStalled) {
+		p.Drop(address)
+	}
+	return marked
+}
+
 // drain reads what is left of a body, so that its connection can be used again.
 func drain(body io.ReadCloser) {
 	const limit = 64 << 10
--- a/internal/transport/dialer/engine.go
+++ b/internal/transport/dialer/engine.go
@@ -26,8 +26,8 @@
 }
 
 const (
-	dataPrefix = "data: "
-	doneMark   = "[DONE]"
+	eventPrefix = "data: "
+	doneMark    = "[DONE]"
 	// maxLineBytes is the longest line of an engine's stream.
 	maxLineBytes = 1 << 20
 )
@@ -79,11 +79,7 @@
 
 func (e *Engine) fail(ex *exchange, endpoint registrar.Endpoint, err error) error {
 	defer ex.end()
-	marked := ex.mark(errors.Wrap(err, endpoint.Name))
-	if errors.Is(marked, dispatcher.ErrStalled) {
-		e.Pools.Drop(endpoint.Address)
-	}
-	return marked
+	return e.Pools.failed(ex, endpoint.Address, errors.Wrap(err, endpoint.Name))
 }
 
 // encodeCompletion adds the engine's members to the caller's own options.
@@ -132,7 +128,7 @@
 func (s *stream) Next() (dispatcher.Token, error) {
 	for s.scanner.Scan() {
 		s.exchange.progress()
-		data, ok := strings.CutPrefix(s.scanner.Text(), dataPrefix)
+		data, ok := strings.CutPrefix(s.scanner.Text(), eventPrefix)
 		if !ok {
 			continue
 		}
@@ -206,7 +202,7 @@
 // Load asks an engine for its load report.
 func (e *Engine) Load(ctx context.Context, address netip.AddrPort, timeout time.Duration) (registrar.Report, error) {
 	var load wireLoad
-	if err := e.getJSON(ctx, address, "/v1/load", timeout, &load); err != nil {
+	if _, err := exchangeJSON(ctx, e.Pools, timeout, address, http.MethodGet, "/v1/load", nil, &load); err != nil {
 		return registrar.Report{}, err
 	}
 	return registrar.Report{
@@ -231,7 +227,8 @@
 // Events asks an engine for its cache events from a sequence number on.
 func (e *Engine) Events(ctx context.Context, address netip.AddrPort, from uint64, timeout time.Duration) ([]hinter.Event, error) {
 	var wire wireEvents
-	if err := e.getJSON(ctx, address, fmt.Sprintf("/v1/cache/events?from=%d", from), timeout, &wire); err != nil {
+	target := fmt.Sprintf("/v1/cache/events?from=%d", from)
+	if _, err := exchangeJSON(ctx, e.Pools, timeout, address, http.MethodGet, target, nil, &wire); err != nil {
 		return nil, err
 	}
 	events := make([]hinter.Event, 0, len(wire.Events))
@@ -249,50 +246,15 @@
 // configuration offset that the order follows from; an engine that checks it
 // refuses an older one with ErrRefused.
 func (e *Engine) Order(ctx context.Context, address netip.AddrPort, fence uint64, weights string, timeout time.Duration) error {
-	body, err := json.Marshal(struct {
+	order := struct {
 		Fence   uint64 `json:"fence"`
 		Weights string `json:"weights"`
-	}{fence, weights})
-	if err != nil {
-		return err
-	}
-	ctx, ex := start(ctx, timeout)
-	defer ex.end()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, endpointURL(address, "/v1/orders"), bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	response, err := e.Pools.get(address).RoundTrip(request)
-	if err != nil {
-		return ex.mark(err)
-	}
-	defer drain(response.Body)
-	if response.StatusCode != http.StatusAccepted {
-		return errors.Wrapf(dispatcher.ErrRefused, "order: %s", response.Status)
-	}
-	return nil
-}
-
-func (e *Engine) getJSON(ctx context.Context, address netip.AddrPort, target string, timeout time.Duration, value any) error {
-	ctx, ex := start(ctx, timeout)
-	defer ex.end()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, endpointURL(address, target), nil)
-	if err != nil {
-		return err
-	}
-	response, err := e.Pools.get(address).RoundTrip(request)
-	if err != nil {
-		marked := ex.mark(err)
-		if errors.Is(marked, dispatcher.ErrStalled) {
-			e.Pools.Drop(address)
-		}
-		return marked
-	}
-	defer drain(response.Body)
-	if response.StatusCode != http.StatusOK {
-		return errors.Newf("%s answered %s", target, response.Status)
+	}{fence, weights}
+	status, err := exchangeJSON(ctx, e.Pools, timeout, address, http.MethodPost, "/v1/orders", order, nil)
+	if status == http.StatusConflict {
+		return errors.Mark(err, dispatcher.ErrRefused)
 	}
-	return json.NewDecoder(response.Body).Decode(value)
+	return err
 }
 
 func endpointURL(address netip.AddrPort, target string) string {
--- a/internal/transport/dialer/service.go
+++ b/internal/transport/dialer/service.go
@@ -50,11 +50,7 @@
 }
 
 func (s *Service) fail(ex *exchange, endpoint registrar.Endpoint, err error) error {
-	marked := ex.mark(errors.Wrap(err, endpoint.Name))
-	if errors.Is(marked, dispatcher.ErrStalled) {
-		s.Pools.Drop(endpoint.Address)
-	}
-	return marked
+	return s.Pools.failed(ex, endpoint.Address, errors.Wrap(err, endpoint.Name))
 }
 
 // readWhole reads a body to its end and counts each part as progress.
--- /dev/null
+++ b/internal/transport/dialer/store.go
@@ -0,0 +1,257 @@
+package dialer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+)
+
+const (
+	manifestPrefix = "m-"
+	dataPrefix     = "d-"
+	// storeStall is the longest time that a store host may make no progress.
+	storeStall = 5 * time.Second
+	// moveStall is the same for an engine that moves blocks.
+	moveStall = 30 * time.Second
+)
+
+// Store is the adapter to store hosts. It implements archiver.Store.
+type Store struct {
+	Pools *Pools
+}
+
+type wireManifest struct {
+	Block    string `json:"block"`
+	Position int    `json:"position"`
+	Data     string `json:"data"`
+	Bytes    int64  `json:"bytes"`
+	Checksum string `json:"checksum"`
+	ReturnMS int64  `json:"return_ms,omitempty"`
+}
+
+func decodeManifest(data []byte) (archiver.Manifest, error) {
+	var wire wireManifest
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return archiver.Manifest{}, errors.Wrap(err, "manifest")
+	}
+	if wire.Block == "" || wire.Data == "" || wire.Bytes <= 0 || wire.Checksum == "" {
+		return archiver.Manifest{}, errors.New("manifest lacks a member")
+	}
+	return archiver.Manifest{
+		Block:    fingerprinter.Block(wire.Block),
+		Position: wire.Position,
+		Data:     wire.Data,
+		Bytes:    wire.Bytes,
+		Checksum: wire.Checksum,
+		Return:   time.Duration(wire.ReturnMS) * time.Millisecond,
+	}, nil
+}
+
+// Find implements archiver.Store. A manifest that can't be read is left out.
+func (s *Store) Find(ctx context.Context, host netip.AddrPort, blocks []fingerprinter.Block) (map[fingerprinter.Block]archiver.Manifest, error) {
+	names := make([]string, 0, len(blocks))
+	for _, block := range blocks {
+		names = append(names, manifestPrefix+string(block))
+	}
+	var reply struct {
+		Blobs map[string][]byte `json:"blobs"`
+	}
+	request := map[string][]string{"names": names}
+	if _, err := exchangeJSON(ctx, s.Pools, storeStall, host, http.MethodPost, "/v1/read", request, &reply); err != nil {
+		return nil, err
+	}
+	found := map[fingerprinter.Block]archiver.Manifest{}
+	for _, data := range reply.Blobs {
+		if manifest, err := decodeManifest(data); err == nil {
+			found[manifest.Block] = manifest
+		}
+	}
+	return found, nil
+}
+
+// Seal implements archiver.Store.
+func (s *Store) Seal(ctx context.Context, host netip.AddrPort, manifest archiver.Manifest) error {
+	wire := wireManifest{
+		Block:    string(manifest.Block),
+		Position: manifest.Position,
+		Data:     manifest.Data,
+		Bytes:    manifest.Bytes,
+		Checksum: manifest.Checksum,
+		ReturnMS: manifest.Return.Milliseconds(),
+	}
+	status, err := exchangeJSON(ctx, s.Pools, storeStall, host, http.MethodPut, blobPath(manifestPrefix+wire.Block), wire, nil)
+	switch status {
+	case http.StatusPreconditionFailed:
+		return errors.Wrap(archiver.ErrTaken, wire.Block)
+	case http.StatusInsufficientStorage:
+		return errors.Wrap(archiver.ErrFull, wire.Block)
+	}
+	return err
+}
+
+// Unseal implements archiver.Store.
+func (s *Store) Unseal(ctx context.Context, host netip.AddrPort, block fingerprinter.Block) error {
+	return s.remove(ctx, host, manifestPrefix+string(block))
+}
+
+// Delete implements archiver.Store.
+func (s *Store) Delete(ctx context.Context, host netip.AddrPort, data string) error {
+	return s.remove(ctx, host, dataPrefix+data)
+}
+
+func (s *Store) remove(ctx context.Context, host netip.AddrPort, name string) error {
+	_, err := exchangeJSON(ctx, s.Pools, storeStall, host, http.MethodDelete, blobPath(name), nil, nil)
+	return err
+}
+
+// Usage implements archiver.Store.
+func (s *Store) Usage(ctx context.Context, host netip.AddrPort) (used, capacity int64, err error) {
+	var usage struct {
+		Bytes    int64 `json:"bytes"`
+		Capacity int64 `json:"capacity"`
+	}
+	_, err = exchangeJSON(ctx, s.Pools, storeStall, host, http.MethodGet, "/v1/usage", nil, &usage)
+	return usage.Bytes, usage.Capacity, err
+}
+
+type wireListed struct {
+	Blobs []struct {
+		Name   string `json:"name"`
+		IdleMS int64  `json:"idle_ms"`
+		Reads  int    `json:"reads"`
+		Data   []byte `json:"data"`
+	} `json:"blobs"`
+}
+
+// List implements archiver.Store.
+func (s *Store) List(ctx context.Context, host netip.AddrPort) ([]archiver.Listed, error) {
+	var reply wireListed
+	if _, err := exchangeJSON(ctx, s.Pools, storeStall, host, http.MethodGet, "/v1/blobs?prefix="+manifestPrefix, nil, &reply); err != nil {
+		return nil, err
+	}
+	var listed []archiver.Listed
+	for _, blob := range reply.Blobs {
+		manifest, err := decodeManifest(blob.Data)
+		if err != nil {
+			continue
+		}
+		listed = append(listed, archiver.Listed{
+			Manifest: manifest,
+			Idle:     time.Duration(blob.IdleMS) * time.Millisecond,
+			Visits:   blob.Reads,
+		})
+	}
+	return listed, nil
+}
+
+// Data returns the names of a host's blobs of data with their idle times.
+func (s *Store) Data(ctx context.Context, host netip.AddrPort) (map[string]time.Duration, error) {
+	var reply wireListed
+	if _, err := exchangeJSON(ctx, s.Pools, storeStall, host, http.MethodGet, "/v1/blobs?prefix="+dataPrefix, nil, &reply); err != nil {
+		return nil, err
+	}
+	names := map[string]time.Duration{}
+	for _, blob := range reply.Blobs {
+		names[strings.TrimPrefix(blob.Name, dataPrefix)] = time.Duration(blob.IdleMS) * time.Millisecond
+	}
+	return names, nil
+}
+
+func blobPath(name string) string { return "/v1/blobs/" + url.PathEscape(name) }
+
+type wireTransfers struct {
+	Items []wireTransfer `json:"items"`
+}
+
+type wireTransfer struct {
+	Block    string `json:"block"`
+	URL      string `json:"url"`
+	Bytes    int64  `json:"bytes,omitempty"`
+	Checksum string `json:"checksum,omitempty"`
+	Failed   bool   `json:"failed,omitempty"`
+	Held     bool   `json:"held,omitempty"`
+}
+
+// Export implements archiver.Mover.
+func (e *Engine) Export(ctx context.Context, endpoint registrar.Endpoint, transfers []archiver.Transfer) ([]archiver.Transfer, error) {
+	return e.move(ctx, endpoint, "/v1/kv/export", transfers)
+}
+
+// Import implements archiver.Mover.
+func (e *Engine) Import(ctx context.Context, endpoint registrar.Endpoint, transfers []archiver.Transfer) ([]archiver.Transfer, error) {
+	return e.move(ctx, endpoint, "/v1/kv/import", transfers)
+}
+
+func (e *Engine) move(ctx context.Context, endpoint registrar.Endpoint, path string, transfers []archiver.Transfer) ([]archiver.Transfer, error) {
+	var request, reply wireTransfers
+	for _, transfer := range transfers {
+		request.Items = append(request.Items, wireTransfer{
+			Block:    string(transfer.Block),
+			URL:      endpointURL(transfer.Store, blobPath(dataPrefix+transfer.Data)),
+			Bytes:    transfer.Bytes,
+			Checksum: transfer.Checksum,
+		})
+	}
+	if _, err := exchangeJSON(ctx, e.Pools, moveStall, endpoint.Address, http.MethodPost, path, request, &reply); err != nil {
+		return nil, err
+	}
+	if len(reply.Items) != len(transfers) {
+		return nil, errors.Newf("%s answered for %d of %d blocks", endpoint.Name, len(reply.Items), len(transfers))
+	}
+	moved := make([]archiver.Transfer, 0, len(transfers))
+	for i, item := range reply.Items {
+		transfer := transfers[i]
+		transfer.Bytes = item.Bytes
+		transfer.Checksum = item.Checksum
+		transfer.Failed = item.Failed || item.Block != string(transfer.Block)
+		transfer.Held = item.Held
+		moved = append(moved, transfer)
+	}
+	return moved, nil
+}
+
+// exchangeJSON sends a JSON request and reads a JSON reply. It returns the
+// status, and an error for any but a 2xx one.
+func exchangeJSON(ctx context.Context, pools *Pools, stall time.Duration, address netip.AddrPort, method, target string, in, out any) (int, error) {
+	var body io.Reader = http.NoBody
+	if in != nil {
+		encoded, err := json.Marshal(in)
+		if err != nil {
+			return 0, err
+		}
+		body = bytes.NewReader(encoded)
+	}
+	ctx, ex := start(ctx, stall)
+	defer ex.end()
+	request, err := http.NewRequestWithContext(ctx, method, endpointURL(address, target), body)
+	if err != nil {
+		return 0, err
+	}
+	if method == http.MethodPut {
+		request.Header.Set("If-None-Match", "*")
+	}
+	response, err := pools.get(address).RoundTrip(request)
+	if err != nil {
+		return 0, pools.failed(ex, address, err)
+	}
+	defer drain(response.Body)
+	if response.StatusCode/100 != 2 {
+		return response.StatusCode, errors.Newf("%s %s answered %s", method, target, response.Status)
+	}
+	if out == nil {
+		return response.StatusCode, nil
+	}
+	return response.StatusCode, json.NewDecoder(response.Body).Decode(out)
+}
--- a/internal/transport/listener/chat.go
+++ b/internal/transport/listener/chat.go
@@ -1,9 +1,11 @@
 package listener
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/chatter"
@@ -48,6 +50,7 @@
 		Options:   request.Options,
 		Messages:  request.Messages,
 		MaxTokens: request.MaxTokens,
+		Return:    expectedReturn(e.r.Header.Get(headerReturn)),
 		Text:      request.Text,
 	}
 	out := s.newSink(e, request, priority.Name)
@@ -59,9 +62,20 @@
 	}
 	s.countUsage(priority.Name, usage)
 	out.end(usage)
+	e.note = fmt.Sprintf("%d prompt tokens, %d cached, %d generated", usage.Prompt, usage.Cached, usage.Completion)
 	e.finish(priority.Name, nil)
 }
 
+// expectedReturn reads the caller's word on when the prompt comes back. It is a
+// hint, so what can't be read counts as none.
+func expectedReturn(text string) time.Duration {
+	parsed, err := time.ParseDuration(text)
+	if err != nil || parsed < 0 {
+		return 0
+	}
+	return parsed
+}
+
 func (s *Server) countUsage(class string, usage dispatcher.Usage) {
 	scope := s.Metrics.Tagged(map[string]string{"class": class})
 	scope.Counter("prompt_tokens").Inc(int64(usage.Prompt))
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -49,6 +49,7 @@
 	headerRequest    = "X-Request-Id"
 	headerPriority   = "X-Priority"
 	headerKey        = "Idempotency-Key"
+	headerReturn     = "X-Expected-Return"
 	headerRepeatable = "Repeatable"
 	headerRepeated   = "Idempotent-Replayed"
 
@@ -99,6 +100,11 @@
 // Wait returns when the work that outlives its requests is done.
 func (s *Server) Wait() { s.background.Wait() }
 
+// Background runs work that outlives its request; a planned stop waits for it.
+func (s *Server) Background(work func(ctx context.Context)) {
+	s.background.Go(func() { work(context.Background()) })
+}
+
 // Handler returns the callers' handler.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -140,6 +146,8 @@
 	started  time.Time
 	// key is the request's idempotency key, if it has one.
 	key string
+	// note tells the time line how the request went.
+	note string
 }
 
 // authenticated identifies the team by its bearer key and reads the body.
@@ -216,7 +224,7 @@
 		return
 	}
 	scope.Counter("requests_answered").Inc(1)
-	e.event(recorder.KindAnswer, "")
+	e.event(recorder.KindAnswer, e.note)
 	e.server.Log.Debug().Str("request", e.id).Str("team", e.team.Name).Dur("took", took).Msg("request answered")
 }
 
