--- /dev/null
+++ b/cmd/loadgen/main.go
@@ -0,0 +1,74 @@
+// Command loadgen sends seeded open-loop load and prints what callers see.
+//
+// # Usage
+//
+//	loadgen rounds --workload cooperative
+//	loadgen overhead --node 127.0.0.1:7100 --operators 127.0.0.1:7300 --engine 127.0.0.1:7010
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/exerciser"
+)
+
+func main() {
+	app := kingpin.New("loadgen", "Seeded open-loop load with histograms.")
+	app.HelpFlag.Short('h')
+	rounds := app.Command("rounds", "Serve the same load in several ways on embedded stand-ins.")
+	var r exerciser.Rounds
+	rounds.Flag("workload", "cooperative or suurdeeg.").Default("cooperative").StringVar(&r.Workload)
+	rounds.Flag("seed", "Seed of the arrivals.").Default("1").Uint64Var(&r.Seed)
+	rounds.Flag("span", "Length of the load.").Default("40s").DurationVar(&r.Span)
+	rounds.Flag("factor", "Factor on all rates.").Default("1").Float64Var(&r.Factor)
+	rounds.Flag("nodes", "Entry nodes.").Default("3").IntVar(&r.Nodes)
+	rounds.Flag("engines", "Model engines.").Default("9").IntVar(&r.Engines)
+	rounds.Flag("ceiling", "Power ceiling in watts; 0 for none.").Default("3000").Float64Var(&r.Ceiling)
+	rounds.Flag("only", "Run only the round of this name.").StringVar(&r.Only)
+	overhead := app.Command("overhead", "Pair the same load through a node and straight to an engine.")
+	var o exerciser.Overhead
+	var node, operators, engine string
+	overhead.Flag("node", "Callers' address of the node.").Required().StringVar(&node)
+	overhead.Flag("operators", "Operators' address of the node.").Required().StringVar(&operators)
+	overhead.Flag("engine", "Address of the engine.").Required().StringVar(&engine)
+	overhead.Flag("rate", "Requests per second on each way.").Default("600").Float64Var(&o.Rate)
+	overhead.Flag("tokens", "Tokens of an answer.").Default("16").IntVar(&o.Tokens)
+	overhead.Flag("span", "Length of the load.").Default("10s").DurationVar(&o.Span)
+	overhead.Flag("streams", "Open streams for the measure of memory.").Default("1000").IntVar(&o.Streams)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var err error
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case rounds.FullCommand():
+		r.Out = os.Stdout
+		err = r.Run(ctx)
+	case overhead.FullCommand():
+		o.Out = os.Stdout
+		err = parse(map[string]*netip.AddrPort{node: &o.Node, operators: &o.Operators, engine: &o.Engine})
+		if err == nil {
+			err = o.Run(ctx)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "loadgen:", err)
+		os.Exit(1)
+	}
+}
+
+func parse(addresses map[string]*netip.AddrPort) error {
+	for text, target := range addresses {
+		parsed, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return err
+		}
+		*target = parsed
+	}
+	return nil
+}
--- a/internal/parser/parser.go
+++ b/internal/parser/parser.go
@@ -44,6 +44,8 @@
 	Seeds []netip.AddrPort
 	// Policy is the name of the routing policy.
 	Policy string
+	// Stores is unset for a node that leaves the store tier alone.
+	Stores bool
 	// Grace is the time between a planned stop's first word and the end of
 	// new connections.
 	Grace time.Duration
@@ -86,6 +88,7 @@
 	} `toml:"operators"`
 	Routing struct {
 		Policy string `toml:"policy"`
+		Stores bool   `toml:"stores"`
 	} `toml:"routing"`
 	Drain struct {
 		Grace duration `toml:"grace"`
@@ -140,6 +143,7 @@
 func Parse(name string, data []byte) (Settings, error) {
 	var wire wireSettings
 	wire.Routing.Policy = defaultPolicy
+	wire.Routing.Stores = true
 	wire.Drain.Grace.Duration = defaultGrace
 	wire.Drain.Limit.Duration = defaultDrainLimit
 	wire.Logging.Format = FormatJSON
@@ -244,6 +248,7 @@
 		PeerKey:     []byte(wire.Peers.Key),
 		OperatorKey: wire.Operators.Key,
 		Policy:      wire.Routing.Policy,
+		Stores:      wire.Routing.Stores,
 		Grace:       wire.Drain.Grace.Duration,
 		DrainLimit:  wire.Drain.Limit.Duration,
 		LogFormat:   wire.Logging.Format,
--- /dev/null
+++ b/internal/protocol/packer/packer_test.go
@@ -0,0 +1,99 @@
+package packer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
+)
+
+var shared = Packer{Key: []byte("the nodes' shared key")}
+
+func heartbeat(name string, sequence uint64) observer.Heartbeat {
+	return observer.Heartbeat{
+		Name: name, Domain: "bursa", Address: netip.MustParseAddrPort("127.0.0.1:7200"),
+		Incarnation: 7, Sequence: sequence, Applied: 42,
+		Loads:    []observer.Load{{Endpoint: "usta-llm-1", Running: 3}},
+		Suspects: []observer.Suspect{{Fingerprint: 9, Crashes: 1}},
+	}
+}
+
+func pack(t *testing.T, message Message) []byte {
+	t.Helper()
+	datagram, err := shared.Pack(message)
+	require.NoError(t, err)
+	return datagram
+}
+
+func TestPackAndUnpack(t *testing.T) {
+	message := Message{
+		Sender:  heartbeat("n1", 1),
+		Clock:   recorder.Stamp{Wall: time.Unix(1, 5), Counter: 3},
+		Digests: []observer.Heartbeat{heartbeat("n2", 8)},
+	}
+	got, err := shared.Unpack(pack(t, message))
+	require.NoError(t, err)
+	assert.Equal(t, message, got)
+}
+
+func TestUnpackRefuses(t *testing.T) {
+	datagram := pack(t, Message{Sender: heartbeat("n1", 1)})
+	t.Run("another key", func(t *testing.T) {
+		_, err := Packer{Key: []byte("another key")}.Unpack(datagram)
+		assert.ErrorIs(t, err, ErrForged)
+	})
+	t.Run("every changed byte", func(t *testing.T) {
+		for i := range datagram {
+			changed := append([]byte(nil), datagram...)
+			changed[i] ^= 1
+			_, err := shared.Unpack(changed)
+			assert.Error(t, err, "byte %d", i)
+		}
+	})
+	t.Run("every truncation", func(t *testing.T) {
+		for n := range datagram {
+			_, err := shared.Unpack(datagram[:n])
+			assert.Error(t, err, "%d bytes", n)
+		}
+	})
+	t.Run("a message over the limit", func(t *testing.T) {
+		message := Message{Sender: heartbeat("n1", 1)}
+		for range 40 {
+			message.Digests = append(message.Digests, heartbeat("another-node", 1))
+		}
+		_, err := shared.Pack(message)
+		assert.ErrorIs(t, err, ErrTooLarge)
+	})
+}
+
+// TestViewTakesDatagramsAsHints shows that late, doubled and reordered
+// datagrams leave the view as the newest one made it.
+func TestViewTakesDatagramsAsHints(t *testing.T) {
+	now := time.Unix(100, 0)
+	orders := map[string][]uint64{"in order": {1, 2, 3}, "doubled": {3, 3, 3}, "reordered": {3, 1, 2}, "late": {2, 3, 1}}
+	for name, sequences := range orders {
+		t.Run(name, func(t *testing.T) {
+			view := observer.New(time.Minute)
+			for _, sequence := range sequences {
+				message, err := shared.Unpack(pack(t, Message{Sender: heartbeat("n1", sequence)}))
+				require.NoError(t, err)
+				view.Observe(now, message.Sender)
+			}
+			alive := view.Alive(now)
+			require.Len(t, alive, 1)
+			assert.Equal(t, uint64(3), alive[0].Sequence)
+		})
+	}
+}
+
+func FuzzUnpack(f *testing.F) {
+	datagram, _ := shared.Pack(Message{Sender: heartbeat("n1", 1)})
+	f.Add(datagram)
+	f.Add([]byte{version})
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = shared.Unpack(data) })
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -22,6 +22,7 @@
 
 	"github.com/cockroachdb/errors"
 	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
@@ -174,6 +175,7 @@
 
 func (n *Node) buildMetrics() {
 	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n.reporter = prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "lacewingrelay",
@@ -237,7 +239,6 @@
 		Hints:    n.hints,
 		Budget:   budget,
 		Suspects: n.suspects,
-		Archive:  n.archive,
 		Background: func(work func(ctx context.Context)) {
 			n.callers.Background(work)
 		},
@@ -246,6 +247,9 @@
 		Domain:  n.Settings.Domain,
 		Now:     time.Now,
 	}
+	if n.Settings.Stores {
+		prompts.Archive = n.archive
+	}
 	calls := &dispatcher.Calls{
 		Cell:    n.cell,
 		Caller:  &dialer.Service{Pools: n.pools},
--- a/internal/standin/assembler/assembler.go
+++ b/internal/standin/assembler/assembler.go
@@ -176,6 +176,15 @@
 	})
 }
 
+// Moved returns the bytes that crossed the links of all store hosts.
+func (s *Site) Moved() int64 {
+	sum := int64(0)
+	for _, store := range s.Stores {
+		sum += store.Moved()
+	}
+	return sum
+}
+
 // Leave marks an endpoint on the host list as leaving.
 func (s *Site) Leave(name string) {
 	for _, host := range s.HostList.Hosts() {
@@ -261,6 +270,7 @@
 		PeerKey:     []byte(peerKey),
 		OperatorKey: operatorKey,
 		Policy:      "cost",
+		Stores:      true,
 		Grace:       100 * time.Millisecond,
 		DrainLimit:  time.Minute,
 	}
