--- a/internal/coordination/archiver/freeing.go
+++ b/internal/coordination/archiver/freeing.go
@@ -14,6 +14,9 @@
 	// freeing begins and ends.
 	highMark = 0.90
 	lowMark  = 0.80
+	// freeTimeout bounds the freeing of one host, so that one that hangs does
+	// not hold up the others.
+	freeTimeout = 5 * time.Second
 	// deleteDelay is the time between the end of a manifest and the end of its
 	// data; no import lasts longer.
 	deleteDelay = 2 * importTimeout
@@ -41,6 +44,8 @@
 // bytes are doomed, and the data of manifests that were deleted long enough ago.
 // A node that dies in between leaves data without manifest, which Collect finds.
 func (f *Freer) Free(ctx context.Context, host registrar.Endpoint) (freed int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
+	defer cancel()
 	f.deleteDoomed(ctx)
 	used, capacity, err := f.Store.Usage(ctx, host.Address)
 	if err != nil {
--- /dev/null
+++ b/internal/coordination/reconciler/reconciler_test.go
@@ -0,0 +1,38 @@
+package reconciler
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+)
+
+func TestDue(t *testing.T) {
+	row := func(i int, weights string, loading bool) registrar.Row {
+		return registrar.Row{
+			Endpoint: registrar.Endpoint{Name: fmt.Sprintf("e%d", i)},
+			Report:   registrar.Report{Version: weights, Loading: loading},
+		}
+	}
+	cases := []struct {
+		name     string
+		rows     []registrar.Row
+		expected []string
+	}{
+		{"two at once", []registrar.Row{row(0, "w1", false), row(1, "w1", false), row(2, "w1", false)}, []string{"e0", "e1"}},
+		{"those that load count", []registrar.Row{row(0, "w1", true), row(1, "w1", false), row(2, "w1", false)}, []string{"e1"}},
+		{"those that are done are passed over", []registrar.Row{row(0, "w2", false), row(1, "w1", false)}, []string{"e1"}},
+		{"unknown weights are left alone", []registrar.Row{row(0, "", false)}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var names []string
+			for _, found := range due(c.rows, "w2") {
+				names = append(names, found.Name)
+			}
+			assert.Equal(t, c.expected, names)
+		})
+	}
+}
