Run orders under tickets without the log; tell not-run truly after retries

Scenario faults.txtar with real processes: a worker's lost answer, a log that loses a reply, a log that refuses, SIGSTOP and SIGCONT of a node with an order in hand, connections that go silent, SIGKILL of the log and of a ticket's issuer, a node that starts without the log. Found by it: after a stall on a silent connection a request was told 'not-run' with 'no endpoint is available' although its first attempt had left, because the error of the last attempt alone was looked at; and the only endpoint was excluded from the retry. Ruled out: the connection pool (the new connection works). Change: an error carries whether any attempt may have run; once all endpoints have been tried they are tried again. Tickets: see ticketer.

--- a/cmd/lacewingrelay/script_test.go
+++ b/cmd/lacewingrelay/script_test.go
@@ -39,6 +39,7 @@
 			"site":     site,
 			"await":    await,
 			"signal":   signalProcess,
+			"ticket":   ticket,
 		},
 	})
 }
@@ -152,6 +153,15 @@
 	ts.Fatalf("no background process has the argument %s", args[1])
 }
 
+// ticket sets a variable to the ticket in the last command's output.
+func ticket(ts *testscript.TestScript, _ bool, args []string) {
+	found := regexp.MustCompile(`"ticket":"([^"]+)"`).FindStringSubmatch(ts.ReadFile("stdout"))
+	if found == nil {
+		ts.Fatalf("the last output holds no ticket")
+	}
+	ts.Setenv(args[0], found[1])
+}
+
 func hasWord(running *exec.Cmd, word string) bool {
 	for _, arg := range running.Args {
 		if arg == word {
--- a/internal/coordination/dispatcher/calls.go
+++ b/internal/coordination/dispatcher/calls.go
@@ -31,9 +31,16 @@
 func (c *Calls) Run(ctx context.Context, team string, call Call) (Response, error) {
 	c.Budget.Request()
 	tried := map[string]bool{}
+	ran := false
 	for attempt := 0; ; attempt++ {
 		response, err := c.attempt(ctx, team, call, tried)
-		if err == nil || errors.Is(err, ErrNoEndpoint) {
+		if err == nil {
+			return response, nil
+		}
+		if ran = ran || MayHaveRun(err); ran {
+			err = errors.Mark(err, ErrMayHaveRun)
+		}
+		if errors.Is(err, ErrNoEndpoint) {
 			return response, err
 		}
 		if ctx.Err() != nil || attempt+1 >= maxAttempts || !c.repeat(call, err) {
@@ -56,7 +63,7 @@
 func (c *Calls) attempt(ctx context.Context, team string, call Call, tried map[string]bool) (Response, error) {
 	row, ok := c.pick(call, tried)
 	if !ok {
-		return Response{}, errors.Mark(ErrNoEndpoint, ErrNotSent)
+		return Response{}, errors.Mark(errors.Wrap(ErrNoEndpoint, call.Service.Name), ErrNotSent)
 	}
 	defer c.Flight.leave(row.Name, false)
 	tried[row.Name] = true
@@ -67,8 +74,17 @@
 }
 
 // pick takes the endpoint with the fewest running requests, the near ones first.
+// Once all have been tried they are tried again: after a stall on a connection
+// that has gone silent, the same endpoint may answer on a new one.
 func (c *Calls) pick(call Call, tried map[string]bool) (registrar.Row, bool) {
 	rows := c.Cell.Load().Services[call.Service.Name]
+	if row, ok := c.pickAmong(rows, tried); ok {
+		return row, true
+	}
+	return c.pickAmong(rows, nil)
+}
+
+func (c *Calls) pickAmong(rows []registrar.Row, tried map[string]bool) (registrar.Row, bool) {
 	var chosen registrar.Row
 	_, ok := c.Flight.take(false, func(turn uint64) (string, bool) {
 		best := -1
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -45,10 +45,24 @@
 	// ErrVersionGone is returned for a started answer whose weights no endpoint
 	// has any more.
 	ErrVersionGone = errors.New("weights of the started answer are gone")
+	// ErrMayHaveRun marks the failure of a request of which an earlier attempt
+	// may have run.
+	ErrMayHaveRun = errors.New("an earlier attempt may have run")
 	// ErrCaller marks an answer that could not be delivered to the caller.
 	ErrCaller = errors.New("caller is gone")
 )
 
+// MayHaveRun reports whether a failed request, in any of its attempts, may have
+// run. Without it "not run" is true.
+func MayHaveRun(err error) bool {
+	for _, sentinel := range []error{ErrBroken, ErrStalled, ErrMayHaveRun, ErrPoison, ErrBudget, ErrVersionGone, ErrCaller} {
+		if errors.Is(err, sentinel) {
+			return true
+		}
+	}
+	return false
+}
+
 // Completion is one attempt at a prompt as an endpoint gets it.
 type Completion struct {
 	Request string
--- a/internal/coordination/dispatcher/orders.go
+++ b/internal/coordination/dispatcher/orders.go
@@ -88,7 +88,7 @@
 	}
 	call.Repeatable = false
 	response, err := o.Calls.Run(ctx, team, call)
-	if errors.Is(err, ErrNotSent) {
+	if errors.Is(err, ErrNotSent) && !MayHaveRun(err) {
 		return OrderResult{}, o.release(ctx, team, call, decision, err)
 	}
 	if err != nil {
@@ -111,12 +111,17 @@
 	if !result.won {
 		return nil
 	}
-	answer := indexer.Answer{Status: result.Response.Status, Header: keptHeader(result.Response.Header), Body: result.Response.Body}
+	return o.Claims.Finish(ctx, result.decision, keptAnswer(result.Response))
+}
+
+// keptAnswer returns the part of a response that repeats get.
+func keptAnswer(response Response) indexer.Answer {
+	answer := indexer.Answer{Status: response.Status, Header: keptHeader(response.Header), Body: response.Body}
 	if len(answer.Body) > keptAnswerBytes {
 		answer.Body = nil
 		answer.Omitted = true
 	}
-	return o.Claims.Finish(ctx, result.decision, answer)
+	return answer
 }
 
 // keptHeader returns the part of a response header that repeats carry.
--- a/internal/coordination/dispatcher/prompts.go
+++ b/internal/coordination/dispatcher/prompts.go
@@ -65,6 +65,8 @@
 	fingerprint uint64
 	tried       map[string]bool
 	alone       bool
+	// ran is set once an attempt may have run.
+	ran bool
 	// delivered holds the tokens that the caller has.
 	delivered []string
 	// weights is set by the first delivered token; later attempts must match.
@@ -105,12 +107,21 @@
 			p.Suspects.Clear(run.fingerprint)
 			return run.usage, nil
 		}
+		run.ran = run.ran || MayHaveRun(err)
 		if err := run.again(ctx, attempt, err); err != nil {
-			return run.usage, err
+			return run.usage, run.mark(err)
 		}
 	}
 }
 
+// mark notes on a final error that an earlier attempt may have run.
+func (r *promptRun) mark(err error) error {
+	if !r.ran {
+		return err
+	}
+	return errors.Mark(err, ErrMayHaveRun)
+}
+
 // judge applies what is known of the request's crashes.
 func (r *promptRun) judge() error {
 	switch r.Suspects.Judge(r.Now(), r.fingerprint) {
@@ -380,11 +391,13 @@
 	if r.weights != "" {
 		wanted = r.weights
 	}
+	rows := r.usable(snapshot, r.tried)
+	if len(rows) == 0 {
+		// All have been tried; a second try may meet a new connection.
+		rows = r.usable(snapshot, nil)
+	}
 	var matching, others []registrar.Row
-	for _, row := range snapshot.Services[r.prompt.Service.Name] {
-		if row.Left() || r.tried[row.Name] || row.Failures > 0 || row.Report.Loading {
-			continue
-		}
+	for _, row := range rows {
 		if row.Report.Version == wanted {
 			matching = append(matching, row)
 		} else if row.Report.Version != "" {
@@ -403,6 +416,17 @@
 	return nil, ErrNoEndpoint
 }
 
+// usable returns the endpoints that take work and have not been tried.
+func (r *promptRun) usable(snapshot *publisher.Snapshot, tried map[string]bool) []registrar.Row {
+	var usable []registrar.Row
+	for _, row := range snapshot.Services[r.prompt.Service.Name] {
+		if !row.Left() && !tried[row.Name] && row.Failures == 0 && !row.Report.Loading {
+			usable = append(usable, row)
+		}
+	}
+	return usable
+}
+
 func (r *promptRun) seed(weights string) fingerprinter.Seed {
 	return fingerprinter.Seed{Team: r.prompt.Team, Model: r.prompt.Model.Name, Weights: weights}
 }
--- a/internal/coordination/dispatcher/prompts_test.go
+++ b/internal/coordination/dispatcher/prompts_test.go
@@ -44,12 +44,14 @@
 	weights map[string]string
 	crashes int
 	left    map[string]time.Time
-	found   []string
-	nodes   []*Prompts
+	// runs counts the attempts of a request that began to run.
+	runs  map[string]int
+	found []string
+	nodes []*Prompts
 }
 
 func newPromptWorld(nodes int, faults ...string) *promptWorld {
-	w := &promptWorld{faults: faults, weights: map[string]string{}, left: map[string]time.Time{}}
+	w := &promptWorld{faults: faults, weights: map[string]string{}, left: map[string]time.Time{}, runs: map[string]int{}}
 	for i := range 4 {
 		w.weights[fmt.Sprintf("engine-%d", i)] = "w1"
 	}
@@ -153,6 +155,9 @@
 		return nil, errors.Mark(errFake, ErrRefused)
 	}
 	w.checkBlocks(completion)
+	w.mu.Lock()
+	w.runs[completion.Request]++
+	w.mu.Unlock()
 	return &fakeStream{world: w, endpoint: endpoint.Name, completion: completion, weights: weights, fault: fault, next: len(completion.Delivered)}, nil
 }
 
@@ -255,8 +260,12 @@
 
 func (w *promptWorld) run(node int, team, text string) error {
 	message := []byte(team + "|" + strings.Repeat(text, 2*fingerprinter.ChunkBytes/len(text)))
+	w.mu.Lock()
+	id := fmt.Sprintf("%s-%d", team, len(w.runs))
+	w.runs[id] = 0
+	w.mu.Unlock()
 	prompt := Prompt{
-		Request: team, Team: team, Model: configurator.Model{Name: "m", Service: "llm", Version: "v1"},
+		Request: id, Team: team, Model: configurator.Model{Name: "m", Service: "llm", Version: "v1"},
 		Service:  configurator.Service{Name: "llm", Concurrency: 4, Timeout: time.Second},
 		Messages: [][]byte{message}, Text: message, MaxTokens: answerTokens,
 	}
@@ -269,6 +278,12 @@
 	if !strings.HasPrefix(whole.String(), sink.text.String()) {
 		w.violate("the caller got %q", sink.text.String())
 	}
+	w.mu.Lock()
+	ran := w.runs[id] > 0
+	w.mu.Unlock()
+	if err != nil && ran && !MayHaveRun(err) {
+		w.violate("%s ran and would be told not-run: %v", id, err)
+	}
 	if err == nil && (sink.text.String() != whole.String() || usage.Completion != answerTokens) {
 		w.violate("an answer of %q was called whole", sink.text.String())
 	}
@@ -365,6 +380,10 @@
 		require.NoError(t, run.deliver(Token{Index: 0, Text: "a"}, registrar.Row{}))
 		require.Error(t, run.deliver(Token{Index: 2, Text: "c"}, registrar.Row{}))
 	})
+	t.Run("not-run of a request that ran", func(t *testing.T) {
+		require.False(t, MayHaveRun(ErrNoEndpoint))
+		require.True(t, MayHaveRun((&promptRun{ran: true}).mark(ErrNoEndpoint)))
+	})
 	t.Run("work at a leaving endpoint", func(t *testing.T) {
 		w.left["engine-0"] = time.Now().Add(-time.Minute)
 		_, _ = w.Complete(context.Background(), registrar.Endpoint{Name: "engine-0"}, Completion{Weights: "w1", Messages: [][]byte{[]byte("a|")}})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -35,6 +35,7 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/router"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/ticketer"
 	"github.com/lacewingrelay/lacewingrelay/internal/parser"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
@@ -52,6 +53,7 @@
 const (
 	dialTimeout  = time.Second
 	peerCall     = 2 * time.Second
+	ticketCall   = time.Minute
 	logTimeout   = 2 * time.Second
 	hostsTimeout = 2 * time.Second
 	pauseLimit   = 10 * time.Second
@@ -92,10 +94,13 @@
 	log      *follower.Client
 	gossip   *gossiper.Gossiper
 	peers    *messenger.Client
-	callers  *listener.Server
-	metrics  tally.Scope
-	closer   func()
-	reporter prometheus.Reporter
+	// slowPeers waits for calls that run requests.
+	slowPeers *messenger.Client
+	tickets   *dispatcher.Tickets
+	callers   *listener.Server
+	metrics   tally.Scope
+	closer    func()
+	reporter  prometheus.Reporter
 
 	incarnation uint64
 	process     uint64
@@ -212,6 +217,7 @@
 	n.gossip = &gossiper.Gossiper{Address: n.Settings.Peers, Packer: packer.Packer{Key: n.Settings.PeerKey}, Receive: n.hear}
 	between := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	n.peers = messenger.NewClient(between, peerCall, n.Settings.PeerKey)
+	n.slowPeers = messenger.NewClient(between, ticketCall, n.Settings.PeerKey)
 }
 
 func (n *Node) buildControl() {
@@ -261,6 +267,13 @@
 		Domain:  n.Settings.Domain,
 		Now:     time.Now,
 	}
+	n.tickets = &dispatcher.Tickets{
+		Calls: calls,
+		Ticketer: &ticketer.Ticketer{
+			Node: n.Settings.Name, Process: n.process, Key: n.Settings.PeerKey, Window: ticketWindow, Now: time.Now,
+		},
+		Forward: n,
+	}
 	n.callers = &listener.Server{
 		Node:     n.Settings.Name,
 		Cell:     n.cell,
@@ -268,6 +281,7 @@
 		Prompts:  prompts,
 		Calls:    calls,
 		Orders:   &dispatcher.Orders{Calls: calls, Claims: n.claims},
+		Tickets:  n.tickets,
 		Inspect:  n.claims,
 		Journal:  n.journal,
 		Metrics:  n.metrics,
--- /dev/null
+++ b/internal/runner/tickets.go
@@ -0,0 +1,33 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
+)
+
+// ticketWindow is the time for which a ticket is remembered.
+const ticketWindow = time.Hour
+
+// RunTicket implements messenger.Node.
+func (n *Node) RunTicket(ctx context.Context, team, ticket string, call dispatcher.Call) (dispatcher.OrderResult, error) {
+	service, ok := n.cell.Load().Service(call.Service.Name)
+	if !ok {
+		return dispatcher.OrderResult{}, errors.Wrapf(dispatcher.ErrNotSent, "service %s is not known here", call.Service.Name)
+	}
+	call.Service = service
+	return n.tickets.RunHere(ctx, team, ticket, call)
+}
+
+// ForwardTicket implements dispatcher.TicketForwarder.
+func (n *Node) ForwardTicket(ctx context.Context, node, team, ticket string, call dispatcher.Call) (dispatcher.OrderResult, error) {
+	for _, peer := range n.cell.Load().Peers {
+		if peer.Name == node {
+			return n.slowPeers.RunTicket(ctx, peer.Address, team, ticket, call)
+		}
+	}
+	return dispatcher.OrderResult{}, errors.Wrapf(dispatcher.ErrOutcomeUnknown, "node %s, which issued the ticket, can't be reached", node)
+}
--- a/internal/standin/faulter/faulter.go
+++ b/internal/standin/faulter/faulter.go
@@ -150,6 +150,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	// The answer goes out first, since its own connection may be at fault.
+	w.WriteHeader(http.StatusNoContent)
+	_ = http.NewResponseController(w).Flush()
 	f.Set(Fault{
 		Mode:   Mode(wire.Mode),
 		Path:   wire.Path,
@@ -157,7 +160,6 @@
 		Delay:  time.Duration(wire.DelayMS) * time.Millisecond,
 		Count:  wire.Count,
 	})
-	w.WriteHeader(http.StatusNoContent)
 }
 
 type discard struct{ header http.Header }
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -10,6 +10,7 @@
 //
 //	POST /v1/chat/completions      OpenAI-style, streamed or whole
 //	GET  /v1/models
+//	POST /v1/tickets               a ticket for one request, for outages of the log
 //	ANY  /v1/services/NAME/PATH    forwarded to the plain service NAME
 //	GET  /healthz, /readyz
 //
@@ -50,6 +51,7 @@
 	headerPriority   = "X-Priority"
 	headerKey        = "Idempotency-Key"
 	headerReturn     = "X-Expected-Return"
+	headerTicket     = "Ticket"
 	headerRepeatable = "Repeatable"
 	headerRepeated   = "Idempotent-Replayed"
 
@@ -72,6 +74,12 @@
 	Finish(ctx context.Context, result dispatcher.OrderResult) error
 }
 
+// Ticketer runs calls at most once without the log.
+type Ticketer interface {
+	Issue(team string) (string, error)
+	Run(ctx context.Context, team, ticket string, call dispatcher.Call) (dispatcher.OrderResult, error)
+}
+
 // Inspector looks up idempotency keys.
 type Inspector interface {
 	Inspect(ctx context.Context, key indexer.Key) (claimer.State, error)
@@ -85,6 +93,7 @@
 	Prompts  Prompter
 	Calls    Caller
 	Orders   Orderer
+	Tickets  Ticketer
 	Inspect  Inspector
 	Journal  dispatcher.Journal
 	Metrics  tally.Scope
@@ -110,6 +119,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", s.authenticated(s.chat))
 	mux.HandleFunc("GET /v1/models", s.authenticated(s.models))
+	mux.HandleFunc("POST /v1/tickets", s.authenticated(s.issueTicket))
 	mux.HandleFunc("/v1/services/{service}/{path...}", s.authenticated(s.service))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", s.ready)
--- a/internal/transport/listener/problem.go
+++ b/internal/transport/listener/problem.go
@@ -44,15 +44,16 @@
 }{
 	{dispatcher.ErrKeyReused, problem{status: http.StatusUnprocessableEntity, kind: "key-reused", title: "idempotency key was used for another request"}},
 	{dispatcher.ErrOutcomeUnknown, problem{status: http.StatusConflict, kind: "outcome-unknown", title: "an earlier request with this key may have run", retry: shortRetry}},
+	{dispatcher.ErrTicket, problem{status: http.StatusUnprocessableEntity, kind: "ticket", title: "ticket can't be redeemed for this request"}},
 	{claimer.ErrUnavailable, problem{status: http.StatusServiceUnavailable, kind: "claim-log", title: "claim log can't be read", retry: shortRetry}},
-	{dispatcher.ErrPoison, problem{status: http.StatusUnprocessableEntity, kind: "poison", title: "request has crashed endpoints", retry: poisonRetry, sent: true}},
+	{dispatcher.ErrPoison, problem{status: http.StatusUnprocessableEntity, kind: "poison", title: "request has crashed endpoints", retry: poisonRetry}},
 	{dispatcher.ErrNoEndpoint, problem{status: http.StatusServiceUnavailable, kind: "no-endpoint", title: "no endpoint is available", retry: shortRetry}},
 	{dispatcher.ErrNotSent, problem{status: http.StatusServiceUnavailable, kind: "not-sent", title: "no endpoint could be reached", retry: shortRetry}},
 	{dispatcher.ErrRefused, problem{status: http.StatusServiceUnavailable, kind: "refused", title: "endpoints refused the request", retry: shortRetry}},
-	{dispatcher.ErrVersionGone, problem{status: http.StatusBadGateway, kind: "version-gone", title: "weights of the started answer are gone", retry: shortRetry, sent: true}},
-	{dispatcher.ErrBudget, problem{status: http.StatusBadGateway, kind: "retry-budget", title: "endpoint failed and the retry budget is used up", retry: shortRetry, sent: true}},
-	{dispatcher.ErrStalled, problem{status: http.StatusGatewayTimeout, kind: "stalled", title: "endpoint stopped making progress", retry: shortRetry, sent: true}},
-	{dispatcher.ErrBroken, problem{status: http.StatusBadGateway, kind: "broken", title: "endpoint broke off", retry: shortRetry, sent: true}},
+	{dispatcher.ErrVersionGone, problem{status: http.StatusBadGateway, kind: "version-gone", title: "weights of the started answer are gone", retry: shortRetry}},
+	{dispatcher.ErrBudget, problem{status: http.StatusBadGateway, kind: "retry-budget", title: "endpoint failed and the retry budget is used up", retry: shortRetry}},
+	{dispatcher.ErrStalled, problem{status: http.StatusGatewayTimeout, kind: "stalled", title: "endpoint stopped making progress", retry: shortRetry}},
+	{dispatcher.ErrBroken, problem{status: http.StatusBadGateway, kind: "broken", title: "endpoint broke off", retry: shortRetry}},
 }
 
 func problemOf(err error) problem {
@@ -60,6 +61,7 @@
 		if errors.Is(err, failure.is) {
 			found := failure.problem
 			found.detail = err.Error()
+			found.sent = dispatcher.MayHaveRun(err)
 			return found
 		}
 	}
@@ -107,6 +109,8 @@
 	switch {
 	case p.sent:
 		return refuser.Unknown
+	case p.kind == "answer-omitted":
+		return refuser.Done
 	case e.key == "":
 		return refuser.NotRun
 	case p.kind == "claim-log", p.kind == "outcome-unknown":
--- a/internal/transport/listener/service.go
+++ b/internal/transport/listener/service.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
@@ -43,11 +46,60 @@
 		return
 	}
 	defer func() { s.Limiter.Leave(s.Now(), ticket) }()
-	if e.key == "" {
+	switch {
+	case e.r.Header.Get(headerTicket) != "":
+		s.runTicket(e, service)
+	case e.key != "":
+		s.runOrder(e, service)
+	default:
 		s.runCall(e, service)
+	}
+}
+
+// issueTicket answers with a ticket that only this process redeems.
+func (s *Server) issueTicket(e *exchange) {
+	e.key = ""
+	ticket, err := s.Tickets.Issue(e.team.Name)
+	if err != nil {
+		e.refuse(problem{status: http.StatusServiceUnavailable, kind: "tickets", title: err.Error(), retry: shortRetry})
 		return
 	}
-	s.runOrder(e, service)
+	e.w.Header().Set("Content-Type", "application/json")
+	e.w.WriteHeader(http.StatusCreated)
+	_ = json.NewEncoder(e.w).Encode(struct {
+		Ticket string `json:"ticket"`
+	}{ticket})
+}
+
+func (s *Server) runTicket(e *exchange, service configurator.Service) {
+	e.key = ""
+	ctx := context.WithoutCancel(e.r.Context())
+	result, err := s.Tickets.Run(ctx, e.team.Name, e.r.Header.Get(headerTicket), e.call(service))
+	e.finish(service.Name, err)
+	if err != nil {
+		e.refuse(ticketProblem(err))
+		return
+	}
+	e.writeResult(result)
+}
+
+// ticketProblem maps the error of a ticket: unlike a key, a ticket that is not
+// known to be unused may have run.
+func ticketProblem(err error) problem {
+	found := problemOf(err)
+	found.sent = found.sent || !errors.Is(err, dispatcher.ErrNotSent) && !errors.Is(err, dispatcher.ErrTicket)
+	return found
+}
+
+func (e *exchange) writeResult(result dispatcher.OrderResult) {
+	if result.Repeated {
+		e.w.Header().Set(headerRepeated, "true")
+	}
+	if result.Omitted {
+		e.refuse(problem{status: http.StatusConflict, kind: "answer-omitted", title: "the request ran, its answer was too large to keep"})
+		return
+	}
+	e.write(result.Response)
 }
 
 func (s *Server) runCall(e *exchange, service configurator.Service) {
@@ -84,16 +136,8 @@
 		e.refuse(problemOf(err))
 		return
 	}
-	if result.Omitted {
-		e.w.Header().Set(headerRepeated, "true")
-		e.refuse(problem{status: http.StatusConflict, kind: "answer-omitted", title: "the request ran, its answer was too large to keep"})
-		return
-	}
-	if result.Repeated {
-		e.w.Header().Set(headerRepeated, "true")
-	}
 	s.background.Go(func() { s.recordAnswer(ctx, e, result) })
-	e.write(result.Response)
+	e.writeResult(result)
 }
 
 // recordAnswer keeps an order's answer for repeats; without it a repeat gets
@@ -133,7 +177,7 @@
 // system's own.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization", headerRepeatable, headerPriority,
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization", headerRepeatable, headerPriority, headerTicket,
 }
 
 func forwardedHeader(header http.Header) http.Header {
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -18,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/replicator"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/wire"
@@ -33,6 +34,7 @@
 	Snapshot() configurator.Snapshot
 	Events(filter recorder.Filter) []recorder.Event
 	Resolve(ctx context.Context, partition int, key indexer.Key, offset uint64) (indexer.Entry, bool, error)
+	RunTicket(ctx context.Context, team, ticket string, call dispatcher.Call) (dispatcher.OrderResult, error)
 }
 
 // NewHandler returns the HTTP handler of a node's peer service.
