--- /dev/null
+++ b/python/declarer.py
@@ -0,0 +1,108 @@
+"""Prints a lacewingrelay configuration, byte for byte as pkg/declarer does.
+
+Usage:
+
+    site = Site()
+    site.add(domain("kadikoy", region="marmara", hosts=3))
+    site.add(priority("chat", rank=0, deadline_ms=10_000))
+    print(site, end="")
+
+Check the printed file with "lacewingrelay check" and publish it with
+"lacewingrelay publish". Times are in milliseconds, rates per second, power in
+watts, sizes in bytes. The file needs Python 3.8 and no other package.
+"""
+
+import hashlib
+import json
+
+RULES = 1
+KINDS = ["domain", "ceiling", "priority", "team", "service", "model", "version", "store", "retention"]
+
+
+class Site:
+    """Collects the objects of one configuration."""
+
+    def __init__(self):
+        self._objects = []
+
+    def add(self, *objects):
+        """Declares objects."""
+        self._objects.extend(objects)
+
+    def __str__(self):
+        ordered = sorted(self._objects, key=lambda o: (KINDS.index(o["kind"]), o["name"]))
+        lines = ",".join("\n" + _encode(o) for o in ordered)
+        return '{\n"rules":%d,\n"objects":[%s\n]\n}\n' % (RULES, lines)
+
+
+def key_hash(key):
+    """Returns the hash under which a team's bearer key is declared."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def domain(name, region, hosts):
+    """Declares a failure domain and its number of entry hosts."""
+    return _object("domain", name, region=region, hosts=hosts)
+
+
+def ceiling(name, watts, shares):
+    """Declares the power ceiling and its shares by failure domain."""
+    return _object("ceiling", name, watts=watts, shares=dict(sorted(shares.items())))
+
+
+def priority(name, rank, deadline_ms):
+    """Declares a class of traffic; a lower rank is served first."""
+    return _object("priority", name, rank=rank, deadline_ms=deadline_ms)
+
+
+def team(name, key_hash, rate, burst, concurrency):
+    """Declares a team."""
+    return _object("team", name, key_hash=key_hash, rate=rate, burst=burst, concurrency=concurrency)
+
+
+def service(name, type, priority, concurrency, run_watts, timeout_ms, objective="", fencing=False, idle_watts=0):
+    """Declares a service; type is "model" or "plain"."""
+    members = dict(type=type, priority=priority)
+    if objective:
+        members["objective"] = objective
+    members.update(
+        fencing=fencing, concurrency=concurrency, idle_watts=idle_watts, run_watts=run_watts, timeout_ms=timeout_ms
+    )
+    return _object("service", name, **members)
+
+
+def model(name, service, version):
+    """Declares a model and the version that new requests use."""
+    return _object("model", name, service=service, version=version)
+
+
+def version(name, model, weights):
+    """Declares a version of a model."""
+    return _object("version", name, model=model, weights=weights)
+
+
+def store(name, domain, bytes, link_bytes):
+    """Declares a service of store hosts."""
+    return _object("store", name, domain=domain, bytes=bytes, link_bytes=link_bytes)
+
+
+def retention(keep_ms, log_ms):
+    """Declares how long idempotency keys count and the log keeps records."""
+    return _object("retention", "claims", keep_ms=keep_ms, log_ms=log_ms)
+
+
+def _object(kind, name, **members):
+    return {"kind": kind, "name": name, **members}
+
+
+def _encode(value):
+    return json.dumps(_whole(value), separators=(",", ":"), ensure_ascii=False)
+
+
+def _whole(value):
+    """Turns whole floats into integers, since Go prints 40.0 as 40."""
+    if isinstance(value, dict):
+        return {key: _whole(member) for key, member in value.items()}
+    if isinstance(value, float) and value.is_integer():
+        return int(value)
+    return value
