Evict by learned return times and callers' hints; bound the queue by deadline

Ruled out: hints alone. Stores report idle times, from which nodes learn; manifests carry a hash of team and class.

Cause: the limiter saw free slots and not the prompt work that waits on an engine; the node now counts its own prompt tokens that have no first token yet.

--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -31,6 +31,7 @@
 	rounds.Flag("nodes", "Entry nodes.").Default("3").IntVar(&r.Nodes)
 	rounds.Flag("engines", "Model engines.").Default("9").IntVar(&r.Engines)
 	rounds.Flag("ceiling", "Power ceiling in watts; 0 for none.").Default("3000").Float64Var(&r.Ceiling)
+	rounds.Flag("deadline", "Longest wait of a chat request; 0 for ten seconds.").DurationVar(&r.Deadline)
 	rounds.Flag("only", "Run only the round of this name.").StringVar(&r.Only)
 	overhead := app.Command("overhead", "Pair the same load through a node and straight to an engine.")
 	var o exerciser.Overhead
@@ -42,6 +43,10 @@
 	overhead.Flag("tokens", "Tokens of an answer.").Default("16").IntVar(&o.Tokens)
 	overhead.Flag("span", "Length of the load.").Default("10s").DurationVar(&o.Span)
 	overhead.Flag("streams", "Open streams for the measure of memory.").Default("1000").IntVar(&o.Streams)
+	evict := app.Command("evict", "Compare eviction policies on one synthetic trace of returning prompts.")
+	var e exerciser.EvictionTrial
+	evict.Flag("seed", "Seed of the trace.").Default("1").Uint64Var(&e.Seed)
+	evict.Flag("chats", "Number of conversations.").Default("20000").IntVar(&e.Chats)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	var err error
@@ -49,6 +54,9 @@
 	case rounds.FullCommand():
 		r.Out = os.Stdout
 		err = r.Run(ctx)
+	case evict.FullCommand():
+		e.Out = os.Stdout
+		e.Run()
 	case overhead.FullCommand():
 		o.Out = os.Stdout
 		err = parse(map[string]*netip.AddrPort{node: &o.Node, operators: &o.Operators, engine: &o.Engine})
--- a/internal/coordination/archiver/archiver.go
+++ b/internal/coordination/archiver/archiver.go
@@ -14,9 +14,9 @@
 //
 // # Usage
 //
-//	found := archive.Lookup(ctx, stores, chain)
+//	found := archive.Lookup(ctx, stores, chain, group)
 //	imported := archive.Import(ctx, endpoint, found, from)
-//	archive.Export(ctx, stores, endpoint, chain, hint)
+//	archive.Export(ctx, stores, endpoint, chain, comeback)
 package archiver
 
 import (
@@ -28,6 +28,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/evictor"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/owner"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
@@ -60,6 +61,8 @@
 	Checksum string
 	// Return is the caller's word on when the prompt comes back; zero for none.
 	Return time.Duration
+	// Group is the group of the prompt that brought the block.
+	Group evictor.Group
 }
 
 // Transfer is one block on its way between an engine and a store host.
@@ -77,8 +80,9 @@
 
 // Store reaches store hosts.
 type Store interface {
-	// Find returns the manifests that a host has among those of blocks.
-	Find(ctx context.Context, host netip.AddrPort, blocks []fingerprinter.Block) (map[fingerprinter.Block]Manifest, error)
+	// Find returns the manifests that a host has among those of blocks, with
+	// their use before this look-up.
+	Find(ctx context.Context, host netip.AddrPort, blocks []fingerprinter.Block) (map[fingerprinter.Block]Listed, error)
 	// Seal writes a manifest. It returns ErrTaken when the block has one.
 	Seal(ctx context.Context, host netip.AddrPort, manifest Manifest) error
 	// Unseal deletes a block's manifest, Delete deletes data.
@@ -111,11 +115,20 @@
 	Links *Links
 	// Process is random per process and makes names unique.
 	Process uint64
+	// Learner learns the return times of the prompts that are looked up.
+	Learner *evictor.Learner
 	Now     func() time.Time
 
 	counter atomic.Uint64
 }
 
+// Comeback is what is known of when a prompt returns.
+type Comeback struct {
+	// After is the caller's word; zero for none.
+	After time.Duration
+	Group evictor.Group
+}
+
 // Found is the stored start of a chain.
 type Found struct {
 	Host      registrar.Endpoint
@@ -155,7 +168,7 @@
 
 // Lookup returns the stored start of a chain. It never fails: a store host that
 // does not answer in time holds nothing for now.
-func (a *Archive) Lookup(ctx context.Context, hosts []registrar.Row, chain []fingerprinter.Block) Found {
+func (a *Archive) Lookup(ctx context.Context, hosts []registrar.Row, chain []fingerprinter.Block, group evictor.Group) Found {
 	host, ok := a.Home(hosts, chain)
 	if !ok || !a.Links.Usable(a.Now(), host.Name) {
 		return Found{}
@@ -167,13 +180,14 @@
 	if err != nil {
 		return Found{}
 	}
+	a.Learner.Visit(group, manifests[chain[0]].Idle)
 	found := Found{Host: host}
 	for _, block := range chain {
-		manifest, ok := manifests[block]
-		if !ok || manifest.Block != block {
+		listed, ok := manifests[block]
+		if !ok || listed.Block != block {
 			break
 		}
-		found.Manifests = append(found.Manifests, manifest)
+		found.Manifests = append(found.Manifests, listed.Manifest)
 	}
 	return found
 }
@@ -230,7 +244,7 @@
 
 // Export stores the blocks of a chain that are not stored yet, in the
 // background of a finished run.
-func (a *Archive) Export(ctx context.Context, hosts []registrar.Row, endpoint registrar.Endpoint, chain []fingerprinter.Block, hint time.Duration) (int, error) {
+func (a *Archive) Export(ctx context.Context, hosts []registrar.Row, endpoint registrar.Endpoint, chain []fingerprinter.Block, back Comeback) (int, error) {
 	if len(chain) < minExportBlocks {
 		return 0, nil
 	}
@@ -254,10 +268,10 @@
 	if err != nil {
 		return 0, err
 	}
-	return a.seal(ctx, host, chain, moved, hint)
+	return a.seal(ctx, host, chain, moved, back)
 }
 
-func (a *Archive) missing(host registrar.Endpoint, chain []fingerprinter.Block, held map[fingerprinter.Block]Manifest) []Transfer {
+func (a *Archive) missing(host registrar.Endpoint, chain []fingerprinter.Block, held map[fingerprinter.Block]Listed) []Transfer {
 	var transfers []Transfer
 	for _, block := range chain {
 		if _, stored := held[block]; stored {
@@ -271,7 +285,7 @@
 
 // seal writes the manifests of the blocks that arrived whole. The data of a
 // block that lost a race, or whose manifest could not be written, is deleted.
-func (a *Archive) seal(ctx context.Context, host registrar.Endpoint, chain []fingerprinter.Block, moved []Transfer, hint time.Duration) (int, error) {
+func (a *Archive) seal(ctx context.Context, host registrar.Endpoint, chain []fingerprinter.Block, moved []Transfer, back Comeback) (int, error) {
 	places := map[fingerprinter.Block]int{}
 	for i, block := range chain {
 		places[block] = i
@@ -288,7 +302,8 @@
 			Data:     transfer.Data,
 			Bytes:    transfer.Bytes,
 			Checksum: transfer.Checksum,
-			Return:   hint,
+			Return:   back.After,
+			Group:    back.Group,
 		}
 		err := a.Store.Seal(ctx, host.Address, manifest)
 		if errors.Is(err, ErrTaken) {
--- a/internal/coordination/archiver/archiver_test.go
+++ b/internal/coordination/archiver/archiver_test.go
@@ -76,12 +76,12 @@
 }
 
 // Find implements Store.
-func (w *storeWorld) Find(ctx context.Context, _ netip.AddrPort, blocks []fingerprinter.Block) (map[fingerprinter.Block]Manifest, error) {
-	held := map[fingerprinter.Block]Manifest{}
+func (w *storeWorld) Find(ctx context.Context, _ netip.AddrPort, blocks []fingerprinter.Block) (map[fingerprinter.Block]Listed, error) {
+	held := map[fingerprinter.Block]Listed{}
 	err := w.at(ctx, "find", func() {
 		for _, block := range blocks {
 			if manifest, ok := w.manifests[block]; ok {
-				held[block] = manifest
+				held[block] = Listed{Manifest: manifest}
 			}
 		}
 	})
@@ -186,7 +186,7 @@
 
 func (w *storeWorld) archive(process uint64) *Archive {
 	links := &Links{Budget: func(string) int64 { return 0 }}
-	return &Archive{Store: w, Mover: w, Links: links, Process: process, Now: time.Now}
+	return &Archive{Store: w, Mover: w, Links: links, Process: process, Learner: &evictor.Learner{}, Now: time.Now}
 }
 
 // runStore exports, imports and frees on two nodes under a fault; an import is
@@ -195,13 +195,13 @@
 	synctest.Test(t, func(*testing.T) {
 		w := newStoreWorld(step, fault)
 		one, two := w.archive(1), w.archive(2)
-		freer := &Freer{Store: w, Policy: evictor.Must("lru"), Now: time.Now}
+		freer := &Freer{Store: w, Policy: evictor.Must("lru", nil), Now: time.Now}
 		ctx := context.Background()
-		_, _ = one.Export(ctx, hosts, engine, chain("a", 4), 0)
-		_, _ = two.Export(ctx, hosts, engine, chain("a", 6), 0)
+		_, _ = one.Export(ctx, hosts, engine, chain("a", 4), Comeback{})
+		_, _ = two.Export(ctx, hosts, engine, chain("a", 6), Comeback{})
 		time.Sleep(time.Minute)
-		_, _ = two.Export(ctx, hosts, engine, chain("a", 6), 0)
-		stored := one.Lookup(ctx, hosts, chain("a", 6))
+		_, _ = two.Export(ctx, hosts, engine, chain("a", 6), Comeback{})
+		stored := one.Lookup(ctx, hosts, chain("a", 6), "group")
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -215,7 +215,7 @@
 		}
 		<-done
 		w.capacity = 100 * blockBytes
-		again := two.Lookup(ctx, hosts, chain("a", 6))
+		again := two.Lookup(ctx, hosts, chain("a", 6), "group")
 		_ = two.Import(ctx, engine, again, 0)
 		found = w.found
 	})
--- a/internal/coordination/archiver/freeing.go
+++ b/internal/coordination/archiver/freeing.go
@@ -74,6 +74,7 @@
 			Visits:   l.Visits,
 			Bytes:    l.Bytes,
 			Return:   l.Return,
+			Group:    l.Group,
 		})
 	}
 	for _, block := range evictor.Order(f.Policy, blocks) {
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/evictor"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
@@ -161,10 +162,10 @@
 
 // Archive is the store tier.
 type Archive interface {
-	Lookup(ctx context.Context, hosts []registrar.Row, chain []fingerprinter.Block) archiver.Found
+	Lookup(ctx context.Context, hosts []registrar.Row, chain []fingerprinter.Block, group evictor.Group) archiver.Found
 	Wait(found archiver.Found, from int) time.Duration
 	Import(ctx context.Context, endpoint registrar.Endpoint, found archiver.Found, from int) []fingerprinter.Block
-	Export(ctx context.Context, hosts []registrar.Row, endpoint registrar.Endpoint, chain []fingerprinter.Block, hint time.Duration) (int, error)
+	Export(ctx context.Context, hosts []registrar.Row, endpoint registrar.Endpoint, chain []fingerprinter.Block, back archiver.Comeback) (int, error)
 }
 
 // Journal records events.
--- a/internal/coordination/dispatcher/flight.go
+++ b/internal/coordination/dispatcher/flight.go
@@ -15,7 +15,9 @@
 	running map[string]int
 	// reserved marks endpoints that run a suspect request alone.
 	reserved map[string]bool
-	turn     uint64
+	// pending counts the prompt tokens that wait for their first answer token.
+	pending map[string]int
+	turn    uint64
 }
 
 // Running returns the number of this node's requests on an endpoint.
@@ -62,6 +64,7 @@
 	if f.running == nil {
 		f.running = map[string]int{}
 		f.reserved = map[string]bool{}
+		f.pending = map[string]int{}
 	}
 	f.running[endpoint]++
 	if alone {
@@ -70,6 +73,14 @@
 	return endpoint, true
 }
 
+// queue counts prompt tokens that an endpoint has yet to compute, or with a
+// negative number no longer has.
+func (f *Flight) queue(endpoint string, tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pending[endpoint] += tokens
+}
+
 // leave ends a request on an endpoint.
 func (f *Flight) leave(endpoint string, alone bool) {
 	f.mu.Lock()
--- a/internal/coordination/dispatcher/matrix_test.go
+++ b/internal/coordination/dispatcher/matrix_test.go
@@ -311,7 +311,7 @@
 // runOrder plays one scenario: an order whose caller resends it to other nodes,
 // beside another team's order with the same key.
 func runOrder(t *testing.T, strikes []strike, race bool, spoil func(n *orderNode)) (found []string) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		w := newOrderWorld(slices.Clone(strikes), spoil)
 		ctx, stop := context.WithCancel(context.Background())
 		for _, n := range w.nodes {
--- a/internal/coordination/dispatcher/prompts.go
+++ b/internal/coordination/dispatcher/prompts.go
@@ -4,13 +4,16 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/evictor"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/hinter"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/router"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
@@ -74,6 +77,8 @@
 	usage   Usage
 	// found holds what the store tier has of the prompt, by weights.
 	found map[string]archiver.Found
+	// unqueue ends the count of the attempt's work.
+	unqueue func()
 }
 
 // place is where an attempt runs.
@@ -84,6 +89,8 @@
 	found archiver.Found
 	// transfer asks for the stored blocks to be brought first.
 	transfer bool
+	// tokens is the part of the prompt that the endpoint is expected to compute.
+	tokens int
 }
 
 // Run runs a prompt to its end and returns the usage of the last attempt. On
@@ -182,6 +189,8 @@
 	}
 	row := chosen.row
 	defer r.Flight.leave(row.Name, r.alone)
+	r.queue(chosen)
+	defer r.unqueue()
 	r.tried[row.Name] = true
 	if chosen.transfer {
 		r.bring(ctx, chosen)
@@ -207,6 +216,12 @@
 	return nil
 }
 
+// queue counts the prompt's work on its endpoint until the first token comes.
+func (r *promptRun) queue(chosen place) {
+	r.Flight.queue(chosen.row.Name, chosen.tokens)
+	r.unqueue = sync.OnceFunc(func() { r.Flight.queue(chosen.row.Name, -chosen.tokens) })
+}
+
 // bring imports stored blocks to the chosen endpoint. What does not arrive is
 // recomputed.
 func (r *promptRun) bring(ctx context.Context, chosen place) {
@@ -222,8 +237,9 @@
 		return
 	}
 	hosts := r.Cell.Load().Stores()
+	back := archiver.Comeback{After: r.prompt.Return, Group: r.group()}
 	r.Background(func(ctx context.Context) {
-		sealed, err := r.Archive.Export(ctx, hosts, chosen.row.Endpoint, chosen.chain, r.prompt.Return)
+		sealed, err := r.Archive.Export(ctx, hosts, chosen.row.Endpoint, chosen.chain, back)
 		if sealed > 0 || err != nil {
 			r.event(recorder.KindExport, chosen.row.Name, fmt.Sprintf("%d blocks, error %v", sealed, err))
 		}
@@ -270,6 +286,7 @@
 }
 
 func (r *promptRun) deliver(token Token, row registrar.Row) error {
+	r.unqueue()
 	if token.Index != len(r.delivered) {
 		return errors.Wrapf(ErrBroken, "token %d came in place of token %d", token.Index, len(r.delivered))
 	}
@@ -310,6 +327,7 @@
 	chains := r.chains(rows)
 	r.lookup(ctx, snapshot, rows, chains)
 	var chosen place
+	var overload time.Duration
 	_, ok := r.Flight.take(r.alone, func(turn uint64) (string, bool) {
 		candidates := r.candidates(rows, chains)
 		choice, picked := r.Policy.Pick(r.request(turn), candidates)
@@ -319,12 +337,20 @@
 		if !picked {
 			return "", false
 		}
+		if choice.Queue > r.prompt.Priority.Deadline && len(r.delivered) == 0 {
+			overload = choice.Queue - r.prompt.Priority.Deadline
+			return "", false
+		}
 		row := rows[choice.Index]
 		version := row.Report.Version
 		chosen = place{row: row, chain: chains[version], found: r.found[version], transfer: choice.Import}
+		chosen.tokens = max(fingerprinter.Tokens(r.prompt.Text)-max(candidates[choice.Index].CachedTokens, candidates[choice.Index].StoredTokens), 0)
 		chosen.transfer = choice.Import || r.distrust() && chosen.found.Blocks() > 0
 		return row.Name, true
 	})
+	if overload > 0 {
+		return place{}, &limiter.Refusal{Cause: limiter.ErrDeadline, Retry: overload}
+	}
 	if !ok {
 		return place{}, ErrNoEndpoint
 	}
@@ -351,7 +377,7 @@
 		if _, asked := r.found[version]; asked || !r.distrust() && r.held(rows, version, chain) {
 			continue
 		}
-		r.found[version] = r.Archive.Lookup(ctx, snapshot.Stores(), chain)
+		r.found[version] = r.Archive.Lookup(ctx, snapshot.Stores(), chain, r.group())
 	}
 }
 
@@ -427,6 +453,10 @@
 	return usable
 }
 
+func (r *promptRun) group() evictor.Group {
+	return evictor.NewGroup(r.prompt.Team, r.prompt.Priority.Name)
+}
+
 func (r *promptRun) seed(weights string) fingerprinter.Seed {
 	return fingerprinter.Seed{Team: r.prompt.Team, Model: r.prompt.Model.Name, Weights: weights}
 }
@@ -453,7 +483,7 @@
 			Near:         row.Domain == r.Domain,
 			Running:      row.Others() + r.Flight.running[row.Name],
 			Slots:        r.prompt.Service.Concurrency,
-			QueuedTokens: row.Report.QueuedTokens,
+			QueuedTokens: max(row.Report.QueuedTokens, r.Flight.pending[row.Name]),
 			CachedTokens: cached * fingerprinter.BlockTokens,
 			PrefillRate:  row.Report.PrefillRate,
 		}
--- a/internal/coordination/dispatcher/prompts_test.go
+++ b/internal/coordination/dispatcher/prompts_test.go
@@ -267,6 +267,7 @@
 	prompt := Prompt{
 		Request: id, Team: team, Model: configurator.Model{Name: "m", Service: "llm", Version: "v1"},
 		Service:  configurator.Service{Name: "llm", Concurrency: 4, Timeout: time.Second},
+		Priority: configurator.Priority{Name: "chat", Deadline: time.Minute},
 		Messages: [][]byte{message}, Text: message, MaxTokens: answerTokens,
 	}
 	sink := &textSink{}
@@ -376,7 +377,7 @@
 		require.Len(t, w.found, 1)
 	})
 	t.Run("an answer with a gap", func(t *testing.T) {
-		run := &promptRun{Prompts: w.nodes[0], sink: &textSink{}}
+		run := &promptRun{Prompts: w.nodes[0], sink: &textSink{}, unqueue: func() {}}
 		require.NoError(t, run.deliver(Token{Index: 0, Text: "a"}, registrar.Row{}))
 		require.Error(t, run.deliver(Token{Index: 2, Text: "c"}, registrar.Row{}))
 	})
--- a/internal/coordination/evictor/evictor.go
+++ b/internal/coordination/evictor/evictor.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	policy, err := evictor.Get("lru")
+//	policy, err := evictor.Get("learned", learner)
 //	for _, block := range evictor.Order(policy, blocks) {
 //		// Free block until there is room.
 //	}
@@ -38,6 +38,8 @@
 	// Return is the caller's word, or a learned estimate, on the time from the
 	// last look-up to the next; zero for none.
 	Return time.Duration
+	// Group is the group of the prompt that brought the block.
+	Group Group
 }
 
 // Policy values blocks; higher is kept longer.
@@ -45,24 +47,27 @@
 	Value(block Block) float64
 }
 
-var registry = map[string]Policy{
-	"lru":    LRU{},
-	"gdsf":   Frequency{},
-	"return": Return{},
+// registry holds the constructors of the policies.
+var registry = map[string]func(learner *Learner) Policy{
+	"lru":     func(*Learner) Policy { return LRU{} },
+	"gdsf":    func(*Learner) Policy { return Frequency{} },
+	"return":  func(*Learner) Policy { return Return{} },
+	"learned": func(learner *Learner) Policy { return Learned{Learner: learner} },
 }
 
-// Get returns the policy registered under name. It returns ErrUnknownPolicy.
-func Get(name string) (Policy, error) {
-	policy, ok := registry[name]
+// Get returns the policy registered under name, over what learner has learned.
+// It returns ErrUnknownPolicy.
+func Get(name string, learner *Learner) (Policy, error) {
+	construct, ok := registry[name]
 	if !ok {
 		return nil, errors.Wrapf(ErrUnknownPolicy, "%q", name)
 	}
-	return policy, nil
+	return construct(learner), nil
 }
 
 // Must is Get for names that are fixed in the program.
-func Must(name string) Policy {
-	policy, err := Get(name)
+func Must(name string, learner *Learner) Policy {
+	policy, err := Get(name, learner)
 	if err != nil {
 		panic(err)
 	}
@@ -116,3 +121,23 @@
 	}
 	return -left.Seconds()
 }
+
+// Learned keeps what returns soonest and surest by the learned return times of
+// its group, or by the caller's word while that is not long overdue.
+type Learned struct {
+	Learner *Learner
+}
+
+// Value implements Policy.
+func (l Learned) Value(block Block) float64 {
+	left := block.Return - block.Idle
+	if block.Return > 0 && left > -block.Return/2 {
+		return -math.Max(left.Seconds(), 1)
+	}
+	density := l.Learner.Density(block.Group, block.Idle)
+	if density == 0 {
+		// Nothing is known of the group: by idle time, behind all others.
+		return -math.MaxFloat32 - block.Idle.Seconds()
+	}
+	return -1 / density
+}
--- a/internal/coordination/router/policy.go
+++ b/internal/coordination/router/policy.go
@@ -91,7 +91,7 @@
 				price -= float64(runningPenalty) / 2
 			}
 			if price < bestPrice {
-				best, bestPrice = Choice{Index: place, Import: option.transfer, Wait: option.wait}, price
+				best, bestPrice = Choice{Index: place, Import: option.transfer, Wait: option.wait, Queue: option.queue}, price
 			}
 		}
 	}
@@ -102,6 +102,7 @@
 type option struct {
 	transfer bool
 	wait     time.Duration
+	queue    time.Duration
 	compute  time.Duration
 }
 
@@ -123,7 +124,7 @@
 	}
 	queue := tokensTime(candidate.QueuedTokens, rate)
 	compute := tokensTime(request.Tokens-candidate.CachedTokens, rate)
-	found := []option{{wait: base + queue + compute, compute: compute}}
+	found := []option{{wait: base + queue + compute, queue: queue, compute: compute}}
 	if candidate.StoredTokens <= candidate.CachedTokens {
 		return found
 	}
@@ -132,6 +133,7 @@
 	return append(found, option{
 		transfer: true,
 		wait:     base + max(queue, candidate.ImportWait) + rest,
+		queue:    queue,
 		compute:  rest,
 	})
 }
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -64,8 +64,10 @@
 	Index int
 	// Import asks for the stored blocks to be brought before the prompt runs.
 	Import bool
-	// Wait is the expected time to the first token.
-	Wait time.Duration
+	// Wait is the expected time to the first token, Queue the part of it that
+	// is spent behind other requests.
+	Wait  time.Duration
+	Queue time.Duration
 }
 
 // Policy picks one of the candidates; it reports false when none has a slot.
--- a/internal/exerciser/report.go
+++ b/internal/exerciser/report.go
@@ -17,6 +17,17 @@
 	return time.Duration(r.class(class).times.ValueAtQuantile(quantile)) * time.Microsecond
 }
 
+// Chat returns the time to the first token of first visits and returns together
+// at a quantile.
+func (r *Report) Chat(quantile float64) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	merged := newHistogram()
+	merged.Merge(r.class(ClassFirst).times)
+	merged.Merge(r.class(ClassReturn).times)
+	return time.Duration(merged.ValueAtQuantile(quantile)) * time.Microsecond
+}
+
 // Gap returns the time between tokens at a quantile.
 func (r *Report) Gap(quantile float64) time.Duration {
 	return time.Duration(r.gaps.ValueAtQuantile(quantile)) * time.Microsecond
@@ -55,6 +66,7 @@
 			short(r.Quantile(class, 50)), short(r.Quantile(class, 95)), short(r.Quantile(class, 99)), 100*r.Recomputed(class))
 	}
 	_ = table.Flush()
+	fmt.Fprintf(&text, "chat (first visits and returns): p50 %s, p95 %s, p99 %s\n", short(r.Chat(50)), short(r.Chat(95)), short(r.Chat(99)))
 	fmt.Fprintf(&text, "between tokens: p50 %s, p95 %s\n", short(r.Gap(50)), short(r.Gap(95)))
 	for reason, n := range r.errors {
 		fmt.Fprintf(&text, "  %d x %s\n", n, reason)
--- a/internal/exerciser/rounds.go
+++ b/internal/exerciser/rounds.go
@@ -49,7 +49,9 @@
 	Ceiling float64
 	// Only names the one round to run; empty for all.
 	Only string
-	Out  io.Writer
+	// Deadline is the longest wait of a chat request; zero for ten seconds.
+	Deadline time.Duration
+	Out      io.Writer
 }
 
 // Run runs the rounds and prints their reports.
@@ -104,7 +106,9 @@
 		StoreLink:  64 << 20,
 		Ceiling:    r.Ceiling,
 		Objective:  objective,
-		Engine:     assembler.EnginePlan{CacheBlocks: 64, PrefillRate: 20000, TokenInterval: 10 * time.Millisecond},
+
+		ChatDeadline: r.Deadline,
+		Engine:       assembler.EnginePlan{CacheBlocks: 64, PrefillRate: 20000, TokenInterval: 10 * time.Millisecond},
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -65,7 +65,7 @@
 	retryShare     = 0.1
 	retryReserve   = 20
 	suspectExpiry  = 10 * time.Minute
-	evictionPolicy = "return"
+	evictionPolicy = "learned"
 
 	readHeaderTimeout = 10 * time.Second
 )
@@ -210,10 +210,11 @@
 		Keep:       func() time.Duration { return n.retention().Keep },
 		Now:        time.Now,
 	}
+	learner := &evictor.Learner{}
 	n.links = &archiver.Links{Budget: n.linkBudget}
 	n.store = &dialer.Store{Pools: n.pools}
-	n.archive = &archiver.Archive{Store: n.store, Mover: n.engine, Links: n.links, Process: n.process, Now: time.Now}
-	n.freer = &archiver.Freer{Store: n.store, Policy: evictor.Must(evictionPolicy), Now: time.Now}
+	n.archive = &archiver.Archive{Store: n.store, Mover: n.engine, Links: n.links, Process: n.process, Learner: learner, Now: time.Now}
+	n.freer = &archiver.Freer{Store: n.store, Policy: evictor.Must(evictionPolicy, learner), Now: time.Now}
 	n.gossip = &gossiper.Gossiper{Address: n.Settings.Peers, Packer: packer.Packer{Key: n.Settings.PeerKey}, Receive: n.hear}
 	between := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	n.peers = messenger.NewClient(between, peerCall, n.Settings.PeerKey)
--- a/internal/standin/assembler/assembler.go
+++ b/internal/standin/assembler/assembler.go
@@ -9,6 +9,7 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -45,6 +46,8 @@
 	// OtherKey is the bearer key of a site's second team.
 	OtherKey = "collectors-key"
 
+	defaultDeadline = 10 * time.Second
+
 	peerKey     = "peer-key-of-the-stand-in-site"
 	operatorKey = "operator-key-of-the-stand-in-site"
 )
@@ -68,6 +71,8 @@
 	Ceiling float64
 	// Objective is the model service's routing objective.
 	Objective configurator.Objective
+	// ChatDeadline is the longest wait of a chat request; zero for ten seconds.
+	ChatDeadline time.Duration
 }
 
 // EnginePlan is what the engines of a site have in common.
@@ -198,7 +203,7 @@
 // Declaration returns the site's configuration.
 func (s *Site) Declaration(weights string) transcoder.Declaration {
 	objects := []configurator.Object{
-		configurator.Priority{Name: "chat", Rank: 0, Deadline: 10 * time.Second},
+		configurator.Priority{Name: "chat", Rank: 0, Deadline: cmp.Or(s.Plan.ChatDeadline, defaultDeadline)},
 		configurator.Priority{Name: "orders", Rank: 1, Deadline: 5 * time.Second},
 		configurator.Priority{Name: "bulk", Rank: 9, Deadline: 30 * time.Second},
 		team("members", TeamKey),
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -10,7 +10,8 @@
 //
 //	PUT    /v1/blobs/NAME   201, 507 when the host is full, or with
 //	       If-None-Match: * 412 when the name is taken
-//	POST   /v1/read         {"names":[…]} -> {"blobs":{NAME:"BASE64",…}}, found ones only
+//	POST   /v1/read         {"names":[…]} -> as GET /v1/blobs, of those found, with
+//	       the idle times before this read
 //	GET    /v1/usage        {"bytes":…,"capacity":…,"moved":…}
 //	GET    /v1/blobs/NAME
 //	DELETE /v1/blobs/NAME
@@ -173,14 +174,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := map[string][]byte{}
+	blobs := []listBlob{}
 	for _, name := range request.Names {
 		if held, ok := s.blobs[name]; ok && held.size() <= smallBytes {
+			blobs = append(blobs, held.list(name))
 			held.touch()
-			found[name] = held.content
 		}
 	}
-	writeJSON(w, map[string]any{"blobs": found})
+	writeJSON(w, map[string]any{"blobs": blobs})
 }
 
 type listBlob struct {
@@ -191,6 +192,14 @@
 	Data   []byte `json:"data,omitempty"`
 }
 
+func (b *blob) list(name string) listBlob {
+	listed := listBlob{Name: name, Bytes: b.size(), IdleMS: time.Since(b.read).Milliseconds(), Reads: b.reads}
+	if b.size() <= smallBytes {
+		listed.Data = b.content
+	}
+	return listed
+}
+
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -199,11 +208,7 @@
 		if !strings.HasPrefix(name, r.URL.Query().Get("prefix")) {
 			continue
 		}
-		listed := listBlob{Name: name, Bytes: held.size(), IdleMS: time.Since(held.read).Milliseconds(), Reads: held.reads}
-		if held.size() <= smallBytes {
-			listed.Data = held.content
-		}
-		blobs = append(blobs, listed)
+		blobs = append(blobs, held.list(name))
 	}
 	slices.SortFunc(blobs, func(a, b listBlob) int { return strings.Compare(a.Name, b.Name) })
 	writeJSON(w, map[string]any{"blobs": blobs})
--- a/internal/transport/dialer/store.go
+++ b/internal/transport/dialer/store.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/evictor"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
 )
@@ -39,6 +40,7 @@
 	Bytes    int64  `json:"bytes"`
 	Checksum string `json:"checksum"`
 	ReturnMS int64  `json:"return_ms,omitempty"`
+	Group    string `json:"group,omitempty"`
 }
 
 func decodeManifest(data []byte) (archiver.Manifest, error) {
@@ -56,27 +58,24 @@
 		Bytes:    wire.Bytes,
 		Checksum: wire.Checksum,
 		Return:   time.Duration(wire.ReturnMS) * time.Millisecond,
+		Group:    evictor.Group(wire.Group),
 	}, nil
 }
 
 // Find implements archiver.Store. A manifest that can't be read is left out.
-func (s *Store) Find(ctx context.Context, host netip.AddrPort, blocks []fingerprinter.Block) (map[fingerprinter.Block]archiver.Manifest, error) {
+func (s *Store) Find(ctx context.Context, host netip.AddrPort, blocks []fingerprinter.Block) (map[fingerprinter.Block]archiver.Listed, error) {
 	names := make([]string, 0, len(blocks))
 	for _, block := range blocks {
 		names = append(names, manifestPrefix+string(block))
 	}
-	var reply struct {
-		Blobs map[string][]byte `json:"blobs"`
-	}
+	var reply wireListed
 	request := map[string][]string{"names": names}
 	if _, err := exchangeJSON(ctx, s.Pools, storeStall, host, http.MethodPost, "/v1/read", request, &reply); err != nil {
 		return nil, err
 	}
-	found := map[fingerprinter.Block]archiver.Manifest{}
-	for _, data := range reply.Blobs {
-		if manifest, err := decodeManifest(data); err == nil {
-			found[manifest.Block] = manifest
-		}
+	found := map[fingerprinter.Block]archiver.Listed{}
+	for _, listed := range reply.manifests() {
+		found[listed.Block] = listed
 	}
 	return found, nil
 }
@@ -90,6 +89,7 @@
 		Bytes:    manifest.Bytes,
 		Checksum: manifest.Checksum,
 		ReturnMS: manifest.Return.Milliseconds(),
+		Group:    string(manifest.Group),
 	}
 	status, err := exchangeJSON(ctx, s.Pools, storeStall, host, http.MethodPut, blobPath(manifestPrefix+wire.Block), wire, nil)
 	switch status {
@@ -141,8 +141,13 @@
 	if _, err := exchangeJSON(ctx, s.Pools, storeStall, host, http.MethodGet, "/v1/blobs?prefix="+manifestPrefix, nil, &reply); err != nil {
 		return nil, err
 	}
+	return reply.manifests(), nil
+}
+
+// manifests returns the listed blobs that are manifests.
+func (w wireListed) manifests() []archiver.Listed {
 	var listed []archiver.Listed
-	for _, blob := range reply.Blobs {
+	for _, blob := range w.Blobs {
 		manifest, err := decodeManifest(blob.Data)
 		if err != nil {
 			continue
@@ -153,7 +158,7 @@
 			Visits:   blob.Reads,
 		})
 	}
-	return listed, nil
+	return listed
 }
 
 // Data returns the names of a host's blobs of data with their idle times.
--- a/internal/transport/listener/chat.go
+++ b/internal/transport/listener/chat.go
@@ -154,7 +154,7 @@
 // fail ends the stream with an error event and without the end mark.
 func (s *streamSink) fail(err error) {
 	if !s.began {
-		s.refuse(problemOf(err))
+		s.refuseError(err)
 		return
 	}
 	document, encodeErr := refuser.Encode(s.document(problemOf(err)))
@@ -187,7 +187,7 @@
 	_, _ = io.WriteString(s.w, "\n")
 }
 
-func (s *wholeSink) fail(err error) { s.refuse(problemOf(err)) }
+func (s *wholeSink) fail(err error) { s.refuseError(err) }
 
 func callerUsage(usage dispatcher.Usage) chatter.Usage {
 	return chatter.Usage{Prompt: usage.Prompt, Completion: usage.Completion, Cached: usage.Cached}
--- a/internal/transport/listener/problem.go
+++ b/internal/transport/listener/problem.go
@@ -68,6 +68,16 @@
 	return problem{status: http.StatusBadGateway, kind: "failed", title: "request failed", detail: err.Error(), sent: true}
 }
 
+// refuseError writes the refusal that an error stands for.
+func (e *exchange) refuseError(err error) {
+	var refusal *limiter.Refusal
+	if errors.As(err, &refusal) && !dispatcher.MayHaveRun(err) {
+		e.refuseLimit(err)
+		return
+	}
+	e.refuse(problemOf(err))
+}
+
 func (e *exchange) refuseLimit(err error) {
 	found := problem{status: http.StatusTooManyRequests, kind: "limit", title: err.Error(), retry: shortRetry}
 	var refusal *limiter.Refusal
