Give engines callers' messages byte for byte; scenarios of failing engines

Cause: json.Marshal escapes HTML also within raw messages. Ruled out: the caller's side, which keeps the bytes. Change: the engine's request is encoded without HTML escapes; a test compares the bytes.

--- a/cmd/lacewingrelay/script_test.go
+++ b/cmd/lacewingrelay/script_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -40,6 +42,10 @@
 			"await":    await,
 			"signal":   signalProcess,
 			"ticket":   ticket,
+			"busy":     busy,
+			"crashes":  crashes,
+			"live":     live,
+			"leave":    leave,
 		},
 	})
 }
@@ -153,6 +159,102 @@
 	ts.Fatalf("no background process has the argument %s", args[1])
 }
 
+// engineStats are the counters that engines' stand-ins show.
+type engineStats struct {
+	Running int `json:"running"`
+	Crashes int `json:"crashes"`
+}
+
+// ask reads JSON from an engine; it reports false when the engine is down.
+func ask(address, path string, stats *engineStats) bool {
+	response, err := http.Get("http://" + address + path)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(response.Body).Decode(stats) == nil
+}
+
+// busy sets a variable to the address of the engine that runs a request: NAME
+// and the variables of the engines' addresses.
+func busy(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(awaitTimeout)
+	for time.Now().Before(deadline) {
+		for _, name := range args[1:] {
+			var stats engineStats
+			if ask(ts.Getenv(name), "/v1/load", &stats) && stats.Running > 0 {
+				ts.Setenv(args[0], ts.Getenv(name))
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	ts.Fatalf("no engine runs a request")
+}
+
+// crashes checks the sum of the engines' crashes against a bound.
+func crashes(ts *testscript.TestScript, _ bool, args []string) {
+	sum := 0
+	for _, name := range args[1:] {
+		var stats engineStats
+		for range 100 {
+			if ask(ts.Getenv(name), "/v1/stats", &stats) {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		sum += stats.Crashes
+	}
+	if fmt.Sprint(sum) > args[0] {
+		ts.Fatalf("%d crashes, at most %s are allowed", sum, args[0])
+	}
+}
+
+// live sets two variables to the addresses of engines that answer.
+func live(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(awaitTimeout)
+	for time.Now().Before(deadline) {
+		var found []string
+		for _, name := range args[2:] {
+			var stats engineStats
+			if ask(ts.Getenv(name), "/v1/load", &stats) {
+				found = append(found, ts.Getenv(name))
+			}
+		}
+		if len(found) >= 2 {
+			ts.Setenv(args[0], found[0])
+			ts.Setenv(args[1], found[1])
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("fewer than two engines answer")
+}
+
+// leave marks the host with an address as leaving on a host list.
+func leave(ts *testscript.TestScript, _ bool, args []string) {
+	response, err := http.Get("http://" + args[0] + "/v1/hosts")
+	ts.Check(err)
+	defer response.Body.Close()
+	var list struct {
+		Hosts []map[string]string `json:"hosts"`
+	}
+	ts.Check(json.NewDecoder(response.Body).Decode(&list))
+	for _, host := range list.Hosts {
+		if host["address"] != args[1] {
+			continue
+		}
+		host["state"] = "leaving"
+		body, err := json.Marshal(host)
+		ts.Check(err)
+		request, err := http.NewRequest(http.MethodPut, "http://"+args[0]+"/v1/hosts/"+host["name"], bytes.NewReader(body))
+		ts.Check(err)
+		put, err := http.DefaultClient.Do(request)
+		ts.Check(err)
+		ts.Check(put.Body.Close())
+	}
+}
+
 // ticket sets a variable to the ticket in the last command's output.
 func ticket(ts *testscript.TestScript, _ bool, args []string) {
 	found := regexp.MustCompile(`"ticket":"([^"]+)"`).FindStringSubmatch(ts.ReadFile("stdout"))
--- a/internal/transport/dialer/engine.go
+++ b/internal/transport/dialer/engine.go
@@ -110,7 +110,17 @@
 	if len(completion.Delivered) > 0 {
 		members["resume"] = completion.Delivered
 	}
-	return json.Marshal(members)
+	return encodeExact(members)
+}
+
+// encodeExact encodes without HTML escapes: an engine gets the caller's messages
+// byte for byte, as fingerprints and token counts were taken of them.
+func encodeExact(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := json.NewEncoder(&buffer)
+	encoder.SetEscapeHTML(false)
+	err := encoder.Encode(value)
+	return buffer.Bytes(), err
 }
 
 // stream implements dispatcher.TokenStream on a server-sent event stream.
--- /dev/null
+++ b/internal/transport/dialer/engine_test.go
@@ -0,0 +1,139 @@
+package dialer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	crdb "github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
+	"github.com/lacewingrelay/lacewingrelay/internal/standin/generator"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+)
+
+const stall = 200 * time.Millisecond
+
+func serve(t *testing.T, handler http.Handler) registrar.Endpoint {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.CloseClientConnections)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	return registrar.Endpoint{Name: "e", Address: address}
+}
+
+func newEngine() *Engine { return &Engine{Pools: &Pools{DialTimeout: time.Second}} }
+
+// run reads a completion to its end.
+func run(engine *Engine, endpoint registrar.Endpoint, completion dispatcher.Completion) (string, error) {
+	completion.Stall = stall
+	stream, err := engine.Complete(context.Background(), endpoint, completion)
+	if err != nil {
+		return "", err
+	}
+	defer stream.Close()
+	var text strings.Builder
+	for {
+		token, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return text.String(), nil
+		}
+		if err != nil {
+			return text.String(), err
+		}
+		text.WriteString(token.Text)
+	}
+}
+
+func TestMessagesArriveByteForByte(t *testing.T) {
+	message := `{"role":"user","content":"a <b> & c \u003c \u2028"}`
+	var got []json.RawMessage
+	endpoint := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Messages []json.RawMessage `json:"messages"`
+		}
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		got = body.Messages
+		w.WriteHeader(http.StatusConflict)
+	}))
+	_, err := run(newEngine(), endpoint, dispatcher.Completion{Messages: [][]byte{[]byte(message)}, Options: []byte(`{"stop":["<"]}`)})
+	assert.True(t, crdb.Is(err, dispatcher.ErrRefused))
+	require.Len(t, got, 1)
+	assert.Equal(t, message, string(got[0]))
+}
+
+func TestErrorsTellWhatMayHaveRun(t *testing.T) {
+	write := func(w http.ResponseWriter, text string) {
+		_, _ = io.WriteString(w, text)
+		_ = http.NewResponseController(w).Flush()
+	}
+	const token = `data: {"index":0,"weights":"w","choices":[{"delta":{"content":"a"}}]}` + "\n\n"
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		is      error
+		ran     bool
+	}{
+		{"refused", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, dispatcher.ErrRefused, false},
+		{"cut before the headers", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, dispatcher.ErrBroken, true},
+		{"cut midway", func(w http.ResponseWriter, _ *http.Request) { write(w, token); panic(http.ErrAbortHandler) }, dispatcher.ErrBroken, true},
+		{"no end mark", func(w http.ResponseWriter, _ *http.Request) { write(w, token) }, dispatcher.ErrBroken, true},
+		{"end mark without usage", func(w http.ResponseWriter, _ *http.Request) { write(w, token+"data: [DONE]\n\n") }, dispatcher.ErrBroken, true},
+		{"not JSON", func(w http.ResponseWriter, _ *http.Request) { write(w, "data: {\n\n") }, dispatcher.ErrBroken, true},
+		{"stalled", func(w http.ResponseWriter, r *http.Request) { write(w, token); <-r.Context().Done() }, dispatcher.ErrStalled, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := run(newEngine(), serve(t, c.handler), dispatcher.Completion{})
+			assert.True(t, crdb.Is(err, c.is), "%v", err)
+			assert.Equal(t, c.ran, dispatcher.MayHaveRun(err))
+		})
+	}
+	t.Run("no listener", func(t *testing.T) {
+		_, err := run(newEngine(), registrar.Endpoint{Address: netip.MustParseAddrPort("127.0.0.1:1")}, dispatcher.Completion{})
+		assert.True(t, crdb.Is(err, dispatcher.ErrNotSent))
+	})
+}
+
+func TestOrdersAreFenced(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		standin := &generator.Server{Version: "w1", Fencing: fencing, LoadTime: time.Millisecond}
+		endpoint := serve(t, standin)
+		engine := newEngine()
+		order := func(fence uint64, weights string) error {
+			return engine.Order(context.Background(), endpoint.Address, fence, weights, time.Second)
+		}
+		require.NoError(t, order(7, "w2"))
+		require.Eventually(t, func() bool { return standin.Weights() == "w2" }, 10*time.Second, time.Millisecond)
+		err := order(6, "w1")
+		assert.Equal(t, fencing, crdb.Is(err, dispatcher.ErrRefused), "fencing %t: %v", fencing, err)
+	}
+}
+
+// TestUnrepeatableCallsUseNewConnections shows that such a call never goes out
+// on a connection that may have gone silent.
+func TestUnrepeatableCallsUseNewConnections(t *testing.T) {
+	var connections []string
+	endpoint := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		connections = append(connections, r.RemoteAddr)
+	}))
+	service := &Service{Pools: &Pools{DialTimeout: time.Second}}
+	for _, repeatable := range []bool{true, true, false, false} {
+		call := dispatcher.Call{Method: http.MethodPost, Header: http.Header{}, Repeatable: repeatable, Service: configurator.Service{Timeout: time.Second}}
+		_, err := service.Do(context.Background(), endpoint, call)
+		require.NoError(t, err)
+	}
+	assert.Equal(t, connections[0], connections[1])
+	assert.NotEqual(t, connections[1], connections[2])
+	assert.NotEqual(t, connections[2], connections[3])
+}
