Keep the holder right for readers that begin in the middle of a claim stream

Two causes, both of a reader that begins after a key's first record: it took a lost claim for the holder and then ignored the carry, and it rejected all ticks, since the first one that it saw named one that it lacked. Ruled out: the answer's copy in the carry. Change: a carry displaces another holder unless a release follows its sender's reading; a tick that names an unknown newer one is accepted; an owner that was paused does not append its carries. Without carrying the key is forgotten (second test).

--- a/internal/coordination/claimer/carrier.go
+++ b/internal/coordination/claimer/carrier.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lacewingrelay/lacewingrelay/internal/state/indexer"
 )
 
@@ -27,7 +29,8 @@
 // itself, so no clocks are compared.
 func (c *Claimer) Carry(ctx context.Context, number int, logWindow time.Duration) (carried int, err error) {
 	p := c.partition(number)
-	if err := p.catchUp(ctx, c.Now(), 0); err != nil {
+	began := c.Now()
+	if err := p.catchUp(ctx, began, 0); err != nil {
 		return 0, err
 	}
 	records := p.carries(logWindow)
@@ -43,6 +46,9 @@
 	if len(records) == 0 {
 		return 0, nil
 	}
+	if paused := c.Now().Sub(began); paused > c.PauseLimit {
+		return 0, errors.Wrapf(ErrPaused, "%s since the reading", paused)
+	}
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	_, err = p.stream.Append(ctx, p.number, records)
--- a/internal/state/indexer/indexer.go
+++ b/internal/state/indexer/indexer.go
@@ -135,8 +135,9 @@
 	entries map[Key]Entry
 	// order lists claims and carries by offset, for Trim.
 	order []positionedKey
-	// released holds what carries that were under way must not bring back.
-	released map[Key]release
+	// released holds the offset of each key's last release, which outweighs a
+	// carry that was under way.
+	released map[Key]uint64
 	trimmed  uint64
 	ticks    []tick
 }
@@ -147,11 +148,6 @@
 	total  time.Duration
 }
 
-type release struct {
-	attempt Attempt
-	offset  uint64
-}
-
 type positionedKey struct {
 	offset uint64
 	key    Key
@@ -159,7 +155,7 @@
 
 // New returns an index before the first record.
 func New() *Index {
-	return &Index{entries: map[Key]Entry{}, released: map[Key]release{}}
+	return &Index{entries: map[Key]Entry{}, released: map[Key]uint64{}}
 }
 
 // Next returns the offset of the next record to apply.
@@ -195,7 +191,9 @@
 	case TypeRelease:
 		if ok && held.Attempt == record.Attempt && !held.Done() {
 			delete(x.entries, record.Key)
-			x.released[record.Key] = release{attempt: record.Attempt, offset: offset}
+		}
+		if !ok || !held.Done() {
+			x.released[record.Key] = offset
 		}
 	case TypeCarry:
 		x.carry(offset, record, held, ok)
@@ -205,12 +203,15 @@
 	return nil
 }
 
+// carry renews an entry. It also displaces another holder: a reader that began
+// after the entry's first record may have taken a claim that lost for one that
+// won. Only a release since the sender's reading outweighs a carry.
 func (x *Index) carry(offset uint64, record Record, held Entry, ok bool) {
 	if ok && held.Attempt != record.Attempt {
-		return
+		held = Entry{}
 	}
 	freed, was := x.released[record.Key]
-	if was && freed.attempt == record.Attempt && freed.offset >= record.Through {
+	if was && freed >= record.Through {
 		return
 	}
 	entry := Entry{
@@ -227,9 +228,10 @@
 }
 
 // tick accepts a tick that follows the newest one; of two owners' ticks for the
-// same time only the first counts.
+// same time only the first counts. A tick that names a newer one than the index
+// holds is accepted too: a reader that began after that one lacks it.
 func (x *Index) tick(offset uint64, record Record) {
-	if record.Through != x.LastTick() || record.Elapsed <= 0 {
+	if record.Through < x.LastTick() || record.Elapsed <= 0 {
 		return
 	}
 	total := record.Elapsed
@@ -293,7 +295,7 @@
 	}
 	x.trimmed = first + releasedSlack
 	for key, freed := range x.released {
-		if freed.offset < first {
+		if freed < first {
 			delete(x.released, key)
 		}
 	}
