--- a/internal/coordination/dispatcher/matrix_test.go
+++ b/internal/coordination/dispatcher/matrix_test.go
@@ -27,7 +27,7 @@
 var orderSteps = []string{"claim", "read", "resolve", "dispatch", "outcome", "release"}
 
 // The faults that can strike at a step.
-var orderFaults = []string{"kill", "kill-after", "freeze", "freeze-long", "refuse", "slow", "hang", "hang-effect", "lost", "late", "double", "stale"}
+var orderFaults = []string{"kill", "kill-after", "freeze", "freeze-long", "refuse", "refuse-long", "slow", "hang", "hang-effect", "lost", "late", "double", "stale"}
 
 // strike is one fault at one step of one node. It strikes once.
 type strike struct{ node, step, fault string }
@@ -36,6 +36,7 @@
 	callerTimeout = 5 * time.Second
 	logTimeout    = 2 * time.Second
 	healTime      = 90 * time.Second
+	longFault     = 20 * time.Second
 )
 
 // orderWorld is a log, a service and some nodes, with the faults still to come.
@@ -50,6 +51,8 @@
 	over    bool
 	nodes   map[string]*orderNode
 	killed  map[string]bool
+	// began tells since when long faults last.
+	began map[strike]time.Time
 	// hung is set when a dispatch got no answer, so that its request may
 	// never run and its outcome stays unknown.
 	hung     bool
@@ -74,6 +77,7 @@
 		byCall:  map[string]int{},
 		ended:   make(chan struct{}),
 		killed:  map[string]bool{},
+		began:   map[strike]time.Time{},
 		nodes:   map[string]*orderNode{},
 	}
 	for i, name := range []string{"a", "b", "c"} {
@@ -106,6 +110,9 @@
 	defer w.mu.Unlock()
 	for i, s := range w.pending {
 		if s.node == node && s.step == step {
+			if s.fault == "refuse-long" && w.lasts(s) {
+				return "refuse"
+			}
 			w.pending = slices.Delete(w.pending, i, i+1)
 			w.hung = w.hung || step == "dispatch" && s.fault == "hang"
 			if s.fault == "kill" || s.fault == "kill-after" {
@@ -117,6 +124,16 @@
 	return ""
 }
 
+// lasts reports whether a long fault goes on; the caller holds the lock.
+func (w *orderWorld) lasts(s strike) bool {
+	began, ok := w.began[s]
+	if !ok {
+		w.began[s] = time.Now()
+		return true
+	}
+	return time.Since(began) < longFault
+}
+
 var errFake = errors.New("switched fault")
 
 // strikeAt carries out a step under a fault. effect is what the step does to
@@ -428,6 +445,7 @@
 			var found []string
 			for _, step := range orderSteps {
 				for _, fault := range orderFaults {
+					found = append(found, runOrder(t, []strike{{"a", step, fault}}, false, spoil)...)
 					found = append(found, runOrder(t, []strike{{"a", step, fault}}, true, spoil)...)
 				}
 			}
