Guard the store matrix's fake against the race detector

Cause: the fake's maps were used by the freeing and by an import at once; the code under test was not at fault. Run: go test -race ./internal/coordination/ archiver passes.

--- a/internal/coordination/archiver/archiver_test.go
+++ b/internal/coordination/archiver/archiver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,7 @@
 
 // storeWorld is two store hosts and an engine.
 type storeWorld struct {
+	mu        sync.Mutex
 	manifests map[fingerprinter.Block]Manifest
 	data      map[string]int
 	// owner tells whose block a name was given to; names are never used again.
@@ -55,15 +57,17 @@
 
 // at carries out a step, under the fault if it is the step's.
 func (w *storeWorld) at(ctx context.Context, step string, effect func()) error {
+	w.mu.Lock()
 	fault := ""
 	if step == w.step {
 		fault, w.step = w.fault, ""
 	}
+	w.mu.Unlock()
 	switch fault {
 	case "fail", "full":
 		return errFake
 	case "lost":
-		effect()
+		w.locked(effect)
 		return errFake
 	case "slow":
 		time.Sleep(40 * time.Millisecond)
@@ -71,10 +75,16 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	effect()
+	w.locked(effect)
 	return nil
 }
 
+func (w *storeWorld) locked(effect func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	effect()
+}
+
 // Find implements Store.
 func (w *storeWorld) Find(ctx context.Context, _ netip.AddrPort, blocks []fingerprinter.Block) (map[fingerprinter.Block]Listed, error) {
 	held := map[fingerprinter.Block]Listed{}
@@ -123,8 +133,8 @@
 
 // Usage implements Store.
 func (w *storeWorld) Usage(ctx context.Context, _ netip.AddrPort) (used, capacity int64, err error) {
-	err = w.at(ctx, "usage", func() {})
-	return int64(len(w.data) * blockBytes), int64(w.capacity), err
+	err = w.at(ctx, "usage", func() { used, capacity = int64(len(w.data)*blockBytes), int64(w.capacity) })
+	return used, capacity, err
 }
 
 // List implements Store.
@@ -142,11 +152,14 @@
 func (w *storeWorld) Export(ctx context.Context, _ registrar.Endpoint, transfers []Transfer) ([]Transfer, error) {
 	moved := append([]Transfer(nil), transfers...)
 	for i := range moved {
-		if _, used := w.owner[moved[i].Data]; used {
-			w.found = append(w.found, "a name was used again")
-		}
-		w.owner[moved[i].Data] = moved[i].Block
-		partial := w.step == "write" && w.fault == "partial"
+		partial := false
+		w.locked(func() {
+			if _, used := w.owner[moved[i].Data]; used {
+				w.found = append(w.found, "a name was used again")
+			}
+			w.owner[moved[i].Data] = moved[i].Block
+			partial = w.step == "write" && w.fault == "partial"
+		})
 		err := w.at(ctx, "write", func() {
 			w.data[moved[i].Data] = blockBytes
 			if partial {
@@ -163,19 +176,25 @@
 func (w *storeWorld) Import(ctx context.Context, _ registrar.Endpoint, transfers []Transfer) ([]Transfer, error) {
 	moved := append([]Transfer(nil), transfers...)
 	for i := range moved {
-		err := w.at(ctx, "read", func() { time.Sleep(4 * time.Second / time.Duration(len(moved))) })
-		size, there := w.data[moved[i].Data]
-		moved[i].Failed = err != nil || !there
-		if there && (size != blockBytes || w.owner[moved[i].Data] != moved[i].Block) {
-			w.found = append(w.found, fmt.Sprintf("%s was read as %d bytes of %s", moved[i].Block, size, w.owner[moved[i].Data]))
-		}
-		if !there {
-			w.found = append(w.found, fmt.Sprintf("%s was freed during an import", moved[i].Block))
-		}
+		err := w.at(ctx, "read", func() {})
+		time.Sleep(4 * time.Second / time.Duration(len(moved)))
+		w.locked(func() { moved[i].Failed = !w.read(moved[i]) || err != nil })
 	}
 	return moved, ctx.Err()
 }
 
+// read checks what an import reads; the caller holds the lock.
+func (w *storeWorld) read(transfer Transfer) bool {
+	size, there := w.data[transfer.Data]
+	if there && (size != blockBytes || w.owner[transfer.Data] != transfer.Block) {
+		w.found = append(w.found, fmt.Sprintf("%s was read as %d bytes of %s", transfer.Block, size, w.owner[transfer.Data]))
+	}
+	if !there {
+		w.found = append(w.found, fmt.Sprintf("%s was freed during an import", transfer.Block))
+	}
+	return there
+}
+
 func chain(name string, blocks int) []fingerprinter.Block {
 	var all []fingerprinter.Block
 	for i := range blocks {
@@ -208,13 +227,13 @@
 			arrived = len(one.Import(ctx, engine, stored, 0))
 		}()
 		time.Sleep(time.Millisecond)
-		w.capacity = 2 * blockBytes
+		w.locked(func() { w.capacity = 2 * blockBytes })
 		for range 30 {
 			_, _ = freer.Free(ctx, hosts[0].Endpoint)
 			time.Sleep(time.Second)
 		}
 		<-done
-		w.capacity = 100 * blockBytes
+		w.locked(func() { w.capacity = 100 * blockBytes })
 		again := two.Lookup(ctx, hosts, chain("a", 6), "group")
 		_ = two.Import(ctx, engine, again, 0)
 		found = w.found
@@ -256,7 +275,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			w := newStoreWorld("", "")
 			w.data["d"], w.owner["d"] = blockBytes, "b"
-			time.AfterFunc(time.Second, func() { delete(w.data, "d") })
+			time.AfterFunc(time.Second, func() { w.locked(func() { delete(w.data, "d") }) })
 			_, _ = w.Import(context.Background(), engine, []Transfer{{Block: "b", Data: "d"}})
 			require.Len(t, w.found, 1)
 		})
