Bound the cost of control; hear of near peers directly

Measured (44 processes on this machine, 12 s each, idle): a node spent 1.0 % of a core with 1 endpoint, 5.8 % with 50 and 16.9 % with 150, since it polled each four times a second; 5.9 % with 3,600 teams, since each look at the configuration sorted all objects, also once a prompt. With 44 nodes some saw 23 of 43 peers and 'in force' took 5.8 s and over 7 s. Cause of the last: heartbeats reached most nodes as digests only, later than the 5 s after which a peer counts as dead, and the wait went by heartbeats. Ruled out: the configuration itself (events show 'apply' on all nodes well before). Also: shares of power shrink while more nodes are known than declared; ports of test processes come from below the ephemeral ones, since a scenario failed once on a taken UDP port.

--- a/cmd/lacewingrelay/script_test.go
+++ b/cmd/lacewingrelay/script_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -77,10 +76,7 @@
 // address sets each named variable to a free loopback address.
 func freeAddress(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		bound, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		ts.Setenv(name, bound.Addr().String())
-		ts.Check(bound.Close())
+		ts.Setenv(name, assembler.FreeAddress().String())
 	}
 }
 
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -10,6 +10,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -242,17 +243,18 @@
 }
 
 func (p *Publish) behind(ctx context.Context, offset uint64) ([]string, error) {
-	status, err := fetchStatus(ctx, p.Node)
+	body, err := call(ctx, http.MethodGet, "http://"+p.Node.String()+"/v1/applied", "")
 	if err != nil {
 		return nil, err
 	}
-	var behind []string
-	if status.Applied < offset {
-		behind = append(behind, status.Node)
+	var applied runner.Applied
+	if err := json.Unmarshal(body, &applied); err != nil {
+		return nil, errors.Mark(err, ErrNode)
 	}
-	for _, peer := range status.Peers {
-		if peer.Applied < offset {
-			behind = append(behind, peer.Name)
+	var behind []string
+	for name, next := range applied.Next {
+		if next < offset {
+			behind = append(behind, name)
 		}
 	}
 	return behind, nil
--- a/internal/coordination/dispatcher/prompts.go
+++ b/internal/coordination/dispatcher/prompts.go
@@ -325,7 +325,24 @@
 		return place{}, err
 	}
 	chains := r.chains(rows)
-	r.lookup(ctx, snapshot, rows, chains)
+	if r.distrust() {
+		for version, chain := range chains {
+			r.lookup(ctx, snapshot, version, chain)
+		}
+	}
+	chosen, err := r.take(rows, chains)
+	if err != nil || !r.lacks(chosen) {
+		return chosen, err
+	}
+	// The choice was made without the store tier, and the chosen endpoint lacks
+	// a part: what is stored may make another choice the better one.
+	r.Flight.leave(chosen.row.Name, r.alone)
+	r.lookup(ctx, snapshot, chosen.row.Report.Version, chosen.chain)
+	return r.take(rows, chains)
+}
+
+// take lets the policy choose and counts the request at its choice.
+func (r *promptRun) take(rows []registrar.Row, chains map[string][]fingerprinter.Block) (place, error) {
 	var chosen place
 	var overload time.Duration
 	_, ok := r.Flight.take(r.alone, func(turn uint64) (string, bool) {
@@ -367,18 +384,19 @@
 	}
 }
 
-// lookup asks the store tier, once per version, for what no endpoint is
-// believed to hold whole.
-func (r *promptRun) lookup(ctx context.Context, snapshot *publisher.Snapshot, rows []registrar.Row, chains map[string][]fingerprinter.Block) {
-	if r.Archive == nil {
+// lookup asks the store tier for a chain, once per version.
+func (r *promptRun) lookup(ctx context.Context, snapshot *publisher.Snapshot, version string, chain []fingerprinter.Block) {
+	if _, asked := r.found[version]; asked || r.Archive == nil {
 		return
 	}
-	for version, chain := range chains {
-		if _, asked := r.found[version]; asked || !r.distrust() && r.held(rows, version, chain) {
-			continue
-		}
-		r.found[version] = r.Archive.Lookup(ctx, snapshot.Stores(), chain, r.group())
-	}
+	r.found[version] = r.Archive.Lookup(ctx, snapshot.Stores(), chain, r.group())
+}
+
+// lacks reports whether the chosen endpoint lacks a part of the chain that the
+// store tier has not been asked for.
+func (r *promptRun) lacks(chosen place) bool {
+	_, asked := r.found[chosen.row.Report.Version]
+	return r.Archive != nil && !asked && r.Hints.Prefix(chosen.row.Name, chosen.chain) < len(chosen.chain)
 }
 
 // distrust reports whether blocks are brought even to an endpoint that is
@@ -388,16 +406,6 @@
 	return r.prompt.Service.Objective == configurator.ObjectiveRecompute
 }
 
-// held reports whether some endpoint is believed to hold the whole chain.
-func (r *promptRun) held(rows []registrar.Row, version string, chain []fingerprinter.Block) bool {
-	for _, row := range rows {
-		if row.Report.Version == version && r.Hints.Prefix(row.Name, chain) == len(chain) {
-			return true
-		}
-	}
-	return false
-}
-
 // leastLoaded serves a request that was admitted on counts that have since
 // proved old: engines batch, so one more request is taken.
 func leastLoaded(candidates []router.Candidate) (router.Choice, bool) {
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -18,8 +18,10 @@
 	heldRecords = 1024
 	// publishInterval bounds how often load reports make a new snapshot.
 	publishInterval = 100 * time.Millisecond
-	// peerTimeout is the silence after which a peer is taken for dead.
-	peerTimeout = 5 * time.Second
+	// nearTimeout and farTimeout are the silences after which a peer is taken
+	// for dead.
+	nearTimeout = 10 * time.Second
+	farTimeout  = time.Minute
 	// peerForget is the silence after which a peer is forgotten.
 	peerForget = 10 * time.Minute
 )
@@ -289,9 +291,10 @@
 }
 
 // drainAsked begins a planned stop.
-type drainAsked struct{}
+type drainAsked struct{ applied chan struct{} }
 
-func (drainAsked) apply(c *control) {
+func (m drainAsked) apply(c *control) {
+	defer c.confirm(m.applied)
 	if c.leaving {
 		return
 	}
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -24,6 +24,10 @@
 
 	hostsInterval = 500 * time.Millisecond
 	loadInterval  = 250 * time.Millisecond
+	// pollRate bounds the requests for load reports and cache events, in
+	// requests per second, whatever the number of endpoints.
+	pollRate      = 60
+	requestsAPoll = 2
 	loadTimeout   = time.Second
 	sweepInterval = time.Second
 	orderInterval = 250 * time.Millisecond
@@ -41,7 +45,7 @@
 	go n.replicator().Run(ctx)
 	go n.beat(ctx)
 	go every(ctx, hostsInterval, n.listHosts)
-	go every(ctx, loadInterval, n.pollLoads)
+	go n.poll(ctx)
 	go every(ctx, sweepInterval, n.sweep)
 	go every(ctx, orderInterval, n.reconcile)
 	go every(ctx, carryInterval, n.carry)
@@ -74,6 +78,22 @@
 	n.control.send(ctx, hostsListed{endpoints: endpoints})
 }
 
+// poll asks the endpoints for their load until ctx ends, the more seldom the
+// more of them there are.
+func (n *Node) poll(ctx context.Context) {
+	for {
+		endpoints := 0
+		for _, rows := range n.cell.Load().Services {
+			endpoints += len(rows)
+		}
+		n.pollLoads(ctx)
+		wait := time.Duration(endpoints) * requestsAPoll * time.Second / pollRate
+		if retrier.Sleep(ctx, max(wait, loadInterval)) != nil {
+			return
+		}
+	}
+}
+
 // pollLoads asks all endpoints for their load and their cache events.
 func (n *Node) pollLoads(ctx context.Context) {
 	snapshot := n.cell.Load()
@@ -188,7 +208,7 @@
 // linkBudget is this node's fixed share of a store host's link.
 func (n *Node) linkBudget(host string) int64 {
 	snapshot := n.cell.Load()
-	nodes := int64(max(capacity(snapshot, n.Settings.Domain).Nodes, 1))
+	nodes := int64(max(capacity(snapshot, n.Settings.Name, n.Settings.Domain).Nodes, 1))
 	for _, store := range configurator.All[configurator.Store](snapshot.Configuration) {
 		for _, row := range snapshot.Services[store.Name] {
 			if row.Name == host {
--- a/internal/runner/matrix_test.go
+++ b/internal/runner/matrix_test.go
@@ -71,7 +71,7 @@
 	n.control = &control{
 		journal: &recorder.Ring{Node: name, Capacity: 1024}, cell: &publisher.Cell{}, now: time.Now,
 		messages: make(chan message, messageBacklog), changed: n.changed, state: configurator.New(),
-		table: registrar.New(), view: observer.New(peerTimeout), records: &recordsCell{},
+		table: registrar.New(), view: &observer.View{}, records: &recordsCell{},
 	}
 	n.control.records.Store(&heldPage{})
 	n.control.publish()
--- a/internal/runner/operators.go
+++ b/internal/runner/operators.go
@@ -21,6 +21,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.Handle("GET /metrics", n.reporter.HTTPHandler())
 	mux.HandleFunc("GET /v1/status", n.serveStatus)
+	mux.HandleFunc("GET /v1/applied", n.serveApplied)
 	mux.HandleFunc("GET /v1/events", n.serveEvents)
 	mux.HandleFunc("POST /v1/drain", n.serveDrain)
 	return mux
@@ -112,6 +113,35 @@
 	_ = json.NewEncoder(w).Encode(n.Status())
 }
 
+// Applied is the next configuration offset of each node that answers, by name or
+// address.
+type Applied struct {
+	Next map[string]uint64 `json:"next"`
+}
+
+// serveApplied asks all peers for their configuration offset.
+func (n *Node) serveApplied(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), eventsTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	applied := Applied{Next: map[string]uint64{n.Settings.Name: n.cell.Load().Configuration.Next()}}
+	for _, peer := range n.cell.Load().Peers {
+		calls.Go(func() {
+			page, err := n.peers.Records(ctx, peer.Address, endOffset)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			applied.Next[peer.Name] = page.Next
+		})
+	}
+	calls.Wait()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(applied)
+}
+
 // serveEvents prints the time line, merged over all peers unless local is set.
 func (n *Node) serveEvents(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -18,11 +18,12 @@
 
 const (
 	heartbeatInterval = time.Second
-	// fanOut is the number of peers of the own failure domain that get each
-	// heartbeat.
-	fanOut = 3
+	// nearCount is the number of peers of the own failure domain that get each
+	// heartbeat, farCount that of peers of other domains.
+	nearCount = 20
+	farCount  = 2
 	// digestCount is the number of other peers' heartbeats in a datagram.
-	digestCount = 4
+	digestCount = 5
 	// loadCount and suspectCount bound what a heartbeat reports.
 	loadCount    = 6
 	suspectCount = 4
@@ -58,8 +59,10 @@
 func (n *Node) beat(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	for sequence := uint64(1); ; sequence++ {
-		n.sendHeartbeat(sequence, n.targets())
+	for {
+		near, far := n.targets()
+		n.sendHeartbeat(near, false)
+		n.sendHeartbeat(far, true)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -68,17 +71,19 @@
 	}
 }
 
-// spread tells all known peers about this node's suspects at once.
-func (n *Node) spread() {
+// tellAll sends a heartbeat to all peers at once: about a planned stop, or a
+// request that has crashed an endpoint.
+func (n *Node) tellAll() {
 	var all []netip.AddrPort
 	for _, peer := range n.cell.Load().Peers {
 		all = append(all, peer.Address)
 	}
-	// Sequence zero carries suspects and never replaces a heartbeat.
-	n.sendHeartbeat(0, all)
+	n.sendHeartbeat(all, false)
 }
 
-func (n *Node) sendHeartbeat(sequence uint64, targets []netip.AddrPort) {
+// sendHeartbeat sends a heartbeat, with what is known of other peers where asked
+// for.
+func (n *Node) sendHeartbeat(targets []netip.AddrPort, digest bool) {
 	snapshot := n.cell.Load()
 	message := packer.Message{
 		Clock: n.journal.Now(),
@@ -87,7 +92,7 @@
 			Domain:      n.Settings.Domain,
 			Address:     n.Settings.Peers,
 			Incarnation: n.incarnation,
-			Sequence:    sequence,
+			Sequence:    n.sequence.Add(1),
 			Applied:     snapshot.Configuration.Next(),
 			Leaving:     snapshot.Leaving,
 			Loads:       n.loads(),
@@ -95,7 +100,9 @@
 		},
 	}
 	for _, target := range targets {
-		message.Digests = digests(snapshot.Peers, target)
+		if digest {
+			message.Digests = digests(snapshot.Peers, target)
+		}
 		if err := n.gossip.Send(target, message); err != nil {
 			n.Log.Debug().Err(err).Stringer("peer", target).Msg("heartbeat was not sent")
 		}
@@ -130,21 +137,31 @@
 	return chosen
 }
 
-// targets returns the peers that get the next heartbeat: some of the own
-// failure domain and one of each other domain.
-func (n *Node) targets() []netip.AddrPort {
-	byDomain := n.peersByDomain()
-	var targets []netip.AddrPort
-	for domain, addresses := range byDomain {
-		count := 1
-		if domain == n.Settings.Domain {
-			count = fanOut
-		}
-		for _, i := range rand.Perm(len(addresses))[:min(count, len(addresses))] {
-			targets = append(targets, addresses[i])
+// targets returns the peers that get the next heartbeat: those of the own
+// failure domain, and some that also get digests: peers of other domains, and
+// addresses of which nothing has been heard yet.
+func (n *Node) targets() (near, far []netip.AddrPort) {
+	heard := map[netip.AddrPort]bool{}
+	for _, peer := range n.cell.Load().Peers {
+		heard[peer.Address] = true
+	}
+	var others []netip.AddrPort
+	for domain, addresses := range n.peersByDomain() {
+		for _, address := range addresses {
+			if domain == n.Settings.Domain && heard[address] {
+				near = append(near, address)
+			} else {
+				others = append(others, address)
+			}
 		}
 	}
-	return targets
+	return sample(near, nearCount), sample(others, farCount)
+}
+
+// sample returns at most count of the addresses, by chance.
+func sample(addresses []netip.AddrPort, count int) []netip.AddrPort {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(count, len(addresses))]
 }
 
 // peersByDomain collects peers from the host list, from heartbeats and from the
--- a/internal/runner/replication.go
+++ b/internal/runner/replication.go
@@ -82,7 +82,8 @@
 
 // Near implements replicator.Peers.
 func (p *configurationPeers) Near() []netip.AddrPort {
-	return p.node.peersByDomain()[p.node.Settings.Domain]
+	near := p.node.peersByDomain()[p.node.Settings.Domain]
+	return sample(near, len(near))
 }
 
 // All implements replicator.Peers.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -104,6 +105,7 @@
 
 	incarnation uint64
 	process     uint64
+	sequence    atomic.Uint64
 	drainOnce   sync.Once
 	freeRounds  int
 	drain       chan struct{}
@@ -137,7 +139,10 @@
 // stop is the planned stop: it tells the balancer and the peers, waits for them
 // to notice, and ends once every running request has its answer.
 func (n *Node) stop(ctx context.Context, servers *servers) error {
-	n.control.send(ctx, drainAsked{})
+	applied := make(chan struct{})
+	n.control.send(ctx, drainAsked{applied: applied})
+	await(ctx, applied)
+	n.tellAll()
 	n.Log.Info().Msg("planned stop begins")
 	if err := retrier.Sleep(ctx, n.Settings.Grace); err != nil {
 		return err
@@ -230,7 +235,7 @@
 		changed:  n.changed,
 		state:    configurator.New(),
 		table:    registrar.New(),
-		view:     observer.New(peerTimeout),
+		view:     &observer.View{Domain: n.Settings.Domain, Near: nearTimeout, Far: farTimeout},
 		records:  n.records,
 	}
 	n.control.publish()
@@ -250,7 +255,7 @@
 		Background: func(work func(ctx context.Context)) {
 			n.callers.Background(work)
 		},
-		Spread:  n.spread,
+		Spread:  n.tellAll,
 		Journal: n.journal,
 		Domain:  n.Settings.Domain,
 		Now:     time.Now,
@@ -343,14 +348,16 @@
 
 // changed brings the limits up to date with a new snapshot.
 func (n *Node) changed(snapshot *publisher.Snapshot) {
-	n.limiter.Configure(capacity(snapshot, n.Settings.Domain))
+	n.limiter.Configure(capacity(snapshot, n.Settings.Name, n.Settings.Domain))
 }
 
-// capacity works out the node's fixed share of the power ceiling: its failure
+// capacity works out a node's fixed share of the power ceiling: its failure
 // domain's share, less what the domain's endpoints draw idle, divided by the
 // configured number of entry hosts. The shares of all nodes never add up to
-// more than the ceiling, whoever can reach whom.
-func capacity(snapshot *publisher.Snapshot, domain string) limiter.Capacity {
+// more than the ceiling, whoever can reach whom. While more nodes are known than
+// are configured, as when a replacement runs beside a predecessor that may only
+// be paused, the share is divided among all of them.
+func capacity(snapshot *publisher.Snapshot, name, domain string) limiter.Capacity {
 	found := limiter.Capacity{Watts: -1}
 	for _, declared := range configurator.All[configurator.Domain](snapshot.Configuration) {
 		found.Nodes += declared.Hosts
@@ -360,14 +367,32 @@
 		return found
 	}
 	own, _ := configurator.Find[configurator.Domain](snapshot.Configuration, configurator.KindDomain, domain)
+	known := len(knownNodes(snapshot, name, domain))
 	found.Watts = 0
 	for _, ceiling := range ceilings {
 		share := ceiling.Shares[domain] - idleWatts(snapshot, domain)
-		found.Watts = max(share/float64(max(own.Hosts, 1)), 0)
+		found.Watts = max(share/float64(max(own.Hosts, known, 1)), 0)
 	}
 	return found
 }
 
+// knownNodes returns the names of a failure domain's nodes that the host list
+// or heartbeats show, the node itself among them.
+func knownNodes(snapshot *publisher.Snapshot, name, domain string) map[string]bool {
+	names := map[string]bool{name: true}
+	for _, row := range snapshot.Nodes {
+		if row.Domain == domain {
+			names[row.Name] = true
+		}
+	}
+	for _, peer := range snapshot.Peers {
+		if peer.Domain == domain {
+			names[peer.Name] = true
+		}
+	}
+	return names
+}
+
 func idleWatts(snapshot *publisher.Snapshot, domain string) float64 {
 	sum := 0.0
 	for name, rows := range snapshot.Services {
--- a/internal/standin/assembler/assembler.go
+++ b/internal/standin/assembler/assembler.go
@@ -17,6 +17,8 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -267,9 +269,9 @@
 	return parser.Settings{
 		Name:        name,
 		Domain:      domain,
-		Callers:     freePort(),
-		Peers:       freePort(),
-		Operators:   freePort(),
+		Callers:     FreeAddress(),
+		Peers:       FreeAddress(),
+		Operators:   FreeAddress(),
 		Log:         s.Log.Address(),
 		Hosts:       s.Hosts.Address(),
 		PeerKey:     []byte(peerKey),
@@ -324,12 +326,38 @@
 	}
 }
 
-// freePort returns a loopback address that was free a moment ago.
-func freePort() netip.AddrPort {
-	bound, err := net.Listen("tcp", anyPort().String())
+const (
+	// firstPort is the first of the ports given out, and portsAProcess the
+	// number that a process has to itself. All lie below the ports that systems
+	// give to outgoing connections, so that none of those takes them.
+	firstPort     = 10000
+	portsAProcess = 100
+	portProcesses = 200
+)
+
+var ports atomic.Uint32
+
+// FreeAddress returns a loopback address that is free for TCP and for UDP.
+func FreeAddress() netip.AddrPort {
+	base := firstPort + os.Getpid()%portProcesses*portsAProcess
+	for {
+		port := base + int(ports.Add(1))%portsAProcess
+		address := netip.AddrPortFrom(loopback, uint16(port))
+		if free(address) {
+			return address
+		}
+	}
+}
+
+func free(address netip.AddrPort) bool {
+	stream, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return false
+	}
+	defer stream.Close()
+	datagrams, err := net.ListenPacket("udp", address.String())
 	if err != nil {
-		return anyPort()
+		return false
 	}
-	defer bound.Close()
-	return netip.MustParseAddrPort(bound.Addr().String())
+	return datagrams.Close() == nil
 }
--- a/internal/state/configurator/configurator.go
+++ b/internal/state/configurator/configurator.go
@@ -23,6 +23,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -104,6 +105,9 @@
 type State struct {
 	next    uint64
 	entries map[Ref]entry
+
+	once   sync.Once
+	sorted map[Kind][]Object
 }
 
 // New returns the state before the first record.
@@ -126,15 +130,29 @@
 // Objects returns all objects ordered by kind and name.
 func (s *State) Objects() []Object {
 	var objects []Object
-	for _, held := range s.entries {
-		if held.object != nil {
-			objects = append(objects, held.object)
-		}
+	for _, kind := range Kinds() {
+		objects = append(objects, s.ofKind(kind)...)
 	}
-	SortObjects(objects)
 	return objects
 }
 
+// ofKind returns the objects of a kind ordered by name. They are sorted once a
+// state, since traffic asks for them.
+func (s *State) ofKind(kind Kind) []Object {
+	s.once.Do(func() {
+		s.sorted = map[Kind][]Object{}
+		for ref, held := range s.entries {
+			if held.object != nil {
+				s.sorted[ref.Kind] = append(s.sorted[ref.Kind], held.object)
+			}
+		}
+		for _, objects := range s.sorted {
+			SortObjects(objects)
+		}
+	})
+	return s.sorted[kind]
+}
+
 // SortObjects orders objects by the order of Kinds and then by name.
 func SortObjects(objects []Object) {
 	order := Kinds()
@@ -156,8 +174,10 @@
 
 // All returns the objects of type T ordered by name.
 func All[T Object](s *State) []T {
-	var found []T
-	for _, object := range s.Objects() {
+	var example T
+	objects := s.ofKind(example.Ref().Kind)
+	found := make([]T, 0, len(objects))
+	for _, object := range objects {
 		if typed, ok := object.(T); ok {
 			found = append(found, typed)
 		}
--- a/internal/state/observer/observer.go
+++ b/internal/state/observer/observer.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	view := observer.New(3 * time.Second)
+//	view := &observer.View{Domain: "kadikoy", Near: 10 * time.Second, Far: time.Minute}
 //	changed := view.Observe(now, heartbeat)
 //	alive := view.Alive(now)
 package observer
@@ -54,15 +54,24 @@
 }
 
 // View is a node's knowledge of its peers. It belongs to the control goroutine.
+// Its exported fields are set before use.
 type View struct {
-	timeout time.Duration
-	peers   map[string]Peer
+	// Domain is the node's own failure domain.
+	Domain string
+	// Near and Far are the silences after which a peer of the own and of
+	// another failure domain is taken for dead. Far ones are heard of more
+	// seldom.
+	Near time.Duration
+	Far  time.Duration
+
+	peers map[string]Peer
 }
 
-// New returns an empty view in which a peer without heartbeats for timeout is
-// taken for dead.
-func New(timeout time.Duration) *View {
-	return &View{timeout: timeout, peers: map[string]Peer{}}
+func (v *View) timeout(peer Peer) time.Duration {
+	if peer.Domain == v.Domain {
+		return v.Near
+	}
+	return v.Far
 }
 
 // Observe takes in a heartbeat and reports whether it was newer than what the
@@ -72,6 +81,9 @@
 	if ok && !newer(heartbeat, held.Heartbeat) {
 		return false
 	}
+	if v.peers == nil {
+		v.peers = map[string]Peer{}
+	}
 	v.peers[heartbeat.Name] = Peer{Heartbeat: heartbeat, Seen: now}
 	return true
 }
@@ -83,11 +95,11 @@
 	return a.Sequence > b.Sequence
 }
 
-// Alive returns the peers heard of within the timeout, ordered by name.
+// Alive returns the peers heard of within their timeouts, ordered by name.
 func (v *View) Alive(now time.Time) []Peer {
 	var alive []Peer
 	for _, peer := range v.peers {
-		if now.Sub(peer.Seen) < v.timeout {
+		if now.Sub(peer.Seen) < v.timeout(peer) {
 			alive = append(alive, peer)
 		}
 	}
