--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -48,8 +48,11 @@
 	ready   bool
 	leaving bool
 	alarm   string
-	// urgent asks for a snapshot at once and not only at the next tick.
+	// urgent asks for a snapshot at once, dirty for one at the next tick.
 	urgent bool
+	dirty  bool
+	// alive is the number of peers in the last snapshot.
+	alive int
 	// records publishes the held records for peers.
 	records *recordsCell
 }
@@ -65,14 +68,22 @@
 				c.publish()
 			}
 		case <-ticker.C:
-			c.view.Forget(c.now(), peerForget)
-			c.publish()
+			c.tick()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// tick publishes what has changed since the last snapshot, and peers that have
+// fallen silent.
+func (c *control) tick() {
+	c.view.Forget(c.now(), peerForget)
+	if c.dirty || len(c.view.Alive(c.now())) != c.alive {
+		c.publish()
+	}
+}
+
 // send hands a message to the control goroutine.
 func (c *control) send(ctx context.Context, m message) {
 	select {
@@ -122,7 +133,8 @@
 	snapshot.Ready = c.ready
 	snapshot.Leaving = c.leaving
 	snapshot.Alarm = c.alarm
-	c.urgent = false
+	c.urgent, c.dirty = false, false
+	c.alive = len(snapshot.Peers)
 	c.cell.Store(snapshot)
 	c.changed(snapshot)
 }
@@ -279,6 +291,7 @@
 	} else {
 		c.table.Report(m.endpoint, c.now(), m.report)
 	}
+	c.dirty = true
 }
 
 // heartbeatHeard brings heartbeats of peers.
@@ -286,7 +299,9 @@
 
 func (m heartbeatHeard) apply(c *control) {
 	for _, heartbeat := range m.heartbeats {
-		c.view.Observe(c.now(), heartbeat)
+		if c.view.Observe(c.now(), heartbeat) {
+			c.dirty = true
+		}
 	}
 }
 
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -14,6 +14,7 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/dialer"
 )
 
 const (
@@ -71,6 +72,9 @@
 
 func (n *Node) listHosts(ctx context.Context) {
 	endpoints, err := n.hosts.List(ctx)
+	if errors.Is(err, dialer.ErrUnchanged) {
+		return
+	}
 	if err != nil {
 		n.Log.Debug().Err(err).Msg("host list can't be read")
 		return
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -22,6 +22,8 @@
 	// heartbeat, farCount that of peers of other domains.
 	nearCount = 20
 	farCount  = 2
+	// digestedNear is the number of near ones that get digests.
+	digestedNear = 2
 	// digestCount is the number of other peers' heartbeats in a datagram.
 	digestCount = 5
 	// loadCount and suspectCount bound what a heartbeat reports.
@@ -60,9 +62,9 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
-		near, far := n.targets()
-		n.sendHeartbeat(near, false)
-		n.sendHeartbeat(far, true)
+		plain, digested := n.targets()
+		n.sendHeartbeat(plain, false)
+		n.sendHeartbeat(digested, true)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -138,14 +140,14 @@
 }
 
 // targets returns the peers that get the next heartbeat: those of the own
-// failure domain, and some that also get digests: peers of other domains, and
-// addresses of which nothing has been heard yet.
-func (n *Node) targets() (near, far []netip.AddrPort) {
+// failure domain, and a few that also get digests: some of them, and some of
+// other domains or of which nothing has been heard yet.
+func (n *Node) targets() (plain, digested []netip.AddrPort) {
+	var near, others []netip.AddrPort
 	heard := map[netip.AddrPort]bool{}
 	for _, peer := range n.cell.Load().Peers {
 		heard[peer.Address] = true
 	}
-	var others []netip.AddrPort
 	for domain, addresses := range n.peersByDomain() {
 		for _, address := range addresses {
 			if domain == n.Settings.Domain && heard[address] {
@@ -155,7 +157,9 @@
 			}
 		}
 	}
-	return sample(near, nearCount), sample(others, farCount)
+	near = sample(near, nearCount)
+	split := min(digestedNear, len(near))
+	return near[split:], append(near[:split:split], sample(others, farCount)...)
 }
 
 // sample returns at most count of the addresses, by chance.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -106,6 +106,8 @@
 	incarnation uint64
 	process     uint64
 	sequence    atomic.Uint64
+	once        sync.Once
+	buildErr    error
 	drainOnce   sync.Once
 	freeRounds  int
 	drain       chan struct{}
@@ -114,7 +116,7 @@
 // Run serves until ctx ends or an operator asks for a planned stop, finishes
 // the requests that run, and returns.
 func (n *Node) Run(ctx context.Context) error {
-	if err := n.build(); err != nil {
+	if err := n.prepare(); err != nil {
 		return err
 	}
 	defer n.closer()
@@ -160,6 +162,12 @@
 	return errors.Wrap(err, "requests were still running at the end of the drain limit")
 }
 
+// prepare builds the node once, for Run or for whoever looks at it before.
+func (n *Node) prepare() error {
+	n.once.Do(func() { n.buildErr = n.build() })
+	return n.buildErr
+}
+
 func (n *Node) build() error {
 	policy, err := router.Get(n.Settings.Policy)
 	if err != nil {
@@ -415,7 +423,7 @@
 // Ready reports whether the node has its configuration and at least the given
 // number of endpoints with a load report.
 func (n *Node) Ready(endpoints int) bool {
-	if n.cell == nil || n.cell.Load() == nil || !n.cell.Load().Ready {
+	if n.prepare() != nil || !n.cell.Load().Ready {
 		return false
 	}
 	reported := 0
@@ -430,4 +438,8 @@
 }
 
 // Settle returns when the answers given so far are recorded.
-func (n *Node) Settle() { n.callers.Wait() }
+func (n *Node) Settle() {
+	if n.prepare() == nil {
+		n.callers.Wait()
+	}
+}
--- a/internal/standin/lister/lister.go
+++ b/internal/standin/lister/lister.go
@@ -8,16 +8,19 @@
 //
 // The protocol:
 //
-//	GET    /v1/hosts       -> {"hosts":[{"name":…,"service":…,"domain":…,"address":"IP:PORT","state":"live"|"leaving"},…]}
+//	GET    /v1/hosts       -> with an ETag, {"hosts":[{"name":…,"service":…,"domain":…,"address":"IP:PORT","state":"live"|"leaving"},…]}
 //	PUT    /v1/hosts/NAME  one host of that form
 //	DELETE /v1/hosts/NAME
 package lister
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -124,7 +127,7 @@
 	mux.ServeHTTP(w, r)
 }
 
-func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	list := wireList{Hosts: []wireHost{}}
 	for _, host := range s.Hosts() {
 		list.Hosts = append(list.Hosts, wireHost{
@@ -135,8 +138,20 @@
 			State:   string(host.State),
 		})
 	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	sum := sha256.Sum256(body)
+	tag := strconv.Quote(hex.EncodeToString(sum[:8]))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(list)
+	_, _ = w.Write(body)
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
