--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -48,6 +48,10 @@
 	for _, suspect := range message.Sender.Suspects {
 		n.suspects.Learn(now, message.Sender.Name, suspect)
 	}
+	if !n.knows(message.Sender.Name) {
+		// A newcomer hears at once of a few others, and they of it.
+		go n.sendHeartbeat([]netip.AddrPort{message.Sender.Address}, true)
+	}
 	heard := append([]observer.Heartbeat{message.Sender}, message.Digests...)
 	heard = slices.DeleteFunc(heard, func(h observer.Heartbeat) bool { return h.Name == n.Settings.Name })
 	select {
@@ -57,6 +61,16 @@
 	}
 }
 
+// knows reports whether a node is among the live peers.
+func (n *Node) knows(name string) bool {
+	for _, peer := range n.cell.Load().Peers {
+		if peer.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // beat sends heartbeats until ctx ends.
 func (n *Node) beat(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
