--- a/internal/coordination/reconciler/reconciler.go
+++ b/internal/coordination/reconciler/reconciler.go
@@ -7,12 +7,13 @@
 //
 // # Usage
 //
-//	for _, order := range reconciler.Plan(snapshot) {
-//		// Send order.Weights to order.Endpoint.
-//	}
+//	r := &reconciler.Reconciler{Sender: engine, AtEnd: atEnd, Owns: owns, Sent: record}
+//	r.Step(ctx, snapshot) // from time to time
 package reconciler
 
 import (
+	"context"
+
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/publisher"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
@@ -31,6 +32,42 @@
 	Fence uint64
 }
 
+// Sender sends orders to endpoints.
+type Sender interface {
+	Order(ctx context.Context, endpoint registrar.Endpoint, fence uint64, weights string) error
+}
+
+// Reconciler sends the orders that are due. Its fields are set before use.
+type Reconciler struct {
+	Sender Sender
+	// AtEnd tells whether the node has applied all of the configuration.
+	AtEnd func(ctx context.Context) bool
+	// Owns tells whether this node does a piece of work for the others.
+	Owns func(work string) bool
+	// Sent is told about each order and its error.
+	Sent func(order Order, err error)
+}
+
+// Step sends what is due by a snapshot. Endpoints that ignore fencing get an
+// order only right after a look at the end of the configuration. A node that is
+// paused between the two can still send an old order; the endpoint's next report
+// then shows other weights than the configuration's, and the order is repeated.
+func (r *Reconciler) Step(ctx context.Context, snapshot *publisher.Snapshot) {
+	if !snapshot.Ready || snapshot.Alarm != "" {
+		return
+	}
+	for _, order := range Plan(snapshot) {
+		if !r.Owns("orders/" + order.Service) {
+			continue
+		}
+		service, _ := snapshot.Service(order.Service)
+		if !service.Fencing && !r.AtEnd(ctx) {
+			return
+		}
+		r.Sent(order, r.Sender.Order(ctx, order.Endpoint, order.Fence, order.Weights))
+	}
+}
+
 // Plan returns the orders that are due.
 func Plan(snapshot *publisher.Snapshot) []Order {
 	var orders []Order
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/reconciler"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
@@ -48,7 +47,8 @@
 	go every(ctx, hostsInterval, n.listHosts)
 	go n.poll(ctx)
 	go every(ctx, sweepInterval, n.sweep)
-	go every(ctx, orderInterval, n.reconcile)
+	orders := n.reconciler()
+	go every(ctx, orderInterval, func(ctx context.Context) { orders.Step(ctx, n.cell.Load()) })
 	go every(ctx, carryInterval, n.carry)
 	go every(ctx, freeInterval, n.free)
 	go every(ctx, metricInterval, n.gauge)
@@ -136,33 +136,33 @@
 	}
 }
 
-// reconcile sends the orders that bring endpoints to the configured weights.
-// Endpoints that ignore fencing get one only after a look at the log's end.
-func (n *Node) reconcile(ctx context.Context) {
-	snapshot := n.cell.Load()
-	if !snapshot.Ready || snapshot.Alarm != "" {
-		return
+// reconciler sends the orders that bring endpoints to the configured weights.
+func (n *Node) reconciler() *reconciler.Reconciler {
+	return &reconciler.Reconciler{
+		Sender: n,
+		AtEnd:  n.atEnd,
+		Owns:   n.owns,
+		Sent:   n.ordered,
 	}
-	for _, order := range reconciler.Plan(snapshot) {
-		if !n.owns("orders/" + order.Service) {
-			continue
-		}
-		service, _ := snapshot.Service(order.Service)
-		if !service.Fencing && !n.atEnd(ctx) {
-			return
-		}
-		err := n.engine.Order(ctx, order.Endpoint.Address, order.Fence, order.Weights, orderTimeout)
-		if errors.Is(err, dispatcher.ErrRefused) {
-			n.Log.Info().Str("endpoint", order.Endpoint.Name).Msg("order was refused")
-			continue
-		}
-		n.journal.Record(time.Now(), recorder.Event{
-			Kind:     recorder.KindOrder,
-			Endpoint: order.Endpoint.Name,
-			Offset:   order.Fence,
-			Detail:   "weights " + order.Weights,
-		})
+}
+
+// Order implements reconciler.Sender.
+func (n *Node) Order(ctx context.Context, endpoint registrar.Endpoint, fence uint64, weights string) error {
+	return n.engine.Order(ctx, endpoint.Address, fence, weights, orderTimeout)
+}
+
+// ordered records an order.
+func (n *Node) ordered(order reconciler.Order, err error) {
+	if err != nil {
+		n.Log.Info().Err(err).Str("endpoint", order.Endpoint.Name).Msg("order was not taken")
+		return
 	}
+	n.journal.Record(time.Now(), recorder.Event{
+		Kind:     recorder.KindOrder,
+		Endpoint: order.Endpoint.Name,
+		Offset:   order.Fence,
+		Detail:   "weights " + order.Weights,
+	})
 }
 
 // atEnd reports whether the node has applied all of the configuration stream.
