Answer a newcomer's first heartbeat once

Found by running docs/TRYING.md: two nodes in different domains sent 110 KB of heartbeats in their first 3 s. Ruled out: the periodic heartbeats (76 B/s now). Change: each incarnation is answered once.

--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,8 @@
 	// loadCount and suspectCount bound what a heartbeat reports.
 	loadCount    = 6
 	suspectCount = 4
+	// maxGreetings bounds the nodes whose first heartbeats are remembered.
+	maxGreetings = 4096
 	// recordsPerCall bounds the configuration records of one reply.
 	recordsPerCall = 256
 )
@@ -48,8 +51,8 @@
 	for _, suspect := range message.Sender.Suspects {
 		n.suspects.Learn(now, message.Sender.Name, suspect)
 	}
-	if !n.knows(message.Sender.Name) {
-		// A newcomer hears at once of a few others, and they of it.
+	if n.greetings.first(message.Sender) {
+		// A newcomer hears at once of a few others.
 		go n.sendHeartbeat([]netip.AddrPort{message.Sender.Address}, true)
 	}
 	heard := append([]observer.Heartbeat{message.Sender}, message.Digests...)
@@ -61,14 +64,25 @@
 	}
 }
 
-// knows reports whether a node is among the live peers.
-func (n *Node) knows(name string) bool {
-	for _, peer := range n.cell.Load().Peers {
-		if peer.Name == name {
-			return true
-		}
+// greetings remembers which incarnations of which nodes have been answered. It
+// is safe for concurrent use.
+type greetings struct {
+	mu   sync.Mutex
+	seen map[string]uint64
+}
+
+// first reports whether a heartbeat is the first of a node's incarnation, once.
+func (g *greetings) first(heartbeat observer.Heartbeat) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.seen[heartbeat.Name] == heartbeat.Incarnation {
+		return false
+	}
+	if g.seen == nil || len(g.seen) >= maxGreetings {
+		g.seen = map[string]uint64{}
 	}
-	return false
+	g.seen[heartbeat.Name] = heartbeat.Incarnation
+	return true
 }
 
 // beat sends heartbeats until ctx ends.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -98,6 +98,7 @@
 	incarnation uint64
 	process     uint64
 	sequence    atomic.Uint64
+	greetings   greetings
 	once        sync.Once
 	buildErr    error
 	drainOnce   sync.Once
