Test the callers' side; tell a reused key's request not-run

Found while writing the tests: a request whose key belongs to another request was told what had become of the other one ('done'). It never ran itself, since a key is bound to its first body. Ruled out: the claimer, whose verdict names the mismatch. Change: not-run. The tests cover refusals (each with nothing run), not-run under a refused key, failures of orders, streams with and without end mark, and escapes in targets.

--- a/internal/transport/listener/problem.go
+++ b/internal/transport/listener/problem.go
@@ -121,7 +121,8 @@
 		return refuser.Unknown
 	case p.kind == "answer-omitted":
 		return refuser.Done
-	case e.key == "":
+	case e.key == "", p.kind == "key-reused":
+		// A key is bound to its first request, so no other one ran under it.
 		return refuser.NotRun
 	case p.kind == "claim-log", p.kind == "outcome-unknown":
 		return refuser.Unknown
