Keep an endpoint's hints when a caller hangs up; drop unread loads

Found by reading: a caller that cancels its stream made the node forget all that it believed to be in the endpoint's cache, since a cancelled stream looks like a broken one. Change: hints are dropped only while the caller is still there. Tried and reverted: counting peers' running requests, as their heartbeats told them, into an endpoint's load beside its own report. It does not help while all endpoints are polled twice a second.

--- a/internal/coordination/dispatcher/flight.go
+++ b/internal/coordination/dispatcher/flight.go
@@ -27,19 +27,6 @@
 	return f.running[endpoint]
 }
 
-// Loads returns the counts of all endpoints with running requests.
-func (f *Flight) Loads() map[string]int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	loads := make(map[string]int, len(f.running))
-	for endpoint, n := range f.running {
-		if n > 0 {
-			loads[endpoint] = n
-		}
-	}
-	return loads
-}
-
 // Slots returns the number of this node's requests that a service has room for.
 func (f *Flight) Slots(service configurator.Service, rows []registrar.Row) int {
 	slots := 0
--- a/internal/coordination/dispatcher/prompts.go
+++ b/internal/coordination/dispatcher/prompts.go
@@ -191,7 +191,8 @@
 	}
 	defer stream.Close()
 	if err := r.relay(stream, row); err != nil {
-		if errors.Is(err, ErrBroken) {
+		if errors.Is(err, ErrBroken) && ctx.Err() == nil {
+			// The endpoint may have crashed and lost its cache.
 			r.Hints.Forget(row.Name)
 		}
 		return err
--- a/internal/protocol/packer/packer.go
+++ b/internal/protocol/packer/packer.go
@@ -128,9 +128,6 @@
 		Applied:     heartbeat.Applied,
 		Leaving:     heartbeat.Leaving,
 	}
-	for _, load := range heartbeat.Loads {
-		encoded.Loads = append(encoded.Loads, &wire.Load{Endpoint: load.Endpoint, Running: uint32(load.Running)})
-	}
 	for _, suspect := range heartbeat.Suspects {
 		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{Fingerprint: suspect.Fingerprint, Crashes: uint32(suspect.Crashes)})
 	}
@@ -154,9 +151,6 @@
 		Applied:     encoded.Applied,
 		Leaving:     encoded.Leaving,
 	}
-	for _, load := range encoded.Loads {
-		heartbeat.Loads = append(heartbeat.Loads, observer.Load{Endpoint: load.Endpoint, Running: int(load.Running)})
-	}
 	for _, suspect := range encoded.Suspects {
 		crashes := uint8(min(suspect.Crashes, 255))
 		heartbeat.Suspects = append(heartbeat.Suspects, observer.Suspect{Fingerprint: suspect.Fingerprint, Crashes: crashes})
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -27,8 +27,7 @@
 	digestedNear = 2
 	// digestCount is the number of other peers' heartbeats in a datagram.
 	digestCount = 5
-	// loadCount and suspectCount bound what a heartbeat reports.
-	loadCount    = 6
+	// suspectCount is the number of suspects in a heartbeat.
 	suspectCount = 4
 	// maxGreetings bounds the nodes whose first heartbeats are remembered.
 	maxGreetings = 4096
@@ -125,7 +124,6 @@
 			Sequence:    n.sequence.Add(1),
 			Applied:     snapshot.Configuration.Next(),
 			Leaving:     snapshot.Leaving,
-			Loads:       n.loads(),
 			Suspects:    n.suspects.Own(time.Now(), suspectCount),
 		},
 	}
@@ -139,18 +137,7 @@
 	}
 }
 
-func (n *Node) loads() []observer.Load {
-	var loads []observer.Load
-	for endpoint, running := range n.flight.Loads() {
-		if len(loads) == loadCount {
-			break
-		}
-		loads = append(loads, observer.Load{Endpoint: endpoint, Running: running})
-	}
-	return loads
-}
-
-// digests returns a few random peers without their loads and suspects.
+// digests returns a few random peers without their suspects.
 func digests(peers []observer.Peer, target netip.AddrPort) []observer.Heartbeat {
 	var chosen []observer.Heartbeat
 	for _, i := range rand.Perm(len(peers)) {
@@ -161,7 +148,7 @@
 			continue
 		}
 		digest := peers[i].Heartbeat
-		digest.Loads, digest.Suspects = nil, nil
+		digest.Suspects = nil
 		chosen = append(chosen, digest)
 	}
 	return chosen
--- a/internal/state/observer/observer.go
+++ b/internal/state/observer/observer.go
@@ -19,12 +19,6 @@
 	"time"
 )
 
-// Load is the number of requests a peer runs on one endpoint.
-type Load struct {
-	Endpoint string
-	Running  int
-}
-
 // Heartbeat is one report of a peer about itself.
 type Heartbeat struct {
 	Name        string
@@ -35,7 +29,6 @@
 	// Applied is the next configuration offset of the peer.
 	Applied uint64
 	Leaving bool
-	Loads   []Load
 	// Suspects holds the hashes of requests that were running when an
 	// endpoint crashed, with the number of crashes.
 	Suspects []Suspect
