Let a planned stop wait for requests that peers have forwarded

Found by reading: the peers' server was given 5 s to end, also while it ran a request under a ticket for another node. Change: it has the drain limit, as the callers' server. Scenario drain.txtar: a keyed order and a forwarded ticket in hand at the stop both get their answers, and the order's answer is there for a repeat elsewhere. It also passed before the change, since the stand-in site's calls end within 2 s; the change is for longer ones.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -145,11 +145,12 @@
 	limit, cancel := context.WithTimeout(ctx, n.Settings.DrainLimit)
 	defer cancel()
 	err := servers.callers.Shutdown(limit)
+	// Peers may have forwarded requests under this node's tickets.
+	err = errors.CombineErrors(err, servers.peers.Shutdown(limit))
 	n.callers.Wait()
 	n.journal.Record(time.Now(), recorder.Event{Kind: recorder.KindStop})
 	ending, cancelEnding := context.WithTimeout(ctx, stopTimeout)
 	defer cancelEnding()
-	_ = servers.peers.Shutdown(ending)
 	_ = servers.operators.Shutdown(ending)
 	n.Log.Info().Msg("node stopped")
 	return errors.Wrap(err, "requests were still running at the end of the drain limit")
