Try endpoints that fail to report before giving a prompt up

Cause: one failed load report took an endpoint out of the choice, so a prompt was refused with 'no endpoint' while all engines were merely slow to report. Change: those that answer first, then those that don't, then those tried before.

--- a/internal/coordination/dispatcher/placement.go
+++ b/internal/coordination/dispatcher/placement.go
@@ -148,11 +148,7 @@
 	if r.weights != "" {
 		wanted = r.weights
 	}
-	rows := r.usable(snapshot, r.tried)
-	if len(rows) == 0 {
-		// All have been tried; a second try may meet a new connection.
-		rows = r.usable(snapshot, nil)
-	}
+	rows := r.candidatesOf(snapshot)
 	var matching, others []registrar.Row
 	for _, row := range rows {
 		if row.Report.Version == wanted {
@@ -173,15 +169,28 @@
 	return nil, ErrNoEndpoint
 }
 
-// usable returns the endpoints that take work and have not been tried.
-func (r *promptRun) usable(snapshot *publisher.Snapshot, tried map[string]bool) []registrar.Row {
-	var usable []registrar.Row
-	for _, row := range snapshot.Services[r.prompt.Service.Name] {
-		if !row.Left() && !tried[row.Name] && row.Failures == 0 && !row.Report.Loading {
-			usable = append(usable, row)
+// candidatesOf returns the endpoints to choose from: those that answer and have
+// not been tried; else those that have failed to report, which may only be slow;
+// else all, since a second try may meet a new connection.
+func (r *promptRun) candidatesOf(snapshot *publisher.Snapshot) []registrar.Row {
+	rows := snapshot.Services[r.prompt.Service.Name]
+	choices := []func(row registrar.Row) bool{
+		func(row registrar.Row) bool { return !r.tried[row.Name] && row.Failures == 0 },
+		func(row registrar.Row) bool { return !r.tried[row.Name] },
+		func(registrar.Row) bool { return true },
+	}
+	for _, choice := range choices {
+		var chosen []registrar.Row
+		for _, row := range rows {
+			if !row.Left() && !row.Report.Loading && choice(row) {
+				chosen = append(chosen, row)
+			}
+		}
+		if len(chosen) > 0 {
+			return chosen
 		}
 	}
-	return usable
+	return nil
 }
 
 func (r *promptRun) group() evictor.Group {
--- a/internal/coordination/dispatcher/prompts_test.go
+++ b/internal/coordination/dispatcher/prompts_test.go
@@ -343,6 +343,32 @@
 	}
 }
 
+// TestEndpointsThatFailToReportAreTheLastChoice shows that a prompt is still
+// tried when no endpoint has answered for its load.
+func TestEndpointsThatFailToReportAreTheLastChoice(t *testing.T) {
+	row := func(name string, failures int) registrar.Row {
+		return registrar.Row{Endpoint: registrar.Endpoint{Name: name, Service: "llm"}, Failures: failures}
+	}
+	cases := []struct {
+		name     string
+		rows     []registrar.Row
+		tried    string
+		expected string
+	}{
+		{"those that answer come first", []registrar.Row{row("a", 1), row("b", 0)}, "", "b"},
+		{"then those that don't", []registrar.Row{row("a", 1), row("b", 0)}, "b", "a"},
+		{"then those that were tried", []registrar.Row{row("b", 0)}, "b", "b"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			run := &promptRun{prompt: Prompt{Service: configurator.Service{Name: "llm"}}, tried: map[string]bool{c.tried: true}}
+			chosen := run.candidatesOf(publisher.Build(configurator.New(), nil, c.rows))
+			require.Len(t, chosen, 1)
+			assert.Equal(t, c.expected, chosen[0].Name)
+		})
+	}
+}
+
 func TestPoisonCrashesTwoEndpointsAtMost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newPromptWorld(3)
