Take an endpoint's own word that it leaves; record outcomes on the time line

Found by reading for dead code: the report's 'leaving' was honoured by the routing and never read from the wire, and the time line had no event for a recorded outcome. Change: both are wired, with a test of the load report; an event kind that nothing recorded is gone.

--- a/internal/coordination/dispatcher/orders.go
+++ b/internal/coordination/dispatcher/orders.go
@@ -49,6 +49,8 @@
 
 	decision claimer.Decision
 	won      bool
+	request  string
+	team     string
 }
 
 // Run claims the key and sends the call once when the claim is won. After an
@@ -94,7 +96,7 @@
 	if err != nil {
 		return OrderResult{}, err
 	}
-	return OrderResult{Response: response, decision: decision, won: true}, nil
+	return OrderResult{Response: response, decision: decision, won: true, request: call.Request, team: team}, nil
 }
 
 // release frees the key of a call that was not sent. When the release itself
@@ -111,7 +113,11 @@
 	if !result.won {
 		return nil
 	}
-	return o.Claims.Finish(ctx, result.decision, keptAnswer(result.Response))
+	if err := o.Claims.Finish(ctx, result.decision, keptAnswer(result.Response)); err != nil {
+		return err
+	}
+	o.event(Call{Request: result.request}, result.team, recorder.KindOutcome, result.decision)
+	return nil
 }
 
 // keptAnswer returns the part of a response that repeats get.
--- a/internal/state/recorder/recorder.go
+++ b/internal/state/recorder/recorder.go
@@ -28,7 +28,6 @@
 	KindReceive    Kind = "receive"
 	KindRefuse     Kind = "refuse"
 	KindAdmit      Kind = "admit"
-	KindRoute      Kind = "route"
 	KindDispatch   Kind = "dispatch"
 	KindFirstToken Kind = "first-token"
 	KindRetry      Kind = "retry"
--- a/internal/transport/dialer/engine.go
+++ b/internal/transport/dialer/engine.go
@@ -207,6 +207,8 @@
 	Watts        float64 `json:"watts"`
 	PrefillRate  float64 `json:"prefill_rate"`
 	Loading      bool    `json:"loading"`
+	// Leaving is the endpoint's own word that it wants no new work.
+	Leaving bool `json:"leaving"`
 }
 
 // Load asks an engine for its load report.
@@ -222,6 +224,7 @@
 		Watts:        load.Watts,
 		PrefillRate:  load.PrefillRate,
 		Loading:      load.Loading,
+		Leaving:      load.Leaving,
 	}, nil
 }
 
--- a/internal/transport/dialer/engine_test.go
+++ b/internal/transport/dialer/engine_test.go
@@ -105,6 +105,18 @@
 	})
 }
 
+func TestLoadReports(t *testing.T) {
+	endpoint := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"weights":"w2","running":3,"queued_tokens":40,"watts":90,"prefill_rate":1000,"loading":true,"leaving":true}`)
+	}))
+	report, err := newEngine().Load(context.Background(), endpoint.Address, time.Second)
+	require.NoError(t, err)
+	assert.Equal(t, registrar.Report{
+		Version: "w2", Running: 3, QueuedTokens: 40, Watts: 90, PrefillRate: 1000, Loading: true, Leaving: true,
+	}, report)
+	assert.True(t, registrar.Row{Report: report}.Left(), "a leaving endpoint gets no new work by its own word")
+}
+
 func TestOrdersAreFenced(t *testing.T) {
 	for _, fencing := range []bool{true, false} {
 		standin := &generator.Server{Version: "w1", Fencing: fencing, LoadTime: time.Millisecond}
