--- a/internal/coordination/dispatcher/flight.go
+++ b/internal/coordination/dispatcher/flight.go
@@ -28,10 +28,13 @@
 }
 
 // Slots returns the number of this node's requests that a service has room for.
+// Endpoints that load weights, or have not told theirs, have none: requests wait
+// for them in the queue.
 func (f *Flight) Slots(service configurator.Service, rows []registrar.Row) int {
 	slots := 0
 	for _, row := range rows {
-		if !row.Left() {
+		loaded := service.Type != configurator.ServiceModel || row.Report.Version != ""
+		if !row.Left() && !row.Report.Loading && loaded {
 			slots += max(service.Concurrency-row.Others(), 0)
 		}
 	}
--- a/internal/coordination/dispatcher/prompts_test.go
+++ b/internal/coordination/dispatcher/prompts_test.go
@@ -343,6 +343,31 @@
 	}
 }
 
+// TestLoadingEndpointsHaveNoSlots shows that requests wait in the queue, and are
+// not refused, while the only endpoints load.
+func TestLoadingEndpointsHaveNoSlots(t *testing.T) {
+	llm := configurator.Service{Type: configurator.ServiceModel, Concurrency: 4}
+	shop := configurator.Service{Type: configurator.ServicePlain, Concurrency: 4}
+	cases := []struct {
+		name     string
+		service  configurator.Service
+		row      registrar.Row
+		expected int
+	}{
+		{"loaded", llm, registrar.Row{Report: registrar.Report{Version: "w1"}}, 4},
+		{"used by other nodes", llm, registrar.Row{Report: registrar.Report{Version: "w1", Running: 3, Own: 1}}, 2},
+		{"loading", llm, registrar.Row{Report: registrar.Report{Version: "w1", Loading: true}}, 0},
+		{"not heard of", llm, registrar.Row{}, 0},
+		{"leaving", llm, registrar.Row{Report: registrar.Report{Version: "w1", Leaving: true}}, 0},
+		{"a plain service has no weights", shop, registrar.Row{}, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, c.expected, (&Flight{}).Slots(c.service, []registrar.Row{c.row}))
+		})
+	}
+}
+
 // TestEndpointsThatFailToReportAreTheLastChoice shows that a prompt is still
 // tried when no endpoint has answered for its load.
 func TestEndpointsThatFailToReportAreTheLastChoice(t *testing.T) {
