Hash a prompt once, and give twins one home

From reading the whole change again; behaviour stays as it is. - A prompt's block names and its root were worked out anew at each attempt and each look for an empty endpoint, the root inside the lock that all requests share.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -21,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/replicator"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/reporter"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
@@ -85,7 +86,7 @@
 	}
 }
 
-func fold(state *configurator.State, record follower.Record) (*configurator.State, step, error) {
+func fold(state *configurator.State, record replicator.Record) (*configurator.State, step, error) {
 	decoded, err := transcoder.DecodeRecord(record.Data)
 	if err != nil {
 		next, verdict, skipErr := state.Skip(record.Offset, err)
--- a/internal/coordination/dispatcher/placement.go
+++ b/internal/coordination/dispatcher/placement.go
@@ -47,29 +47,29 @@
 	if err != nil {
 		return place{}, err
 	}
-	chains := r.chains(rows)
+	r.hash(rows)
 	if r.distrust() {
-		for version, chain := range chains {
-			r.lookup(ctx, snapshot, version, chain)
+		for _, row := range rows {
+			r.lookup(ctx, snapshot, row.Report.Version)
 		}
 	}
-	chosen, err := r.take(rows, chains)
+	chosen, err := r.take(rows)
 	if err != nil || !r.lacks(chosen) {
 		return chosen, err
 	}
 	// The choice was made without the store tier, and the chosen endpoint lacks
 	// a part: what is stored may make another choice the better one.
 	r.Flight.leave(chosen.row.Name, r.alone)
-	r.lookup(ctx, snapshot, chosen.row.Report.Version, chosen.chain)
-	return r.take(rows, chains)
+	r.lookup(ctx, snapshot, chosen.row.Report.Version)
+	return r.take(rows)
 }
 
 // take lets the policy choose and counts the request at its choice.
-func (r *promptRun) take(rows []registrar.Row, chains map[string][]fingerprinter.Block) (place, error) {
+func (r *promptRun) take(rows []registrar.Row) (place, error) {
 	var chosen place
 	var overload time.Duration
 	_, ok := r.Flight.take(r.alone, func(turn uint64) (string, bool) {
-		candidates := r.candidates(rows, chains)
+		candidates := r.candidates(rows)
 		choice, picked := r.Policy.Pick(r.request(turn), candidates)
 		if !picked && !r.alone {
 			choice, picked = leastLoaded(candidates)
@@ -81,12 +81,8 @@
 			overload = choice.Queue - r.prompt.Priority.Deadline
 			return "", false
 		}
-		row := rows[choice.Index]
-		version := row.Report.Version
-		chosen = place{row: row, chain: chains[version], found: r.found[version], transfer: choice.Import}
-		chosen.tokens = max(fingerprinter.Tokens(r.prompt.Text)-max(candidates[choice.Index].CachedTokens, candidates[choice.Index].StoredTokens), 0)
-		chosen.transfer = choice.Import || r.distrust() && chosen.found.Blocks() > 0
-		return row.Name, true
+		chosen = r.place(rows[choice.Index], candidates[choice.Index], choice)
+		return chosen.row.Name, true
 	})
 	if overload > 0 {
 		return place{}, &limiter.Refusal{Cause: limiter.ErrDeadline, Retry: overload}
@@ -97,22 +93,34 @@
 	return chosen, nil
 }
 
+func (r *promptRun) place(row registrar.Row, candidate router.Candidate, choice router.Choice) place {
+	version := row.Report.Version
+	found := r.found[version]
+	return place{
+		row:      row,
+		chain:    r.hashed[version],
+		found:    found,
+		transfer: choice.Import || r.distrust() && found.Blocks() > 0,
+		tokens:   max(r.tokens-max(candidate.CachedTokens, candidate.StoredTokens), 0),
+	}
+}
+
 func (r *promptRun) request(turn uint64) router.Request {
 	return router.Request{
-		Tokens:    fingerprinter.Tokens(r.prompt.Text),
-		Root:      fingerprinter.Root(r.seed(""), r.prompt.Text),
+		Tokens:    r.tokens,
+		Root:      r.root,
 		Objective: r.prompt.Service.Objective,
 		Turn:      turn,
 		Alone:     r.alone,
 	}
 }
 
-// lookup asks the store tier for a chain, once per version.
-func (r *promptRun) lookup(ctx context.Context, snapshot *publisher.Snapshot, version string, chain []fingerprinter.Block) {
+// lookup asks the store tier for the prompt's blocks, once per version.
+func (r *promptRun) lookup(ctx context.Context, snapshot *publisher.Snapshot, version string) {
 	if _, asked := r.found[version]; asked || r.Archive == nil {
 		return
 	}
-	r.found[version] = r.Archive.Lookup(ctx, snapshot.Stores(), chain, r.group())
+	r.found[version] = r.Archive.Lookup(ctx, snapshot.Stores(), r.hashed[version], r.group())
 }
 
 // lacks reports whether the chosen endpoint lacks a part of the chain that the
@@ -201,22 +209,21 @@
 	return fingerprinter.Seed{Team: r.prompt.Team, Model: r.prompt.Model.Name, Weights: weights}
 }
 
-// chains returns the prompt's blocks for each version among rows.
-func (r *promptRun) chains(rows []registrar.Row) map[string][]fingerprinter.Block {
-	chains := map[string][]fingerprinter.Block{}
+// hash works out the names of the prompt's blocks for each version among rows,
+// once per version.
+func (r *promptRun) hash(rows []registrar.Row) {
 	for _, row := range rows {
 		version := row.Report.Version
-		if _, ok := chains[version]; !ok {
-			chains[version] = fingerprinter.Chain(r.seed(version), r.prompt.Text)
+		if _, done := r.hashed[version]; !done {
+			r.hashed[version] = fingerprinter.Chain(r.seed(version), r.prompt.Text)
 		}
 	}
-	return chains
 }
 
-func (r *promptRun) candidates(rows []registrar.Row, chains map[string][]fingerprinter.Block) []router.Candidate {
+func (r *promptRun) candidates(rows []registrar.Row) []router.Candidate {
 	candidates := make([]router.Candidate, 0, len(rows))
 	for _, row := range rows {
-		chain, found := chains[row.Report.Version], r.found[row.Report.Version]
+		chain, found := r.hashed[row.Report.Version], r.found[row.Report.Version]
 		cached := r.Hints.Prefix(row.Name, chain)
 		candidate := router.Candidate{
 			Name:         row.Name,
--- a/internal/coordination/dispatcher/prompts.go
+++ b/internal/coordination/dispatcher/prompts.go
@@ -63,8 +63,13 @@
 	prompt      Prompt
 	sink        Sink
 	fingerprint uint64
-	tried       map[string]bool
-	alone       bool
+	// root and tokens are the router's view of the prompt.
+	root   uint64
+	tokens int
+	// hashed holds the prompt's blocks by weights.
+	hashed map[string][]fingerprinter.Block
+	tried  map[string]bool
+	alone  bool
 	// ran is set once an attempt may have run.
 	ran bool
 	// delivered holds the tokens that the caller has.
@@ -86,9 +91,12 @@
 		prompt:      prompt,
 		sink:        sink,
 		fingerprint: fingerprinter.Request(prompt.Team, prompt.Text),
+		tokens:      fingerprinter.Tokens(prompt.Text),
+		hashed:      map[string][]fingerprinter.Block{},
 		tried:       map[string]bool{},
 		found:       map[string]archiver.Found{},
 	}
+	run.root = fingerprinter.Root(run.seed(""), prompt.Text)
 	p.Budget.Request()
 	if err := run.judge(); err != nil {
 		return Usage{}, err
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -9,7 +9,7 @@
 //
 //	ticket, err := l.Enter(now, limiter.Request{Team: team, Priority: priority, Watts: 40})
 //	if err != nil {
-//		// Refused; limiter.RetryAfter(err) tells when to come back.
+//		// Refused; a *Refusal tells when to come back.
 //	}
 //	defer l.Leave(now, ticket)
 //	<-ticket.Ready()
--- a/internal/standin/appender/appender.go
+++ b/internal/standin/appender/appender.go
@@ -33,6 +33,7 @@
 	// Retention is the number of records a stream keeps; zero for all.
 	Retention int
 
+	routes  replier.Routes
 	mu      sync.Mutex
 	streams map[string]*stream
 	appends int
@@ -67,10 +68,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	mux := http.NewServeMux()
+	s.routes.Serve(w, r, s.route)
+}
+
+func (s *Server) route(mux *http.ServeMux) {
 	mux.HandleFunc("POST /v1/streams/{stream}/records", s.append)
 	mux.HandleFunc("GET /v1/streams/{stream}/records", s.read)
-	mux.ServeHTTP(w, r)
 }
 
 // Appends returns the number of append calls so far.
--- a/internal/standin/assembler/assembler.go
+++ b/internal/standin/assembler/assembler.go
@@ -192,16 +192,6 @@
 	return sum
 }
 
-// Leave marks an endpoint on the host list as leaving.
-func (s *Site) Leave(name string) {
-	for _, host := range s.HostList.Hosts() {
-		if host.Name == name {
-			host.State = lister.StateLeaving
-			s.HostList.Put(host)
-		}
-	}
-}
-
 // Declaration returns the site's configuration.
 func (s *Site) Declaration(weights string) transcoder.Declaration {
 	objects := []configurator.Object{
--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -74,6 +74,7 @@
 	IdleWatts float64
 	RunWatts  float64
 
+	routes    replier.Routes
 	mu        sync.Mutex
 	once      sync.Once
 	cache     *cache
@@ -130,7 +131,10 @@
 	if s.down() {
 		panic(http.ErrAbortHandler)
 	}
-	mux := http.NewServeMux()
+	s.routes.Serve(w, r, s.route)
+}
+
+func (s *Server) route(mux *http.ServeMux) {
 	mux.HandleFunc("POST /v1/chat/completions", s.complete)
 	mux.HandleFunc("GET /v1/load", s.load)
 	mux.HandleFunc("GET /v1/cache/events", s.events)
@@ -138,7 +142,6 @@
 	mux.HandleFunc("POST /v1/kv/import", s.importBlocks)
 	mux.HandleFunc("POST /v1/orders", s.order)
 	mux.HandleFunc("GET /v1/stats", s.serveStats)
-	mux.ServeHTTP(w, r)
 }
 
 // Stats returns the counters.
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -38,6 +38,7 @@
 	// LinkBytes is the rate of the link in bytes per second; zero for no limit.
 	LinkBytes int64
 
+	routes   replier.Routes
 	mu       sync.Mutex
 	blobs    map[string]*blob
 	used     int64
@@ -68,14 +69,16 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	mux := http.NewServeMux()
+	s.routes.Serve(w, r, s.route)
+}
+
+func (s *Server) route(mux *http.ServeMux) {
 	mux.HandleFunc("PUT /v1/blobs/{name}", s.put)
 	mux.HandleFunc("GET /v1/blobs/{name}", s.get)
 	mux.HandleFunc("DELETE /v1/blobs/{name}", s.remove)
 	mux.HandleFunc("GET /v1/blobs", s.list)
 	mux.HandleFunc("POST /v1/read", s.readSome)
 	mux.HandleFunc("GET /v1/usage", s.usage)
-	mux.ServeHTTP(w, r)
 }
 
 // Moved returns the bytes that crossed the link.
--- a/internal/standin/lister/lister.go
+++ b/internal/standin/lister/lister.go
@@ -24,6 +24,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/standin/replier"
 )
 
 // State is a host's state.
@@ -68,6 +70,7 @@
 	// Lag is the time between a change and its visibility.
 	Lag time.Duration
 
+	routes  replier.Routes
 	mu      sync.Mutex
 	visible map[string]Host
 	pending []change
@@ -120,11 +123,13 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	mux := http.NewServeMux()
+	s.routes.Serve(w, r, s.route)
+}
+
+func (s *Server) route(mux *http.ServeMux) {
 	mux.HandleFunc("GET /v1/hosts", s.list)
 	mux.HandleFunc("PUT /v1/hosts/{name}", s.put)
 	mux.HandleFunc("DELETE /v1/hosts/{name}", s.remove)
-	mux.ServeHTTP(w, r)
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -31,6 +31,7 @@
 	// Work is the time that one request takes.
 	Work time.Duration
 
+	routes     replier.Routes
 	mu         sync.Mutex
 	executions map[string]int
 	running    atomic.Int32
@@ -48,12 +49,14 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	mux := http.NewServeMux()
+	s.routes.Serve(w, r, s.route)
+}
+
+func (s *Server) route(mux *http.ServeMux) {
 	mux.HandleFunc("POST /orders", s.order)
 	mux.HandleFunc("GET /orders/{id}", s.status)
 	mux.HandleFunc("GET /executions", s.list)
 	mux.HandleFunc("GET /v1/load", s.load)
-	mux.ServeHTTP(w, r)
 }
 
 // Executions returns how often each order ran.
--- a/internal/transport/follower/configuration.go
+++ b/internal/transport/follower/configuration.go
@@ -27,15 +27,7 @@
 
 // Read implements replicator.Log.
 func (l *Configuration) Read(ctx context.Context, from uint64, wait time.Duration) (replicator.Page, error) {
-	page, err := l.Client.Read(ctx, ConfigurationStream, from, wait)
-	if err != nil {
-		return replicator.Page{}, err
-	}
-	read := replicator.Page{Oldest: page.Oldest, Next: page.Next}
-	for _, record := range page.Records {
-		read.Records = append(read.Records, replicator.Record(record))
-	}
-	return read, nil
+	return l.Client.Read(ctx, ConfigurationStream, from, wait)
 }
 
 // Newest implements replicator.Log.
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -24,6 +24,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/replicator"
 )
 
 // pageLimit is the number of records asked for at once.
@@ -32,21 +33,6 @@
 // ErrUnreachable marks a failed read.
 var ErrUnreachable = errors.New("log service is unreachable")
 
-// Record is one record of a stream.
-type Record struct {
-	Offset uint64
-	Data   []byte
-}
-
-// Page is a part of a stream.
-type Page struct {
-	// Oldest is the first offset that the log still holds.
-	Oldest uint64
-	// Next is the offset after the newest record.
-	Next    uint64
-	Records []Record
-}
-
 // Client is a client of the log service. Its fields are set before use.
 type Client struct {
 	Address netip.AddrPort
@@ -119,39 +105,39 @@
 
 // Read returns records of a stream from an offset on. With no record there it
 // waits for one, at most the given time. Errors are marked ErrUnreachable.
-func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Page, error) {
+func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (replicator.Page, error) {
 	return c.ReadSome(ctx, stream, from, pageLimit, wait)
 }
 
 // ReadSome is Read with a limit on the number of records.
-func (c *Client) ReadSome(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Page, error) {
+func (c *Client) ReadSome(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (replicator.Page, error) {
 	query := url.Values{}
 	query.Set("from", strconv.FormatUint(from, 10))
 	query.Set("limit", strconv.Itoa(limit))
 	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(stream, query), nil)
 	if err != nil {
-		return Page{}, errors.Mark(err, ErrUnreachable)
+		return replicator.Page{}, errors.Mark(err, ErrUnreachable)
 	}
 	response, err := c.HTTP.Do(request)
 	if err != nil {
-		return Page{}, errors.Mark(err, ErrUnreachable)
+		return replicator.Page{}, errors.Mark(err, ErrUnreachable)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return Page{}, errors.Wrapf(ErrUnreachable, "log answered %s", response.Status)
+		return replicator.Page{}, errors.Wrapf(ErrUnreachable, "log answered %s", response.Status)
 	}
 	var wire wirePage
 	if err := json.NewDecoder(response.Body).Decode(&wire); err != nil {
-		return Page{}, errors.Mark(err, ErrUnreachable)
+		return replicator.Page{}, errors.Mark(err, ErrUnreachable)
 	}
 	return decodePage(wire), nil
 }
 
-func decodePage(wire wirePage) Page {
-	page := Page{Oldest: wire.Oldest, Next: wire.Next}
+func decodePage(wire wirePage) replicator.Page {
+	page := replicator.Page{Oldest: wire.Oldest, Next: wire.Next}
 	for _, record := range wire.Records {
-		page.Records = append(page.Records, Record(record))
+		page.Records = append(page.Records, replicator.Record(record))
 	}
 	return page
 }
--- a/internal/transport/listener/chat.go
+++ b/internal/transport/listener/chat.go
@@ -27,16 +27,7 @@
 		return
 	}
 	service, _ := e.snapshot.Service(model.Service)
-	if len(e.snapshot.Services[service.Name]) == 0 {
-		e.refuse(problem{status: http.StatusServiceUnavailable, kind: "no-endpoint", title: "no endpoint is available", retry: shortRetry})
-		return
-	}
-	ticket, ok := e.admit(service)
-	if !ok {
-		return
-	}
-	defer func() { s.Limiter.Leave(s.Now(), ticket) }()
-	s.runPrompt(e, request, model, service)
+	e.admitted(service, func() { s.runPrompt(e, request, model, service) })
 }
 
 func (s *Server) runPrompt(e *exchange, request chatter.Request, model configurator.Model, service configurator.Service) {
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -238,6 +238,21 @@
 	e.server.Log.Debug().Str("request", e.id).Str("team", e.team.Name).Dur("took", took).Msg("request answered")
 }
 
+// admitted runs a request to a service once it is admitted; without endpoints or
+// admission it refuses the request.
+func (e *exchange) admitted(service configurator.Service, run func()) {
+	if len(e.snapshot.Services[service.Name]) == 0 {
+		e.refuse(problem{status: http.StatusServiceUnavailable, kind: "no-endpoint", title: "no endpoint is available", retry: shortRetry})
+		return
+	}
+	ticket, ok := e.admit(service)
+	if !ok {
+		return
+	}
+	defer func() { e.server.Limiter.Leave(e.server.Now(), ticket) }()
+	run()
+}
+
 // admit waits for admission; it refuses the request itself when there is none.
 func (e *exchange) admit(service configurator.Service) (*limiter.Ticket, bool) {
 	priority, ok := e.snapshot.Priority(e.r.Header.Get(headerPriority), service)
--- a/internal/transport/listener/service.go
+++ b/internal/transport/listener/service.go
@@ -37,15 +37,11 @@
 		e.refuse(problem{status: http.StatusBadRequest, kind: "key", title: "idempotency key is over 255 bytes"})
 		return
 	}
-	if len(e.snapshot.Services[name]) == 0 {
-		e.refuse(problem{status: http.StatusServiceUnavailable, kind: "no-endpoint", title: "no endpoint is available", retry: shortRetry})
-		return
-	}
-	ticket, ok := e.admit(service)
-	if !ok {
-		return
-	}
-	defer func() { s.Limiter.Leave(s.Now(), ticket) }()
+	e.admitted(service, func() { s.run(e, service) })
+}
+
+// run carries out an admitted request to a plain service.
+func (s *Server) run(e *exchange, service configurator.Service) {
 	switch {
 	case e.r.Header.Get(headerTicket) != "":
 		s.runTicket(e, service)
