Fold an encoded configuration record in one place

The rule 'decode and apply, or reject and pass over' stood in the node's control and in the operators' commands. It is what makes all readers agree, so it must not drift: transcoder.FoldRecord serves both. The commands' search for a published record is a replay from a state, and no loop of its own.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -21,7 +21,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/replicator"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/reporter"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
@@ -54,10 +53,9 @@
 	verdict configurator.Verdict
 }
 
-// replay folds the configuration stream up to its end. It starts from the
-// newest snapshot when the log has dropped the first records.
-func replay(ctx context.Context, log *follower.Client) (*configurator.State, []step, error) {
-	state := configurator.New()
+// replay folds the configuration stream on from state up to its end. It goes on
+// from the newest snapshot when the log has dropped the next records.
+func replay(ctx context.Context, log *follower.Client, state *configurator.State) (*configurator.State, []step, error) {
 	var steps []step
 	for {
 		page, err := log.Read(ctx, follower.ConfigurationStream, state.Next(), 0)
@@ -75,7 +73,8 @@
 		}
 		for _, record := range page.Records {
 			var taken step
-			if state, taken, err = fold(state, record); err != nil {
+			state, taken.record, taken.verdict, err = transcoder.FoldRecord(state, record.Offset, record.Data)
+			if err != nil {
 				return nil, nil, err
 			}
 			steps = append(steps, taken)
@@ -86,16 +85,6 @@
 	}
 }
 
-func fold(state *configurator.State, record replicator.Record) (*configurator.State, step, error) {
-	decoded, err := transcoder.DecodeRecord(record.Data)
-	if err != nil {
-		next, verdict, skipErr := state.Skip(record.Offset, err)
-		return next, step{verdict: verdict}, skipErr
-	}
-	next, verdict, err := state.Apply(record.Offset, decoded)
-	return next, step{record: decoded, verdict: verdict}, err
-}
-
 func newest(ctx context.Context, log *follower.Client) (*configurator.State, error) {
 	snapshot, err := (&follower.Configuration{Client: log}).Newest(ctx)
 	if err != nil {
@@ -139,7 +128,7 @@
 // Declare publishes a declaration.
 func (p *Publish) Declare(ctx context.Context, declaration transcoder.Declaration) error {
 	log := newLog(p.Log)
-	state, _, err := replay(ctx, log)
+	state, _, err := replay(ctx, log, configurator.New())
 	if err != nil {
 		return err
 	}
@@ -189,26 +178,18 @@
 	return p.await(ctx, verdict.Offset+1, started)
 }
 
-// settle folds the stream on from state until it meets the record.
+// settle folds the stream on from state and looks for a record.
 func settle(ctx context.Context, log *follower.Client, state *configurator.State, id string) (configurator.Verdict, bool, error) {
-	for {
-		page, err := log.Read(ctx, follower.ConfigurationStream, state.Next(), 0)
-		if err != nil {
-			return configurator.Verdict{}, false, err
-		}
-		for _, record := range page.Records {
-			var taken step
-			if state, taken, err = fold(state, record); err != nil {
-				return configurator.Verdict{}, false, err
-			}
-			if taken.verdict.ID == id {
-				return taken.verdict, true, nil
-			}
-		}
-		if state.Next() >= page.Next {
-			return configurator.Verdict{}, false, nil
+	_, steps, err := replay(ctx, log, state)
+	if err != nil {
+		return configurator.Verdict{}, false, err
+	}
+	for _, taken := range steps {
+		if taken.verdict.ID == id {
+			return taken.verdict, true, nil
 		}
 	}
+	return configurator.Verdict{}, false, nil
 }
 
 const awaitInterval = 50 * time.Millisecond
@@ -260,7 +241,7 @@
 
 // Run prints.
 func (s *Show) Run(ctx context.Context) error {
-	state, _, err := replay(ctx, newLog(s.Log))
+	state, _, err := replay(ctx, newLog(s.Log), configurator.New())
 	if err != nil {
 		return err
 	}
@@ -284,7 +265,7 @@
 
 // Run prints.
 func (h *History) Run(ctx context.Context) error {
-	_, steps, err := replay(ctx, newLog(h.Log))
+	_, steps, err := replay(ctx, newLog(h.Log), configurator.New())
 	for _, taken := range steps {
 		verdict := "accepted"
 		if !taken.verdict.Accepted() {
--- a/internal/protocol/transcoder/record.go
+++ b/internal/protocol/transcoder/record.go
@@ -74,6 +74,19 @@
 	return record, nil
 }
 
+// FoldRecord decodes the record at offset and folds it into the state. A record
+// that can't be decoded is rejected and passed over, so that all who read the
+// stream go on alike. Errors are those of State.Apply.
+func FoldRecord(state *configurator.State, offset uint64, data []byte) (*configurator.State, configurator.Record, configurator.Verdict, error) {
+	record, err := DecodeRecord(data)
+	if err != nil {
+		next, verdict, skipErr := state.Skip(offset, err)
+		return next, configurator.Record{}, verdict, skipErr
+	}
+	next, verdict, err := state.Apply(offset, record)
+	return next, record, verdict, err
+}
+
 func decodeChange(wire wireChange) (configurator.Change, error) {
 	ref := configurator.Ref{Kind: configurator.Kind(wire.Kind), Name: wire.Name}
 	switch configurator.Op(wire.Op) {
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -172,14 +172,7 @@
 // fold takes in the next record. It reports false when the record can't be
 // judged, and the state then stays where it is.
 func (c *control) fold(record replicator.Record, source string) bool {
-	decoded, err := transcoder.DecodeRecord(record.Data)
-	var next *configurator.State
-	var verdict configurator.Verdict
-	if err != nil {
-		next, verdict, err = c.state.Skip(record.Offset, err)
-	} else {
-		next, verdict, err = c.state.Apply(record.Offset, decoded)
-	}
+	next, _, verdict, err := transcoder.FoldRecord(c.state, record.Offset, record.Data)
 	if err != nil {
 		c.raise(err)
 		return false
