--- /dev/null
+++ b/cmd/platformrelay/main.go
@@ -0,0 +1,62 @@
+// Command platformrelay runs a relay node on the platform.
+//
+// # Usage
+//
+//	LACEWINGRELAY_CONFIG=/etc/lacewingrelay/settings.conf platformrelay relay
+//	platformrelay check settings.conf
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/lacewingrelay/lacewingrelay/platform"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitInput  = 2
+)
+
+func main() {
+	app := kingpin.New("platformrelay", "Runs a relay node on the platform.")
+	app.HelpFlag.Short('h')
+	relay := app.Command("relay", "Run a node until SIGTERM, which begins a planned stop.")
+	path := relay.Flag("settings", "The settings file.").Envar(platform.SettingsVariable).Required().String()
+	check := app.Command("check", "Check a settings file.")
+	file := check.Arg("file", "The settings file.").Required().String()
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case relay.FullCommand():
+		fail(run(*path), exitFailed)
+	case check.FullCommand():
+		_, err := platform.ReadSettings(*file)
+		fail(err, exitInput)
+	}
+}
+
+func run(path string) error {
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	log := zerolog.New(os.Stdout).With().Timestamp().Str("node", settings.Name).Logger()
+	return (&platform.Program{Settings: settings, Log: log}).Run(ctx)
+}
+
+func fail(err error, code int) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "platformrelay:", err)
+		os.Exit(code)
+	}
+}
--- /dev/null
+++ b/internal/coordination/balancer/balancer.go
@@ -0,0 +1,207 @@
+// Package balancer chooses the endpoint for a request by what is known of the
+// endpoints' load: the node's own requests in flight, what endpoints tell in
+// their answers, and recent failures.
+//
+// It answers uneven load: callers come in clumps and by failure domain, and
+// endpoints differ in speed. A request stays in the node's own failure domain
+// until the endpoints there are clearly busier than those elsewhere.
+//
+// # Usage
+//
+//	b := &balancer.Balancer{Domain: "kadikoy"}
+//	choice, ok := b.Pick(now, balancer.Request{Endpoints: endpoints, Tokens: 900})
+//	defer b.Done(choice, 900)
+package balancer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
+)
+
+const (
+	// remoteCost is what an endpoint in another failure domain must have less
+	// load, as a share of its slots, to be preferred.
+	remoteCost = 0.35
+	// loadFresh is how long an endpoint's account of its load is used.
+	loadFresh = time.Second
+	// fullPause is how long an endpoint that refused for want of room is passed
+	// over.
+	fullPause = 150 * time.Millisecond
+	// failPause is how long an endpoint that could not be reached is passed over.
+	failPause = time.Second
+	// defaultSlots stands in for an endpoint that did not tell its slots.
+	defaultSlots = 8
+)
+
+// Load is an endpoint's own account of its load.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Request asks for an endpoint.
+type Request struct {
+	Endpoints []tracker.Endpoint
+	// Tokens is the prompt work that the request brings.
+	Tokens int
+	// Tried holds ids of endpoints that are used only when there is no other.
+	Tried map[string]bool
+	// Avoid holds ids of endpoints that must not be used.
+	Avoid map[string]bool
+}
+
+type gauge struct {
+	running int
+	tokens  int
+	// load was told at told, when the node itself had own requests there.
+	load   Load
+	told   time.Time
+	own    int
+	paused time.Time
+	turn   uint64
+}
+
+// Balancer holds the load of all endpoints. Its fields are set before use, and
+// it is safe for concurrent use.
+type Balancer struct {
+	// Domain is the node's own failure domain.
+	Domain string
+
+	mu     sync.Mutex
+	gauges map[string]*gauge
+	turn   uint64
+}
+
+// Pick chooses an endpoint and counts the request on it until Done.
+func (b *Balancer) Pick(now time.Time, request Request) (tracker.Endpoint, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best := -1
+	var lowest float64
+	for i, endpoint := range request.Endpoints {
+		if endpoint.Leaving || request.Avoid[endpoint.ID] {
+			continue
+		}
+		cost := b.cost(now, endpoint)
+		if request.Tried[endpoint.ID] {
+			cost += triedCost
+		}
+		if best < 0 || cost < lowest || cost == lowest && b.gauge(endpoint.ID).turn < b.gauge(request.Endpoints[best].ID).turn {
+			best, lowest = i, cost
+		}
+	}
+	if best < 0 {
+		return tracker.Endpoint{}, false
+	}
+	chosen := request.Endpoints[best]
+	g := b.gauge(chosen.ID)
+	b.turn++
+	g.turn = b.turn
+	g.running++
+	g.tokens += request.Tokens
+	return chosen, true
+}
+
+// The costs below outweigh any load.
+const (
+	pausedCost = 100
+	triedCost  = 1000
+)
+
+// cost is the endpoint's load as a share of its slots, with what speaks against
+// it added.
+func (b *Balancer) cost(now time.Time, endpoint tracker.Endpoint) float64 {
+	g := b.gauge(endpoint.ID)
+	slots := endpoint.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	cost := float64(g.believed(now)) / float64(slots)
+	if endpoint.Domain != b.Domain {
+		cost += remoteCost
+	}
+	if now.Before(g.paused) {
+		cost += pausedCost
+	}
+	return cost
+}
+
+// believed is the number of requests on the endpoint: the node's own, and those
+// of others as last told.
+func (g *gauge) believed(now time.Time) int {
+	if now.Sub(g.told) > loadFresh {
+		return g.running
+	}
+	return g.running + max(g.load.Running+g.load.Waiting-g.own, 0)
+}
+
+// Done ends a request that Pick counted.
+func (b *Balancer) Done(id string, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.gauge(id)
+	g.running--
+	g.tokens -= tokens
+}
+
+// Tell takes in an endpoint's account of its load.
+func (b *Balancer) Tell(id string, now time.Time, load Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.gauge(id)
+	g.load, g.told, g.own = load, now, g.running
+}
+
+// Full notes that an endpoint refused a request for want of room.
+func (b *Balancer) Full(id string, now time.Time) { b.pause(id, now.Add(fullPause)) }
+
+// Fail notes that an endpoint could not be reached or fell silent.
+func (b *Balancer) Fail(id string, now time.Time) { b.pause(id, now.Add(failPause)) }
+
+// Recover notes that an endpoint answered.
+func (b *Balancer) Recover(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gauge(id).paused = time.Time{}
+}
+
+func (b *Balancer) pause(id string, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if g := b.gauge(id); g.paused.Before(until) {
+		g.paused = until
+	}
+}
+
+// Running returns the node's own requests on an endpoint.
+func (b *Balancer) Running(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.gauge(id).running
+}
+
+// Keep forgets endpoints that are not listed and have no requests.
+func (b *Balancer) Keep(listed map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, g := range b.gauges {
+		if !listed[id] && g.running == 0 {
+			delete(b.gauges, id)
+		}
+	}
+}
+
+func (b *Balancer) gauge(id string) *gauge {
+	if b.gauges == nil {
+		b.gauges = map[string]*gauge{}
+	}
+	g, ok := b.gauges[id]
+	if !ok {
+		g = &gauge{}
+		b.gauges[id] = g
+	}
+	return g
+}
--- /dev/null
+++ b/internal/coordination/exchanger/exchanger.go
@@ -0,0 +1,340 @@
+package exchanger
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
+)
+
+const (
+	// maxSends bounds the endpoints that one request is offered to, refusals
+	// included.
+	maxSends = 5
+	// minLeft is the least time worth giving to an endpoint.
+	minLeft = 10 * time.Millisecond
+	// retryAfter is when a refused caller may come back: by then an endpoint
+	// that was full has finished some of its requests.
+	retryAfter = 300 * time.Millisecond
+)
+
+// View is what the run of a request sees of the site.
+type View struct {
+	Catalog   *cataloger.Catalog
+	Endpoints map[string][]tracker.Endpoint
+	// Named holds the newest named version of each model.
+	Named map[string]int64
+}
+
+// Exchanger runs exchanges. Its fields are set before use.
+type Exchanger struct {
+	View     func() View
+	Sender   Sender
+	Balancer *balancer.Balancer
+	Locator  *locator.Locator
+	Budget   *retrier.Window
+	Suspects *retrier.Suspects
+	// Misdirected is told the version that an endpoint has when it was not the
+	// expected one, or zero.
+	Misdirected func(endpoint tracker.Endpoint, model string, version int64)
+	// Spread tells the peers about a new suspect at once.
+	Spread func()
+	Log    zerolog.Logger
+	Now    func() time.Time
+}
+
+// run is one exchange on its way through its attempts.
+type run struct {
+	*Exchanger
+	*Exchange
+	sink Sink
+	// tried holds the endpoints that the request was sent to.
+	tried map[string]bool
+	avoid map[string]bool
+	// sends counts all attempts, ran those that may have run.
+	sends int
+	ran   int
+	// begun is set once the caller has the head of a stream.
+	begun bool
+	after string
+	// fallback is a failure of an endpoint that is delivered if nothing better
+	// comes.
+	fallback *Answer
+	print    uint64
+}
+
+// Run carries an exchange to its end. Without error the caller has a complete
+// answer. An error is a *limiter.Refusal if the request has not run, or marked
+// with one of the sentinels.
+func (e *Exchanger) Run(ctx context.Context, exchange *Exchange, sink Sink) error {
+	r := &run{
+		Exchanger: e, Exchange: exchange, sink: sink,
+		tried: map[string]bool{}, avoid: map[string]bool{},
+		after: exchange.After, print: exchange.fingerprint(),
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, exchange.Limit(), ErrTimeout)
+	defer cancel()
+	e.Budget.Request(e.Now(), exchange.Service)
+	err := r.run(ctx)
+	r.note(err)
+	return err
+}
+
+func (r *run) run(ctx context.Context) error {
+	if r.Suspects.Judge(r.Now(), r.print) == retrier.VerdictRefuse {
+		return ErrPoison
+	}
+	for {
+		err := r.attempt(ctx)
+		if err == nil {
+			return nil
+		}
+		if err := r.again(ctx, err); err != nil {
+			return r.finish(err)
+		}
+	}
+}
+
+// attempt sends the request to one endpoint and delivers its answer.
+func (r *run) attempt(ctx context.Context) error {
+	attempt, err := r.prepare()
+	if err != nil {
+		return err
+	}
+	endpoint, tokens := attempt.Endpoint, r.tokens()
+	defer r.Balancer.Done(endpoint.ID, tokens)
+	r.sends++
+	r.tried[endpoint.ID] = true
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := r.watch(cancel)
+	defer stall.Stop()
+	answer, err := r.Sender.Send(ctx, attempt)
+	if err != nil {
+		return r.failed(ctx, attempt, err)
+	}
+	defer answer.Close()
+	stall.Reset(r.pause())
+	r.learn(attempt, answer)
+	return r.deliver(ctx, attempt, answer, stall)
+}
+
+// prepare chooses an endpoint and works out what goes with the request.
+func (r *run) prepare() (Attempt, error) {
+	view, now := r.View(), r.Now()
+	left := r.Limit().Sub(now)
+	if left < minLeft {
+		return Attempt{}, ErrTimeout
+	}
+	endpoint, ok := r.Balancer.Pick(now, balancer.Request{
+		Endpoints: view.Endpoints[r.Service],
+		Tokens:    r.tokens(),
+		Tried:     r.tried,
+		Avoid:     r.avoid,
+	})
+	if !ok {
+		return Attempt{}, ErrUnavailable
+	}
+	attempt := Attempt{Exchange: r.Exchange, Endpoint: endpoint, Left: left, After: r.after}
+	if r.Prompt != nil {
+		attempt.Weights = endpoint.Weights[r.Prompt.Model]
+		attempt.Salt = r.salt(attempt.Weights)
+		plan := r.Locator.Plan(now, attempt.Salt, r.Prompt.Parts, stores(view.Catalog))
+		attempt.Fetch, attempt.Save = plan.Fetch, plan.Save
+	}
+	return attempt, nil
+}
+
+func (r *run) tokens() int {
+	if r.Prompt == nil {
+		return 0
+	}
+	return r.Prompt.Tokens()
+}
+
+// pause is the longest time without progress before an endpoint is given up.
+// It follows the callers' patience.
+func (r *run) pause() time.Duration {
+	return max(2*time.Second, 4*r.Route.Objective, 8*r.Route.Pause)
+}
+
+// watch cancels an attempt at an endpoint that makes no progress.
+func (r *run) watch(cancel context.CancelCauseFunc) *time.Timer {
+	return time.AfterFunc(r.pause(), func() { cancel(ErrStalled) })
+}
+
+// failed classifies the error of an attempt.
+func (r *run) failed(ctx context.Context, attempt Attempt, err error) error {
+	id := attempt.Endpoint.ID
+	if errors.Is(err, ErrNotSent) {
+		r.Balancer.Fail(id, r.Now())
+		r.decide("not sent", attempt).Err(err).Send()
+		return err
+	}
+	r.ran++
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, ErrStalled):
+		r.Balancer.Fail(id, r.Now())
+		err = errors.Mark(err, ErrStalled)
+	case errors.Is(cause, ErrTimeout):
+		err = errors.Mark(err, ErrTimeout)
+	case cause != nil:
+		err = errors.Mark(err, ErrCaller)
+	default:
+		err = errors.Mark(err, ErrBroken)
+		r.Suspects.Crash(r.Now(), r.print)
+		r.Spread()
+	}
+	r.decide("attempt failed", attempt).Err(err).Send()
+	return err
+}
+
+// learn takes in what an answer tells of its endpoint.
+func (r *run) learn(attempt Attempt, answer Answer) {
+	id, now := attempt.Endpoint.ID, r.Now()
+	if answer.Load != nil {
+		r.Balancer.Tell(id, now, *answer.Load)
+	}
+	switch answer.Run {
+	case RunDone:
+		r.Balancer.Recover(id)
+	case RunRefused:
+		r.Balancer.Full(id, now)
+	case RunMisdirected:
+		r.avoid[id] = true
+		model := ""
+		if r.Prompt != nil {
+			model = r.Prompt.Model
+		}
+		r.Misdirected(attempt.Endpoint, model, answer.Weights)
+	}
+}
+
+// deliver passes an answer on to the caller.
+func (r *run) deliver(ctx context.Context, attempt Attempt, answer Answer, stall *time.Timer) error {
+	if answer.Run != RunDone {
+		r.decide("endpoint refused", attempt).Int("status", answer.Status).Send()
+		return errRefused
+	}
+	r.ran++
+	if answer.Events != nil {
+		return r.relay(ctx, attempt, answer, stall)
+	}
+	if r.begun {
+		return errors.Wrapf(ErrBroken, "status %d in the middle of a stream", answer.Status)
+	}
+	if answer.Status >= 500 && r.Route.Repeat != cataloger.RepeatOnce {
+		r.fallback = &answer
+		r.decide("endpoint failed", attempt).Int("status", answer.Status).Send()
+		return errFailed
+	}
+	r.Suspects.Clear(r.print)
+	r.decide("answered", attempt).Int("status", answer.Status).Send()
+	return r.whole(answer)
+}
+
+func (r *run) whole(answer Answer) error {
+	if err := r.sink.Whole(answer); err != nil {
+		return errors.Mark(err, ErrCaller)
+	}
+	return nil
+}
+
+// Internal outcomes of attempts.
+var (
+	// errRefused marks an attempt that the endpoint has not run.
+	errRefused = errors.New("endpoint refused the request")
+	// errFailed marks an attempt that ran and failed by the endpoint's own word.
+	errFailed = errors.New("endpoint failed the request")
+)
+
+// again returns nil if another attempt may follow the failed one.
+func (r *run) again(ctx context.Context, cause error) error {
+	switch {
+	case errors.Is(cause, ErrCaller), errors.Is(cause, ErrTimeout), errors.Is(cause, ErrUnavailable):
+		return cause
+	case r.sends >= maxSends:
+		return cause
+	case context.Cause(ctx) != nil:
+		return errors.Mark(cause, context.Cause(ctx))
+	case errors.Is(cause, ErrNotSent):
+		return nil
+	case errors.Is(cause, errRefused):
+		return r.spend(cause)
+	}
+	if r.Route.Repeat == cataloger.RepeatOnce || r.ran >= r.Route.Attempts {
+		return cause
+	}
+	if r.Suspects.Judge(r.Now(), r.print) == retrier.VerdictRefuse {
+		return errors.Mark(cause, ErrPoison)
+	}
+	return r.spend(cause)
+}
+
+// spend takes another arrival at an endpoint from the retry budget.
+func (r *run) spend(cause error) error {
+	if r.Budget.Spend(r.Now(), r.Service) {
+		return nil
+	}
+	r.Log.Warn().Str("request", r.ID).Str("service", r.Service).Msg("retry budget is used up")
+	return cause
+}
+
+// finish turns the last attempt's error into the exchange's.
+func (r *run) finish(cause error) error {
+	if errors.Is(cause, ErrCaller) {
+		return cause
+	}
+	if r.fallback != nil && !r.begun {
+		return r.whole(*r.fallback)
+	}
+	if r.ran == 0 {
+		return &limiter.Refusal{Cause: cause, Retry: retryAfter}
+	}
+	return cause
+}
+
+// salt separates cached parts by model, weights and, for isolated teams, team.
+func (r *run) salt(version int64) string {
+	wall := ""
+	if r.Team.Isolated {
+		wall = r.Team.Name
+	}
+	return Salt(wall, r.Prompt.Model, version)
+}
+
+func stores(catalog *cataloger.Catalog) []locator.Store {
+	var all []locator.Store
+	for _, service := range catalog.Stores() {
+		all = append(all, locator.Store{
+			Address: service.Store.Address, Domain: service.Store.Domain, Capacity: service.Store.Capacity,
+		})
+	}
+	return all
+}
+
+// decide begins the log line of a decision on an attempt.
+func (r *run) decide(outcome string, attempt Attempt) *zerolog.Event {
+	return r.Log.Info().Str("event", "attempt").Str("request", r.ID).Str("outcome", outcome).
+		Str("endpoint", attempt.Endpoint.ID).Int("send", r.sends).Int64("weights", attempt.Weights).
+		Dur("left", attempt.Left).Dur("elapsed", r.Now().Sub(r.Received))
+}
+
+// note logs the end of the exchange.
+func (r *run) note(err error) {
+	event := r.Log.Info()
+	if err != nil {
+		event = r.Log.Warn().Err(err)
+	}
+	event.Str("event", "request").Str("request", r.ID).Str("route", r.Route.Name).Str("service", r.Service).
+		Str("team", r.Team.Name).Int64("configuration", r.View().Catalog.Version).Int("sends", r.sends).Int("ran", r.ran).
+		Bool("begun", r.begun).Dur("elapsed", r.Now().Sub(r.Received)).Send()
+}
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -26,6 +26,7 @@
 var allowed = map[string][]string{
 	"state/indexer":           {"net/http"},
 	"coordination/dispatcher": {"net/http"},
+	"coordination/exchanger":  {"net/http"},
 }
 
 func rank(layer string) int {
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,184 @@
+// Package relayer runs a relay node: it owns the control state (configuration,
+// endpoints, named weights) and publishes it to the goroutines that carry
+// traffic.
+//
+// # Usage
+//
+//	node := &relayer.Relayer{Domain: "kadikoy", Log: log}
+//	go node.Run(ctx)
+//	node.Configure(catalog)
+//	view := node.View()
+package relayer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
+)
+
+const (
+	inboxSize = 256
+	// sweepPeriod is the time between looks for endpoints whose grace is over.
+	sweepPeriod = 200 * time.Millisecond
+	// lapseGrace is how long an endpoint is kept whose entry lapsed while the
+	// directory was away; live ones register again within two seconds.
+	lapseGrace = 2 * time.Second
+)
+
+// Relayer is a node's control state. Its exported fields are set before Run.
+type Relayer struct {
+	Log zerolog.Logger
+	Now func() time.Time
+	// Changed is called by the control goroutine after the endpoints changed.
+	Changed func(view exchanger.View)
+
+	inbox   chan func()
+	view    atomic.Pointer[exchanger.View]
+	table   tracker.Table
+	catalog *cataloger.Catalog
+	named   map[string]int64
+}
+
+// New returns a node without configuration.
+func New(log zerolog.Logger, now func() time.Time) *Relayer {
+	return &Relayer{
+		Log: log, Now: now,
+		inbox: make(chan func(), inboxSize),
+		table: tracker.Table{Grace: lapseGrace},
+		named: map[string]int64{},
+	}
+}
+
+// Run owns the control state until ctx ends.
+func (r *Relayer) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case change := <-r.inbox:
+			change()
+		case <-ticker.C:
+			r.sweep()
+		}
+	}
+}
+
+// do runs a change on the control goroutine.
+func (r *Relayer) do(change func()) { r.inbox <- change }
+
+// Ready reports whether the node has a configuration.
+func (r *Relayer) Ready() bool { return r.view.Load() != nil }
+
+// View returns the published state; its catalog is nil before the first
+// configuration.
+func (r *Relayer) View() exchanger.View {
+	if view := r.view.Load(); view != nil {
+		return *view
+	}
+	return exchanger.View{}
+}
+
+// Configure takes in a configuration. Older versions than the one in force are
+// ignored.
+func (r *Relayer) Configure(catalog *cataloger.Catalog, source string) {
+	r.do(func() {
+		if r.catalog != nil && catalog.Version <= r.catalog.Version {
+			return
+		}
+		r.catalog = catalog
+		r.publish()
+		r.Log.Info().Str("event", "configuration").Int64("version", catalog.Version).Str("source", source).
+			Int("routes", catalog.Routes()).Int("services", len(catalog.Services)).Msg("configuration is in force")
+	})
+}
+
+// Name takes in the newest version of a model's weights.
+func (r *Relayer) Name(model string, version int64) {
+	r.do(func() {
+		if version <= r.named[model] {
+			return
+		}
+		r.named[model] = version
+		r.publish()
+		r.Log.Info().Str("event", "weights named").Str("model", model).Int64("version", version).Send()
+	})
+}
+
+// PutEndpoint takes in an endpoint's entry.
+func (r *Relayer) PutEndpoint(endpoint tracker.Endpoint) {
+	r.do(func() {
+		if !r.table.Put(endpoint) {
+			return
+		}
+		r.publish()
+		r.Log.Info().Str("event", "endpoint").Str("endpoint", endpoint.ID).Str("service", endpoint.Service).
+			Stringer("address", endpoint.Address).Bool("leaving", endpoint.Leaving).Interface("weights", endpoint.Weights).Send()
+	})
+}
+
+// RemoveEndpoint takes in that an endpoint's entry is gone. interrupted tells
+// that the directory was away not long ago.
+func (r *Relayer) RemoveEndpoint(id string, interrupted bool) {
+	r.do(func() {
+		if r.table.Remove(id, r.Now(), interrupted) {
+			r.publish()
+			r.Log.Info().Str("event", "endpoint gone").Str("endpoint", id).Bool("interrupted", interrupted).Send()
+		}
+	})
+}
+
+// RetainEndpoints removes all endpoints that a full listing lacks.
+func (r *Relayer) RetainEndpoints(listed map[string]bool, interrupted bool) {
+	r.do(func() {
+		if r.table.Retain(listed, r.Now(), interrupted) {
+			r.publish()
+			r.Log.Info().Str("event", "endpoints gone").Int("listed", len(listed)).Bool("interrupted", interrupted).Send()
+		}
+	})
+}
+
+// Reweigh takes in the version that an endpoint showed itself, which is newer
+// than its entry.
+func (r *Relayer) Reweigh(endpoint tracker.Endpoint, model string, version int64) {
+	r.do(func() {
+		if version == 0 {
+			version = r.named[model]
+		}
+		if r.table.Reweigh(endpoint, model, version) {
+			r.publish()
+			r.Log.Info().Str("event", "endpoint weights").Str("endpoint", endpoint.ID).Str("model", model).Int64("version", version).Send()
+		}
+	})
+}
+
+func (r *Relayer) sweep() {
+	dropped := r.table.Sweep(r.Now())
+	if len(dropped) == 0 {
+		return
+	}
+	r.publish()
+	r.Log.Info().Str("event", "endpoints gone").Strs("endpoints", dropped).Msg("entries did not come back")
+}
+
+func (r *Relayer) publish() {
+	if r.catalog == nil {
+		return
+	}
+	named := make(map[string]int64, len(r.named))
+	for model, version := range r.named {
+		named[model] = version
+	}
+	view := exchanger.View{Catalog: r.catalog, Endpoints: r.table.Snapshot(), Named: named}
+	r.view.Store(&view)
+	if r.Changed != nil {
+		r.Changed(view)
+	}
+}
