Nodes tell each other their load, and relay configurations; fetch from engines of the own domain

Cause: each node saw a seventh of the load, so that engines' memory filled up unevenly (requests waited 2.8 s in one engine's queue while others were free); stores' links queued for seconds.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -14,9 +14,11 @@
 package balancer
 
 import (
+	"hash/fnv"
 	"sync"
 	"time"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
 )
 
@@ -24,8 +26,14 @@
 	// remoteCost is what an endpoint in another failure domain must have less
 	// load, as a share of its slots, to be preferred.
 	remoteCost = 0.35
+	// missingCost is what an endpoint that holds the whole prompt may have more
+	// load, as a share of its slots, to be preferred to one that holds nothing.
+	missingCost = 0.06
 	// loadFresh is how long an endpoint's account of its load is used.
 	loadFresh = time.Second
+	// peerFresh is how long what a peer told of its load is used: some of its
+	// heartbeats may be lost.
+	peerFresh = 1500 * time.Millisecond
 	// fullPause is how long an endpoint that refused for want of room is passed
 	// over.
 	fullPause = 150 * time.Millisecond
@@ -45,8 +53,13 @@
 // Request asks for an endpoint.
 type Request struct {
 	Endpoints []tracker.Endpoint
-	// Tokens is the prompt work that the request brings.
-	Tokens int
+	// Tokens is the memory that the request takes, Capacity that of an endpoint;
+	// both zero for requests without prompt.
+	Tokens   int
+	Capacity int
+	// Missing returns the share of the request's prompt that an endpoint does not
+	// hold in its memory; nil for requests without prompt.
+	Missing func(endpoint tracker.Endpoint) float64
 	// Tried holds ids of endpoints that are used only when there is no other.
 	Tried map[string]bool
 	// Avoid holds ids of endpoints that must not be used.
@@ -72,9 +85,16 @@
 
 	mu     sync.Mutex
 	gauges map[string]*gauge
+	peers  map[string]peer
 	turn   uint64
 }
 
+// peer is a node's own work on endpoints, by the hash of their ids.
+type peer struct {
+	heard time.Time
+	loads map[uint32]observer.Load
+}
+
 // Pick chooses an endpoint and counts the request on it until Done.
 func (b *Balancer) Pick(now time.Time, request Request) (tracker.Endpoint, bool) {
 	b.mu.Lock()
@@ -85,7 +105,10 @@
 		if endpoint.Leaving || request.Avoid[endpoint.ID] {
 			continue
 		}
-		cost := b.cost(now, endpoint)
+		cost := b.cost(now, endpoint, request.Capacity)
+		if request.Missing != nil {
+			cost += missingCost * request.Missing(endpoint)
+		}
 		if request.Tried[endpoint.ID] {
 			cost += triedCost
 		}
@@ -111,15 +134,23 @@
 	triedCost  = 1000
 )
 
-// cost is the endpoint's load as a share of its slots, with what speaks against
-// it added.
-func (b *Balancer) cost(now time.Time, endpoint tracker.Endpoint) float64 {
+// cost is the endpoint's load as a share of what it can run at once, with what
+// speaks against it added. Slots or memory bind, whichever is scarcer.
+func (b *Balancer) cost(now time.Time, endpoint tracker.Endpoint, capacity int) float64 {
 	g := b.gauge(endpoint.ID)
 	slots := endpoint.Slots
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	cost := float64(g.believed(now)) / float64(slots)
+	running, tokens := b.others(now, endpoint.ID)
+	running, tokens = running+g.running, tokens+g.tokens
+	if now.Sub(g.told) < loadFresh {
+		running = max(running, g.running+g.load.Running+g.load.Waiting-g.own)
+	}
+	cost := float64(running) / float64(slots)
+	if capacity > 0 {
+		cost = max(cost, float64(tokens)/float64(capacity))
+	}
 	if endpoint.Domain != b.Domain {
 		cost += remoteCost
 	}
@@ -129,13 +160,51 @@
 	return cost
 }
 
-// believed is the number of requests on the endpoint: the node's own, and those
-// of others as last told.
-func (g *gauge) believed(now time.Time) int {
-	if now.Sub(g.told) > loadFresh {
-		return g.running
+// others sums what peers told of their own work on an endpoint.
+func (b *Balancer) others(now time.Time, id string) (running, tokens int) {
+	hash := Hash(id)
+	for _, p := range b.peers {
+		if now.Sub(p.heard) < peerFresh {
+			load := p.loads[hash]
+			running += load.Running
+			tokens += load.Tokens
+		}
 	}
-	return g.running + max(g.load.Running+g.load.Waiting-g.own, 0)
+	return running, tokens
+}
+
+// Hear takes in a peer's own work on endpoints.
+func (b *Balancer) Hear(node string, now time.Time, loads []observer.Load) {
+	held := make(map[uint32]observer.Load, len(loads))
+	for _, load := range loads {
+		held[load.Endpoint] = load
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.peers == nil {
+		b.peers = map[string]peer{}
+	}
+	b.peers[node] = peer{heard: now, loads: held}
+}
+
+// Own returns the node's own work on endpoints that have some.
+func (b *Balancer) Own() []observer.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var own []observer.Load
+	for id, g := range b.gauges {
+		if g.running > 0 {
+			own = append(own, observer.Load{Endpoint: Hash(id), Running: g.running, Tokens: g.tokens})
+		}
+	}
+	return own
+}
+
+// Hash returns the hash of an endpoint's id under which nodes tell their load.
+func Hash(id string) uint32 {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(id))
+	return sum.Sum32()
 }
 
 // Done ends a request that Pick counted.
--- a/internal/coordination/exchanger/exchange.go
+++ b/internal/coordination/exchanger/exchange.go
@@ -122,6 +122,8 @@
 	// address stands for none.
 	Fetch []netip.AddrPort
 	Save  []netip.AddrPort
+	// FetchWithin bounds the wait for fetched parts; what is late is read.
+	FetchWithin time.Duration
 }
 
 // Run tells whether an endpoint ran an attempt.
--- a/internal/coordination/exchanger/exchanger.go
+++ b/internal/coordination/exchanger/exchanger.go
@@ -21,6 +21,9 @@
 	maxSends = 5
 	// minLeft is the least time worth giving to an endpoint.
 	minLeft = 10 * time.Millisecond
+	// fetchShare is the part of the objective within which a fetch must end; then
+	// reading the prompt still leaves a chance to meet it.
+	fetchShare = 0.45
 	// retryAfter is when a refused caller may come back: by then an endpoint
 	// that was full has finished some of its requests.
 	retryAfter = 300 * time.Millisecond
@@ -137,6 +140,8 @@
 	endpoint, ok := r.Balancer.Pick(now, balancer.Request{
 		Endpoints: view.Endpoints[r.Service],
 		Tokens:    r.tokens(),
+		Capacity:  capacity(view.Catalog, r.Service),
+		Missing:   r.missing,
 		Tried:     r.tried,
 		Avoid:     r.avoid,
 	})
@@ -147,17 +152,39 @@
 	if r.Prompt != nil {
 		attempt.Weights = endpoint.Weights[r.Prompt.Model]
 		attempt.Salt = r.salt(attempt.Weights)
-		plan := r.Locator.Plan(now, attempt.Salt, r.Prompt.Parts, stores(view.Catalog))
+		plan := r.Locator.Plan(now, locator.Query{
+			Salt: attempt.Salt, Parts: r.Prompt.Parts, At: endpoint.Address, Domain: endpoint.Domain,
+			Engines: engines(view.Endpoints[r.Service]), Stores: stores(view.Catalog),
+		})
 		attempt.Fetch, attempt.Save = plan.Fetch, plan.Save
+		attempt.FetchWithin = time.Duration(fetchShare * float64(r.Route.Objective))
 	}
 	return attempt, nil
 }
 
+// missing returns the share of the prompt that an endpoint would have to get or
+// read.
+func (r *run) missing(endpoint tracker.Endpoint) float64 {
+	if r.Prompt == nil || r.tokens() == 0 {
+		return 0
+	}
+	salt := r.salt(endpoint.Weights[r.Prompt.Model])
+	return 1 - float64(r.Locator.Cached(endpoint.Address, salt, r.Prompt.Parts))/float64(r.tokens())
+}
+
 func (r *run) tokens() int {
 	if r.Prompt == nil {
 		return 0
 	}
-	return r.Prompt.Tokens()
+	return r.Prompt.Tokens() + r.Prompt.TokensOut
+}
+
+// capacity is the memory of one endpoint of a service, in tokens.
+func capacity(catalog *cataloger.Catalog, service string) int {
+	if engine := catalog.Services[service].Engine; engine != nil {
+		return engine.Capacity
+	}
+	return 0
 }
 
 // pause is the longest time without progress before an endpoint is given up.
@@ -311,6 +338,14 @@
 	return Salt(wall, r.Prompt.Model, version)
 }
 
+func engines(endpoints []tracker.Endpoint) []locator.Engine {
+	all := make([]locator.Engine, len(endpoints))
+	for i, endpoint := range endpoints {
+		all[i] = locator.Engine{Address: endpoint.Address, Domain: endpoint.Domain}
+	}
+	return all
+}
+
 func stores(catalog *cataloger.Catalog) []locator.Store {
 	var all []locator.Store
 	for _, service := range catalog.Stores() {
--- a/internal/coordination/locator/locator.go
+++ b/internal/coordination/locator/locator.go
@@ -55,16 +55,33 @@
 	Capacity int
 }
 
-// Plan names a store for each part; an invalid address stands for none.
+// Engine is an endpoint whose memory holds parts that it has read.
+type Engine struct {
+	Address netip.AddrPort
+	Domain  string
+}
+
+// Query asks where the parts of a prompt are.
+type Query struct {
+	Salt  string
+	Parts []Part
+	// At is the engine that gets the prompt, in Domain.
+	At     netip.AddrPort
+	Domain string
+	// Engines and Stores are the places that can be reached.
+	Engines []Engine
+	Stores  []Store
+}
+
+// Plan names a place for each part; an invalid address stands for none.
 type Plan struct {
 	Fetch []netip.AddrPort
 	Save  []netip.AddrPort
 }
 
 type shelf struct {
-	known bool
-	held  map[Key]int
-	used  int
+	held map[Key]int
+	used int
 	// coming holds the saves under way, by the time at which they are given up.
 	coming map[Key]time.Time
 }
@@ -73,40 +90,39 @@
 type Locator struct {
 	mu      sync.Mutex
 	shelves map[netip.AddrPort]*shelf
-	uses    map[Key]time.Time
 }
 
 // New returns an empty directory.
 func New() *Locator {
-	return &Locator{shelves: map[netip.AddrPort]*shelf{}, uses: map[Key]time.Time{}}
+	return &Locator{shelves: map[netip.AddrPort]*shelf{}}
 }
 
-// Reset replaces what a store holds. reserved is the memory of incomplete
+// Reset replaces what a place holds. reserved is the memory of incomplete
 // parts, in tokens.
-func (l *Locator) Reset(store netip.AddrPort, held map[Key]int, reserved int) {
+func (l *Locator) Reset(place netip.AddrPort, held map[Key]int, reserved int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := &shelf{known: true, held: held, used: reserved, coming: map[Key]time.Time{}}
+	s := &shelf{held: held, used: reserved, coming: map[Key]time.Time{}}
 	for _, tokens := range held {
 		s.used += blocks(tokens)
 	}
-	l.shelves[store] = s
+	l.shelves[place] = s
 }
 
-// Forget drops what is known of a store; nothing is fetched from or saved to it
+// Forget drops what is known of a place; nothing is fetched from or saved to it
 // until the next Reset.
-func (l *Locator) Forget(store netip.AddrPort) {
+func (l *Locator) Forget(place netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.shelves, store)
+	delete(l.shelves, place)
 }
 
-// Stored notes that a store holds a part completely; zero tokens mean that the
+// Stored notes that a place holds a part completely; zero tokens mean that the
 // part is gone.
-func (l *Locator) Stored(store netip.AddrPort, key Key, tokens int) {
+func (l *Locator) Stored(place netip.AddrPort, key Key, tokens int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s, ok := l.shelves[store]
+	s, ok := l.shelves[place]
 	if !ok {
 		return
 	}
@@ -119,38 +135,77 @@
 	s.held[key] = tokens
 }
 
-// Plan tells where the shared parts of a prompt are fetched from and saved to.
-// The last part belongs to the request alone and is not kept.
-func (l *Locator) Plan(now time.Time, salt string, parts []Part, stores []Store) Plan {
+// Cached returns how many tokens of the shared parts an engine is believed to
+// hold, counted from the prompt's start.
+func (l *Locator) Cached(engine netip.AddrPort, salt string, parts []Part) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	plan := Plan{Fetch: make([]netip.AddrPort, len(parts)), Save: make([]netip.AddrPort, len(parts))}
+	sum := 0
 	for i := 0; i < len(parts)-1; i++ {
-		key := Key{Salt: salt, Part: parts[i].ID}
-		l.uses[key] = now
-		if holder, ok := l.holder(key, parts[i].Tokens, stores); ok {
-			plan.Fetch[i] = holder
-			continue
+		if !l.holds(engine, Key{Salt: salt, Part: parts[i].ID}, parts[i].Tokens) {
+			break
 		}
-		if l.coming(now, key) {
+		sum += parts[i].Tokens
+	}
+	return sum
+}
+
+// Plan tells where the shared parts of a prompt are fetched from and saved to.
+// The last part belongs to the request alone and is not kept. A place is named
+// also for parts that the engine is believed to hold: it fetches only what it
+// lacks.
+func (l *Locator) Plan(now time.Time, query Query) Plan {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(query.Parts)
+	plan := Plan{Fetch: make([]netip.AddrPort, n), Save: make([]netip.AddrPort, n)}
+	for i := 0; i < n-1; i++ {
+		key, tokens := Key{Salt: query.Salt, Part: query.Parts[i].ID}, query.Parts[i].Tokens
+		store, stored := l.stored(key, tokens, query.Stores)
+		plan.Fetch[i] = store
+		if engine, ok := l.engine(key, tokens, query); ok {
+			plan.Fetch[i] = engine
+		}
+		if stored || l.coming(now, key) {
 			continue
 		}
-		if home, ok := l.home(now, key, parts[i].Tokens, stores); ok {
+		if home, ok := l.home(now, key, tokens, query.Stores); ok {
 			plan.Save[i] = home
 		}
 	}
 	return plan
 }
 
-func (l *Locator) holder(key Key, tokens int, stores []Store) (netip.AddrPort, bool) {
+func (l *Locator) holds(place netip.AddrPort, key Key, tokens int) bool {
+	s, ok := l.shelves[place]
+	return ok && tokens > 0 && s.held[key] >= tokens
+}
+
+func (l *Locator) stored(key Key, tokens int, stores []Store) (netip.AddrPort, bool) {
 	for _, store := range stores {
-		if s, ok := l.shelves[store.Address]; ok && s.held[key] >= tokens && tokens > 0 {
+		if l.holds(store.Address, key, tokens) {
 			return store.Address, true
 		}
 	}
 	return netip.AddrPort{}, false
 }
 
+// engine returns another engine that holds a part, one of the same failure
+// domain if there is one: engines' links are faster than stores'.
+func (l *Locator) engine(key Key, tokens int, query Query) (netip.AddrPort, bool) {
+	var found netip.AddrPort
+	for _, engine := range query.Engines {
+		if engine.Address == query.At || !l.holds(engine.Address, key, tokens) {
+			continue
+		}
+		found = engine.Address
+		if engine.Domain == query.Domain {
+			break
+		}
+	}
+	return found, found.IsValid()
+}
+
 func (l *Locator) coming(now time.Time, key Key) bool {
 	for _, s := range l.shelves {
 		if until, ok := s.coming[key]; ok {
--- a/internal/protocol/packer/packer.go
+++ b/internal/protocol/packer/packer.go
@@ -32,6 +32,8 @@
 	version   = 1
 	codeBytes = 16
 	headBytes = 1 + codeBytes
+	// blockTokens is the unit in which loads are told, in tokens.
+	blockTokens = 16
 )
 
 // Sentinel errors of Unpack and Pack.
@@ -131,6 +133,11 @@
 	for _, suspect := range heartbeat.Suspects {
 		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{Fingerprint: suspect.Fingerprint, Crashes: uint32(suspect.Crashes)})
 	}
+	for _, load := range heartbeat.Loads {
+		encoded.Loads = append(encoded.Loads, &wire.Load{
+			Endpoint: load.Endpoint, Running: uint32(load.Running), Blocks: uint32(load.Tokens / blockTokens),
+		})
+	}
 	return encoded
 }
 
@@ -155,5 +162,10 @@
 		crashes := uint8(min(suspect.Crashes, 255))
 		heartbeat.Suspects = append(heartbeat.Suspects, observer.Suspect{Fingerprint: suspect.Fingerprint, Crashes: crashes})
 	}
+	for _, load := range encoded.Loads {
+		heartbeat.Loads = append(heartbeat.Loads, observer.Load{
+			Endpoint: load.Endpoint, Running: int(load.Running), Tokens: int(load.Blocks) * blockTokens,
+		})
+	}
 	return heartbeat, nil
 }
--- /dev/null
+++ b/internal/relayer/peers.go
@@ -0,0 +1,253 @@
+package relayer
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
+)
+
+const (
+	// nearPeriod is the time between heartbeats to peers of the own failure
+	// domain, farPeriod the same to others: bytes between domains cost more.
+	nearPeriod = 150 * time.Millisecond
+	farPeriod  = 600 * time.Millisecond
+	// peerSilence is after how long a peer is taken for gone.
+	peerSilence = 3 * time.Second
+	// probePeriod is the time between heartbeats to a silent peer.
+	probePeriod = 2 * time.Second
+	// suspectCount is the number of suspects in a heartbeat.
+	suspectCount = 8
+	// fetchTimeout bounds the fetch of a configuration from a peer.
+	fetchTimeout = 700 * time.Millisecond
+)
+
+// Gossip sends heartbeats.
+type Gossip interface {
+	Send(to netip.AddrPort, message packer.Message) error
+}
+
+// SiteClient fetches what a peer knows of the operators' records.
+type SiteClient interface {
+	Site(ctx context.Context, peer netip.AddrPort, newer int64) (messenger.Site, error)
+}
+
+// Peers exchanges load, suspects and configurations with the other nodes. Its
+// fields are set before Run.
+type Peers struct {
+	Name   string
+	Domain string
+	// Address is where this node answers its peers' calls. Heartbeats go to
+	// GossipPort at the same IP address, which is the same on all hosts.
+	Address    netip.AddrPort
+	GossipPort uint16
+	// Incarnation grows with each start of the process.
+	Incarnation uint64
+	Gossip      Gossip
+	Client      SiteClient
+	Node        *Relayer
+	Balancer    *balancer.Balancer
+	Suspects    *retrier.Suspects
+	// Adopt takes in what a peer knows.
+	Adopt func(site messenger.Site)
+	Log   zerolog.Logger
+	Now   func() time.Time
+	// Stopping is set once the node is to be stopped.
+	Stopping *atomic.Bool
+
+	mu       sync.Mutex
+	known    map[netip.AddrPort]*member
+	sequence atomic.Uint64
+	fetching atomic.Bool
+}
+
+// member is a node that was heard of.
+type member struct {
+	domain  string
+	heard   time.Time
+	sent    time.Time
+	alive   bool
+	beat    observer.Heartbeat
+	learned bool
+}
+
+// Learn notes a node's address, from the directory or the settings. domain may
+// be empty.
+func (p *Peers) Learn(address netip.AddrPort, domain string) {
+	if address == p.Address || !address.IsValid() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.member(address)
+	if domain != "" {
+		m.domain = domain
+	}
+	m.learned = true
+}
+
+func (p *Peers) member(address netip.AddrPort) *member {
+	if p.known == nil {
+		p.known = map[netip.AddrPort]*member{}
+	}
+	m, ok := p.known[address]
+	if !ok {
+		m = &member{}
+		p.known[address] = m
+	}
+	return m
+}
+
+// Count returns the number of nodes among which shared budgets are divided: all
+// that were ever heard of, so that a node that is cut off does not take more
+// than its share.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 1
+	for _, m := range p.known {
+		if m.learned || !m.heard.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// Run sends heartbeats until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
+	ticker := time.NewTicker(nearPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.beat(false)
+		}
+	}
+}
+
+// Spread sends a heartbeat to all peers at once.
+func (p *Peers) Spread() { p.beat(true) }
+
+func (p *Peers) beat(all bool) {
+	now := p.Now()
+	near, far := p.due(now, all)
+	if len(near)+len(far) == 0 {
+		return
+	}
+	beat := p.own(now)
+	p.send(near, beat)
+	beat.Loads = nil
+	p.send(far, beat)
+}
+
+// due returns the peers that get a heartbeat now.
+func (p *Peers) due(now time.Time, all bool) (near, far []netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, m := range p.known {
+		period := farPeriod
+		if m.domain == p.Domain {
+			period = nearPeriod
+		}
+		silent := now.Sub(m.heard) > peerSilence
+		if silent {
+			period = probePeriod
+		}
+		if silent && m.alive {
+			m.alive = false
+			p.Log.Warn().Str("event", "peer lost").Str("peer", m.beat.Name).Stringer("address", address).Time("heard", m.heard).Send()
+		}
+		if !all && now.Sub(m.sent) < period-nearPeriod/2 {
+			continue
+		}
+		m.sent = now
+		if m.domain == p.Domain {
+			near = append(near, address)
+		} else {
+			far = append(far, address)
+		}
+	}
+	return near, far
+}
+
+func (p *Peers) own(now time.Time) observer.Heartbeat {
+	beat := observer.Heartbeat{
+		Name: p.Name, Domain: p.Domain, Address: p.Address, Incarnation: p.Incarnation,
+		Sequence: p.sequence.Add(1), Leaving: p.Stopping.Load(),
+		Suspects: p.Suspects.Own(now, suspectCount), Loads: p.Balancer.Own(),
+	}
+	if catalog := p.Node.View().Catalog; catalog != nil {
+		beat.Applied = uint64(catalog.Version)
+	}
+	return beat
+}
+
+func (p *Peers) send(to []netip.AddrPort, beat observer.Heartbeat) {
+	for _, address := range to {
+		// A lost heartbeat is no error; a peer that can't be reached is noticed by
+		// its own silence.
+		_ = p.Gossip.Send(netip.AddrPortFrom(address.Addr(), p.GossipPort), packer.Message{Sender: beat})
+	}
+}
+
+// Hear takes in a heartbeat. It does not block.
+func (p *Peers) Hear(message packer.Message) {
+	beat, now := message.Sender, p.Now()
+	if beat.Address == p.Address || !p.accept(beat, now) {
+		return
+	}
+	for _, suspect := range beat.Suspects {
+		p.Suspects.Learn(now, beat.Name, suspect)
+	}
+	p.Balancer.Hear(beat.Name, now, beat.Loads)
+	if p.behind(int64(beat.Applied)) && p.fetching.CompareAndSwap(false, true) {
+		go p.fetch(beat)
+	}
+}
+
+func (p *Peers) accept(beat observer.Heartbeat, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.member(beat.Address)
+	if m.beat.Incarnation > beat.Incarnation || m.beat.Incarnation == beat.Incarnation && m.beat.Sequence >= beat.Sequence {
+		return false
+	}
+	if !m.alive {
+		p.Log.Info().Str("event", "peer heard").Str("peer", beat.Name).Stringer("address", beat.Address).Str("domain", beat.Domain).Send()
+	}
+	m.alive, m.heard, m.domain, m.beat = true, now, beat.Domain, beat
+	return true
+}
+
+func (p *Peers) behind(version int64) bool {
+	catalog := p.Node.View().Catalog
+	return version > 0 && (catalog == nil || catalog.Version < version)
+}
+
+// fetch gets the configuration of a peer that has a newer one.
+func (p *Peers) fetch(beat observer.Heartbeat) {
+	defer p.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	var held int64
+	if catalog := p.Node.View().Catalog; catalog != nil {
+		held = catalog.Version
+	}
+	site, err := p.Client.Site(ctx, beat.Address, held)
+	if err != nil {
+		p.Log.Warn().Str("event", "configuration from peer").Str("peer", beat.Name).Err(err).Send()
+		return
+	}
+	p.Adopt(site)
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -86,6 +86,9 @@
 	return exchanger.View{}
 }
 
+// Named returns the newest named version of each model.
+func (r *Relayer) Named() map[string]int64 { return r.View().Named }
+
 // Configure takes in a configuration. Older versions than the one in force are
 // ignored.
 func (r *Relayer) Configure(catalog *cataloger.Catalog, source string) {
--- a/internal/relayer/shelves.go
+++ b/internal/relayer/shelves.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
@@ -59,78 +60,116 @@
 type Shelves struct {
 	Log     PartLog
 	Locator *locator.Locator
-	Logger  zerolog.Logger
+	// Domain is the node's own failure domain. Engines of others are not
+	// followed: their events would cost more than they save.
+	Domain string
+	Logger zerolog.Logger
 
 	mu      sync.Mutex
 	follows map[netip.AddrPort]context.CancelFunc
 }
 
-// Follow starts following the stores of a view and stops following others.
+// Follow starts following the stores and engines of a view and stops following
+// others.
 func (s *Shelves) Follow(ctx context.Context, view exchanger.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.follows == nil {
 		s.follows = map[netip.AddrPort]context.CancelFunc{}
 	}
-	listed := map[netip.AddrPort]bool{}
+	places := map[netip.AddrPort]func(context.Context, netip.AddrPort) error{}
 	for _, service := range view.Catalog.Stores() {
-		address := service.Store.Address
-		listed[address] = true
-		if _, ok := s.follows[address]; ok {
+		places[service.Store.Address] = s.store
+	}
+	for name, endpoints := range view.Endpoints {
+		if view.Catalog.Services[name].Engine == nil {
 			continue
 		}
-		follow, cancel := context.WithCancel(ctx)
-		s.follows[address] = cancel
-		go s.run(follow, address)
+		for _, endpoint := range endpoints {
+			if endpoint.Domain != s.Domain {
+				continue
+			}
+			places[endpoint.Address] = s.engine
+		}
+	}
+	for address, follow := range places {
+		if _, ok := s.follows[address]; !ok {
+			ctx, cancel := context.WithCancel(ctx)
+			s.follows[address] = cancel
+			go s.run(ctx, address, follow)
+		}
 	}
 	for address, cancel := range s.follows {
-		if !listed[address] {
+		if _, ok := places[address]; !ok {
 			cancel()
 			delete(s.follows, address)
-			s.Locator.Forget(address)
 		}
 	}
 }
 
-// run follows one store. While it does not answer, nothing is fetched from or
+// run follows one place. While it does not answer, nothing is fetched from or
 // saved to it.
-func (s *Shelves) run(ctx context.Context, store netip.AddrPort) {
+func (s *Shelves) run(ctx context.Context, place netip.AddrPort, follow func(context.Context, netip.AddrPort) error) {
+	defer s.Locator.Forget(place)
 	tries := 0
 	for ctx.Err() == nil {
-		err := s.follow(ctx, store, func() { tries = 0 })
+		began := time.Now()
+		err := follow(ctx, place)
 		if ctx.Err() != nil {
 			return
 		}
-		s.Locator.Forget(store)
-		s.Logger.Warn().Str("event", "dependency lost").Stringer("store", store).AnErr("error", err).Send()
+		s.Locator.Forget(place)
+		if time.Since(began) > relistPause {
+			tries = 0
+		}
+		if tries == 0 {
+			s.Logger.Warn().Str("event", "dependency lost").Stringer("place", place).AnErr("error", err).Send()
+		}
 		_ = retrier.Sleep(ctx, retrier.Backoff(tries, retryBase, relistPause, retrier.Random))
 		tries++
 	}
 }
 
-// follow lists a store and applies its events until they have a gap or the store
-// restarts.
-func (s *Shelves) follow(ctx context.Context, store netip.AddrPort, listed func()) error {
-	listing, err := s.Log.List(ctx, store)
+// store lists what a store holds and applies its events until they have a gap or
+// it restarts.
+func (s *Shelves) store(ctx context.Context, place netip.AddrPort) error {
+	listing, err := s.Log.List(ctx, place)
 	if err != nil {
 		return err
 	}
-	listed()
-	s.Locator.Reset(store, listing.Held, listing.Reserved)
-	s.Logger.Info().Str("event", "store listed").Stringer("store", store).Int64("epoch", listing.Epoch).Int("parts", len(listing.Held)).Send()
-	next := listing.Next
+	s.Locator.Reset(place, listing.Held, listing.Reserved)
+	s.Logger.Info().Str("event", "store listed").Stringer("place", place).Int64("epoch", listing.Epoch).Int("parts", len(listing.Held)).Send()
+	return s.events(ctx, place, listing.Next, listing.Epoch)
+}
+
+// engine applies an engine's events from the oldest that it still has. What was
+// before stays unknown: a listing would hold up its work.
+func (s *Shelves) engine(ctx context.Context, place netip.AddrPort) error {
+	changes, err := s.Log.Changes(ctx, place, 0, eventsWait)
+	if err != nil {
+		return err
+	}
+	s.Locator.Reset(place, map[locator.Key]int{}, 0)
+	s.apply(place, changes)
+	return s.events(ctx, place, changes.Next, changes.Epoch)
+}
+
+func (s *Shelves) events(ctx context.Context, place netip.AddrPort, next, epoch int64) error {
 	for {
-		changes, err := s.Log.Changes(ctx, store, next, eventsWait)
+		changes, err := s.Log.Changes(ctx, place, next, eventsWait)
 		if err != nil {
 			return err
 		}
-		if changes.Epoch != listing.Epoch || changes.Lost {
-			s.Logger.Info().Str("event", "store events lost").Stringer("store", store).Int64("epoch", changes.Epoch).Bool("gap", changes.Lost).Send()
-			return nil
-		}
-		for _, change := range changes.Changes {
-			s.Locator.Stored(store, change.Key, change.Tokens)
+		if changes.Epoch != epoch || changes.Lost {
+			return errors.Newf("events have a gap: epoch %d then %d, lost %t", epoch, changes.Epoch, changes.Lost)
 		}
+		s.apply(place, changes)
 		next = changes.Next
 	}
 }
+
+func (s *Shelves) apply(place netip.AddrPort, changes PartChanges) {
+	for _, change := range changes.Changes {
+		s.Locator.Stored(place, change.Key, change.Tokens)
+	}
+}
--- a/internal/state/observer/observer.go
+++ b/internal/state/observer/observer.go
@@ -32,6 +32,17 @@
 	// Suspects holds the hashes of requests that were running when an
 	// endpoint crashed, with the number of crashes.
 	Suspects []Suspect
+	// Loads holds the peer's own work on endpoints.
+	Loads []Load
+}
+
+// Load is a peer's own work on an endpoint.
+type Load struct {
+	// Endpoint is a hash of the endpoint's id.
+	Endpoint uint32
+	// Running counts requests, Tokens the memory that they take.
+	Running int
+	Tokens  int
 }
 
 // Suspect is a request fingerprint and the number of endpoints it crashed.
