Tell peers which endpoints load weights and which have them

Cause: each node learnt by refusals that an endpoint loads, and by 421 that it has new weights: 194 repeats in 10 s. Change: heartbeats carry such news for 0.7 s; loading endpoints are passed over; replaced weights cost placement 0.15 of the capacity; nodes use 0.8 of their share of the retry budget.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -37,6 +37,12 @@
 	// fullPause is how long an endpoint that refused for want of room is passed
 	// over.
 	fullPause = 150 * time.Millisecond
+	// loadPause is how long an endpoint that loads weights is passed over; it ends
+	// sooner when the endpoint shows the new ones.
+	loadPause = 2 * time.Second
+	// staleCost is what an endpoint with replaced weights must have less load to be
+	// preferred to one with the newest.
+	staleCost = 0.15
 	// failPause is how long an endpoint that could not be reached is passed over.
 	failPause = time.Second
 	// defaultSlots stands in for an endpoint that did not tell its slots.
@@ -60,6 +66,9 @@
 	// Missing returns the share of the request's prompt that an endpoint does not
 	// hold in its memory; nil for requests without prompt.
 	Missing func(endpoint tracker.Endpoint) float64
+	// Stale reports whether an endpoint has replaced weights; nil for requests
+	// without prompt.
+	Stale func(endpoint tracker.Endpoint) bool
 	// Tried holds ids of endpoints that are used only when there is no other.
 	Tried map[string]bool
 	// Avoid holds ids of endpoints that must not be used.
@@ -109,6 +118,9 @@
 		if request.Missing != nil {
 			cost += missingCost * request.Missing(endpoint)
 		}
+		if request.Stale != nil && request.Stale(endpoint) {
+			cost += staleCost
+		}
 		if request.Tried[endpoint.ID] {
 			cost += triedCost
 		}
@@ -227,6 +239,9 @@
 // Full notes that an endpoint refused a request for want of room.
 func (b *Balancer) Full(id string, now time.Time) { b.pause(id, now.Add(fullPause)) }
 
+// Loading notes that an endpoint loads weights and refuses requests meanwhile.
+func (b *Balancer) Loading(id string, now time.Time) { b.pause(id, now.Add(loadPause)) }
+
 // Fail notes that an endpoint could not be reached or fell silent.
 func (b *Balancer) Fail(id string, now time.Time) { b.pause(id, now.Add(failPause)) }
 
--- a/internal/coordination/exchanger/exchanger.go
+++ b/internal/coordination/exchanger/exchanger.go
@@ -142,6 +142,7 @@
 		Tokens:    r.tokens(),
 		Capacity:  capacity(view.Catalog, r.Service),
 		Missing:   r.missing,
+		Stale:     r.stale(view),
 		Tried:     r.tried,
 		Avoid:     r.avoid,
 	})
@@ -172,6 +173,15 @@
 	return 1 - float64(r.Locator.Cached(endpoint.Address, salt, r.Prompt.Parts))/float64(r.tokens())
 }
 
+func (r *run) stale(view View) func(tracker.Endpoint) bool {
+	if r.Prompt == nil {
+		return nil
+	}
+	return func(endpoint tracker.Endpoint) bool {
+		return endpoint.Weights[r.Prompt.Model] < view.Named[r.Prompt.Model]
+	}
+}
+
 func (r *run) tokens() int {
 	if r.Prompt == nil {
 		return 0
--- a/internal/coordination/retrier/window.go
+++ b/internal/coordination/retrier/window.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// windowMargin is the part of the bound that is used: nodes' windows don't begin
+// at the same moment, and requests arrive later than they are counted.
+const windowMargin = 0.8
+
 // Window limits the repeats of each service in a sliding window to a share of
 // its requests and a fixed allowance, both divided among the nodes. It is safe
 // for concurrent use.
@@ -42,7 +46,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.counts(now, service)
-	limit := w.Share*float64(len(c.requests)) + w.Slack/float64(nodes)
+	limit := windowMargin * (w.Share*float64(len(c.requests)) + w.Slack/float64(nodes))
 	if float64(len(c.repeats)+1) > limit {
 		return false
 	}
--- a/internal/protocol/packer/packer.go
+++ b/internal/protocol/packer/packer.go
@@ -138,6 +138,9 @@
 			Endpoint: load.Endpoint, Running: uint32(load.Running), Blocks: uint32(load.Tokens / blockTokens),
 		})
 	}
+	for _, change := range heartbeat.Changes {
+		encoded.Changes = append(encoded.Changes, &wire.Change{Endpoint: change.Endpoint, Model: change.Model, Version: change.Version})
+	}
 	return encoded
 }
 
@@ -167,5 +170,8 @@
 			Endpoint: load.Endpoint, Running: int(load.Running), Tokens: int(load.Blocks) * blockTokens,
 		})
 	}
+	for _, change := range encoded.Changes {
+		heartbeat.Changes = append(heartbeat.Changes, observer.Change{Endpoint: change.Endpoint, Model: change.Model, Version: change.Version})
+	}
 	return heartbeat, nil
 }
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
 )
 
@@ -27,6 +29,10 @@
 	probePeriod = 2 * time.Second
 	// suspectCount is the number of suspects in a heartbeat.
 	suspectCount = 8
+	// changeCount bounds the changes in a heartbeat, newsTime is how long each is
+	// told, so that a lost heartbeat does not matter.
+	changeCount = 12
+	newsTime    = 700 * time.Millisecond
 	// fetchTimeout bounds the fetch of a configuration from a peer.
 	fetchTimeout = 700 * time.Millisecond
 )
@@ -66,10 +72,39 @@
 
 	mu       sync.Mutex
 	known    map[netip.AddrPort]*member
+	news     []news
 	sequence atomic.Uint64
 	fetching atomic.Bool
 }
 
+// news is a change that peers are told for a while.
+type news struct {
+	change observer.Change
+	until  time.Time
+}
+
+// Tell tells all peers what the node has learnt of an endpoint; version zero
+// says that it loads weights.
+func (p *Peers) Tell(endpoint tracker.Endpoint, model string, version int64) {
+	change := observer.Change{Endpoint: balancer.Hash(endpoint.ID), Model: balancer.Hash(model), Version: version}
+	p.mu.Lock()
+	p.news = append(p.news, news{change: change, until: p.Now().Add(newsTime)})
+	p.mu.Unlock()
+	p.Spread()
+}
+
+// changes returns the news that is fresh, the newest first.
+func (p *Peers) changes(now time.Time) []observer.Change {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.news = slices.DeleteFunc(p.news, func(n news) bool { return !now.Before(n.until) })
+	var fresh []observer.Change
+	for i := len(p.news) - 1; i >= 0 && len(fresh) < changeCount; i-- {
+		fresh = append(fresh, p.news[i].change)
+	}
+	return fresh
+}
+
 // member is a node that was heard of.
 type member struct {
 	domain  string
@@ -185,7 +220,7 @@
 	beat := observer.Heartbeat{
 		Name: p.Name, Domain: p.Domain, Address: p.Address, Incarnation: p.Incarnation,
 		Sequence: p.sequence.Add(1), Leaving: p.Stopping.Load(),
-		Suspects: p.Suspects.Own(now, suspectCount), Loads: p.Balancer.Own(),
+		Suspects: p.Suspects.Own(now, suspectCount), Loads: p.Balancer.Own(), Changes: p.changes(now),
 	}
 	if catalog := p.Node.View().Catalog; catalog != nil {
 		beat.Applied = uint64(catalog.Version)
@@ -211,6 +246,9 @@
 		p.Suspects.Learn(now, beat.Name, suspect)
 	}
 	p.Balancer.Hear(beat.Name, now, beat.Loads)
+	if len(beat.Changes) > 0 {
+		p.Node.Heard(beat.Changes)
+	}
 	if p.behind(int64(beat.Applied)) && p.fetching.CompareAndSwap(false, true) {
 		go p.fetch(beat)
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -17,8 +17,10 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
 )
 
@@ -37,6 +39,12 @@
 	Now func() time.Time
 	// Changed is called by the control goroutine after the endpoints changed.
 	Changed func(view exchanger.View)
+	// Reweighed is called after an endpoint showed newer weights to this node.
+	// Loading and Loaded are called when an endpoint begins to load weights by a
+	// peer's word, and when it has newer ones.
+	Reweighed func(endpoint tracker.Endpoint, model string, version int64)
+	Loading   func(id string)
+	Loaded    func(id string)
 
 	inbox   chan func()
 	view    atomic.Pointer[exchanger.View]
@@ -158,10 +166,50 @@
 		if r.table.Reweigh(endpoint, model, version) {
 			r.publish()
 			r.Log.Info().Str("event", "endpoint weights").Str("endpoint", endpoint.ID).Str("model", model).Int64("version", version).Send()
+			r.Loaded(endpoint.ID)
+			r.Reweighed(endpoint, model, version)
 		}
 	})
 }
 
+// Heard takes in what a peer has learnt of endpoints.
+func (r *Relayer) Heard(changes []observer.Change) {
+	r.do(func() {
+		changed := false
+		for _, change := range changes {
+			endpoint, model, ok := r.find(change)
+			switch {
+			case !ok:
+			case change.Version == 0:
+				r.Loading(endpoint.ID)
+			case r.table.Reweigh(endpoint, model, change.Version):
+				r.Loaded(endpoint.ID)
+				changed = true
+			}
+		}
+		if changed {
+			r.publish()
+		}
+	})
+}
+
+// find returns the endpoint and the model that a peer's change speaks of.
+func (r *Relayer) find(change observer.Change) (tracker.Endpoint, string, bool) {
+	for _, endpoints := range r.View().Endpoints {
+		for _, endpoint := range endpoints {
+			if balancer.Hash(endpoint.ID) != change.Endpoint {
+				continue
+			}
+			for model := range endpoint.Weights {
+				if balancer.Hash(model) == change.Model {
+					return endpoint, model, true
+				}
+			}
+		}
+	}
+	return tracker.Endpoint{}, "", false
+}
+
 func (r *Relayer) sweep() {
 	dropped := r.table.Sweep(r.Now())
 	if len(dropped) == 0 {
--- a/internal/relayer/upgrades.go
+++ b/internal/relayer/upgrades.go
@@ -68,6 +68,8 @@
 	Endpoints Endpoints
 	// Self names this host.
 	Self string
+	// Ordered is told of each order that may have been accepted.
+	Ordered func(endpoint tracker.Endpoint, model string)
 	// Apart is the pause between the orders of two holders.
 	Apart  time.Duration
 	Logger zerolog.Logger
@@ -243,6 +245,7 @@
 		state.Report = nil
 		if outcome != OutcomeRefused {
 			state.Ordered, state.Wanted = now, order.Version
+			u.Ordered(order.Endpoint, order.Model)
 		}
 		u.states[order.Endpoint.ID] = state
 	}
--- a/internal/state/observer/observer.go
+++ b/internal/state/observer/observer.go
@@ -34,6 +34,16 @@
 	Suspects []Suspect
 	// Loads holds the peer's own work on endpoints.
 	Loads []Load
+	// Changes is what the peer has just learnt of endpoints.
+	Changes []Change
+}
+
+// Change is news of an endpoint's weights. Endpoint and Model are hashes.
+type Change struct {
+	Endpoint uint32
+	Model    uint32
+	// Version is the loaded version; zero while one is being loaded.
+	Version int64
 }
 
 // Load is a peer's own work on an endpoint.
