--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -10,7 +10,7 @@
 //
 //	b := &balancer.Balancer{Domain: "kadikoy"}
 //	choice, ok := b.Pick(now, balancer.Request{Endpoints: endpoints, Tokens: 900})
-//	defer b.Done(choice, 900)
+//	defer b.Done(choice)
 package balancer
 
 import (
@@ -25,10 +25,13 @@
 const (
 	// remoteCost is what an endpoint in another failure domain must have less
 	// load, as a share of its slots, to be preferred.
-	remoteCost = 0.35
-	// missingCost is what an endpoint that holds the whole prompt may have more
-	// load, as a share of its slots, to be preferred to one that holds nothing.
-	missingCost = 0.06
+	remoteCost = 0.6
+	// readScale is how many prompt tokens that wait to be read weigh as much as a
+	// full endpoint: about 400 ms of reading.
+	readScale = 24_000
+	// fetchScale is the same for tokens that are fetched, which is faster but
+	// takes the links' time.
+	fetchScale = 1_000_000
 	// loadFresh is how long an endpoint's account of its load is used.
 	loadFresh = time.Second
 	// peerFresh is how long what a peer told of its load is used: some of its
@@ -37,12 +40,12 @@
 	// fullPause is how long an endpoint that refused for want of room is passed
 	// over.
 	fullPause = 150 * time.Millisecond
-	// loadPause is how long an endpoint that loads weights is passed over; it ends
-	// sooner when the endpoint shows the new ones.
-	loadPause = 2 * time.Second
+	// loadPause is how long an endpoint that loads weights is passed over after the
+	// last word of it; it ends sooner when the endpoint shows the new ones.
+	loadPause = 900 * time.Millisecond
 	// staleCost is what an endpoint with replaced weights must have less load to be
 	// preferred to one with the newest.
-	staleCost = 0.15
+	staleCost = 0.5
 	// failPause is how long an endpoint that could not be reached is passed over.
 	failPause = time.Second
 	// defaultSlots stands in for an endpoint that did not tell its slots.
@@ -63,9 +66,9 @@
 	// both zero for requests without prompt.
 	Tokens   int
 	Capacity int
-	// Missing returns the share of the request's prompt that an endpoint does not
-	// hold in its memory; nil for requests without prompt.
-	Missing func(endpoint tracker.Endpoint) float64
+	// Work returns what an endpoint must do for the request's prompt; nil for
+	// requests without prompt.
+	Work func(endpoint tracker.Endpoint) Work
 	// Stale reports whether an endpoint has replaced weights; nil for requests
 	// without prompt.
 	Stale func(endpoint tracker.Endpoint) bool
@@ -75,9 +78,23 @@
 	Avoid map[string]bool
 }
 
+// Work is what an endpoint must do for a prompt before its first token.
+type Work struct {
+	// Read counts the tokens that it must read, Fetch those that it can get from
+	// elsewhere.
+	Read  int
+	Fetch int
+}
+
+func (w Work) cost() float64 {
+	return float64(w.Read)/readScale + float64(w.Fetch)/fetchScale
+}
+
 type gauge struct {
 	running int
 	tokens  int
+	// reading counts the tokens that requests without a first token yet read.
+	reading int
 	// load was told at told, when the node itself had own requests there.
 	load   Load
 	told   time.Time
@@ -105,7 +122,7 @@
 }
 
 // Pick chooses an endpoint and counts the request on it until Done.
-func (b *Balancer) Pick(now time.Time, request Request) (tracker.Endpoint, bool) {
+func (b *Balancer) Pick(now time.Time, request Request) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	best := -1
@@ -115,8 +132,8 @@
 			continue
 		}
 		cost := b.cost(now, endpoint, request.Capacity)
-		if request.Missing != nil {
-			cost += missingCost * request.Missing(endpoint)
+		if request.Work != nil {
+			cost += request.Work(endpoint).cost()
 		}
 		if request.Stale != nil && request.Stale(endpoint) {
 			cost += staleCost
@@ -129,7 +146,7 @@
 		}
 	}
 	if best < 0 {
-		return tracker.Endpoint{}, false
+		return Choice{}, false
 	}
 	chosen := request.Endpoints[best]
 	g := b.gauge(chosen.ID)
@@ -137,7 +154,19 @@
 	g.turn = b.turn
 	g.running++
 	g.tokens += request.Tokens
-	return chosen, true
+	choice := Choice{Endpoint: chosen, tokens: request.Tokens}
+	if request.Work != nil {
+		choice.reading = request.Work(chosen).Read
+		g.reading += choice.reading
+	}
+	return choice, true
+}
+
+// Choice is an endpoint with a request that is counted on it.
+type Choice struct {
+	Endpoint tracker.Endpoint
+	tokens   int
+	reading  int
 }
 
 // The costs below outweigh any load.
@@ -154,8 +183,8 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	running, tokens := b.others(now, endpoint.ID)
-	running, tokens = running+g.running, tokens+g.tokens
+	others := b.others(now, endpoint.ID)
+	running, tokens := others.Running+g.running, others.Tokens+g.tokens
 	if now.Sub(g.told) < loadFresh {
 		running = max(running, g.running+g.load.Running+g.load.Waiting-g.own)
 	}
@@ -163,6 +192,7 @@
 	if capacity > 0 {
 		cost = max(cost, float64(tokens)/float64(capacity))
 	}
+	cost += float64(others.Reading+g.reading) / readScale
 	if endpoint.Domain != b.Domain {
 		cost += remoteCost
 	}
@@ -173,16 +203,17 @@
 }
 
 // others sums what peers told of their own work on an endpoint.
-func (b *Balancer) others(now time.Time, id string) (running, tokens int) {
-	hash := Hash(id)
+func (b *Balancer) others(now time.Time, id string) observer.Load {
+	sum := observer.Load{Endpoint: Hash(id)}
 	for _, p := range b.peers {
 		if now.Sub(p.heard) < peerFresh {
-			load := p.loads[hash]
-			running += load.Running
-			tokens += load.Tokens
+			load := p.loads[sum.Endpoint]
+			sum.Running += load.Running
+			sum.Tokens += load.Tokens
+			sum.Reading += load.Reading
 		}
 	}
-	return running, tokens
+	return sum
 }
 
 // Hear takes in a peer's own work on endpoints.
@@ -206,7 +237,7 @@
 	var own []observer.Load
 	for id, g := range b.gauges {
 		if g.running > 0 {
-			own = append(own, observer.Load{Endpoint: Hash(id), Running: g.running, Tokens: g.tokens})
+			own = append(own, observer.Load{Endpoint: Hash(id), Running: g.running, Tokens: g.tokens, Reading: g.reading})
 		}
 	}
 	return own
@@ -219,13 +250,22 @@
 	return sum.Sum32()
 }
 
+// Begun notes that a request's prompt has been read. It may be called twice.
+func (b *Balancer) Begun(choice *Choice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gauge(choice.Endpoint.ID).reading -= choice.reading
+	choice.reading = 0
+}
+
 // Done ends a request that Pick counted.
-func (b *Balancer) Done(id string, tokens int) {
+func (b *Balancer) Done(choice Choice) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	g := b.gauge(id)
+	g := b.gauge(choice.Endpoint.ID)
 	g.running--
-	g.tokens -= tokens
+	g.tokens -= choice.tokens
+	g.reading -= choice.reading
 }
 
 // Tell takes in an endpoint's account of its load.
--- a/internal/coordination/exchanger/exchanger.go
+++ b/internal/coordination/exchanger/exchanger.go
@@ -35,6 +35,31 @@
 	Endpoints map[string][]tracker.Endpoint
 	// Named holds the newest named version of each model.
 	Named map[string]int64
+	// NamedAt holds when each was named; nothing if that is unknown.
+	NamedAt map[string]time.Time
+	// Retained holds the oldest version of each model whose parts are kept in
+	// stores.
+	Retained map[string]int64
+}
+
+// outdated returns the endpoints of a service that must not begin requests for a
+// model any more: a newer version was named more than limit ago, or at an unknown
+// time while other endpoints have it.
+func (v View) outdated(now time.Time, service, model string, limit time.Duration) map[string]bool {
+	var current int
+	outdated := map[string]bool{}
+	for _, endpoint := range v.Endpoints[service] {
+		if endpoint.Weights[model] < v.Named[model] {
+			outdated[endpoint.ID] = true
+		} else if !endpoint.Leaving {
+			current++
+		}
+	}
+	at, known := v.NamedAt[model]
+	if known && now.Sub(at) < limit || !known && current == 0 {
+		return nil
+	}
+	return outdated
 }
 
 // Exchanger runs exchanges. Its fields are set before use.
@@ -48,10 +73,15 @@
 	// Misdirected is told the version that an endpoint has when it was not the
 	// expected one, or zero.
 	Misdirected func(endpoint tracker.Endpoint, model string, version int64)
+	// InTouch reports whether the node would have heard of new weights by now.
+	InTouch func() bool
 	// Spread tells the peers about a new suspect at once.
 	Spread func()
-	Log    zerolog.Logger
-	Now    func() time.Time
+	// StaleLimit is how long after new weights were named requests may begin on
+	// the old ones.
+	StaleLimit time.Duration
+	Log        zerolog.Logger
+	Now        func() time.Time
 }
 
 // run is one exchange on its way through its attempts.
@@ -62,6 +92,8 @@
 	// tried holds the endpoints that the request was sent to.
 	tried map[string]bool
 	avoid map[string]bool
+	// choice is the endpoint of the attempt under way.
+	choice balancer.Choice
 	// sends counts all attempts, ran those that may have run.
 	sends int
 	ran   int
@@ -112,10 +144,9 @@
 	if err != nil {
 		return err
 	}
-	endpoint, tokens := attempt.Endpoint, r.tokens()
-	defer r.Balancer.Done(endpoint.ID, tokens)
+	defer func() { r.Balancer.Done(r.choice) }()
 	r.sends++
-	r.tried[endpoint.ID] = true
+	r.tried[attempt.Endpoint.ID] = true
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := r.watch(cancel)
@@ -137,40 +168,73 @@
 	if left < minLeft {
 		return Attempt{}, ErrTimeout
 	}
-	endpoint, ok := r.Balancer.Pick(now, balancer.Request{
+	choice, ok := r.Balancer.Pick(now, balancer.Request{
 		Endpoints: view.Endpoints[r.Service],
 		Tokens:    r.tokens(),
 		Capacity:  capacity(view.Catalog, r.Service),
-		Missing:   r.missing,
+		Work:      r.work(view),
 		Stale:     r.stale(view),
 		Tried:     r.tried,
-		Avoid:     r.avoid,
+		Avoid:     r.banned(now, view),
 	})
 	if !ok {
 		return Attempt{}, ErrUnavailable
 	}
+	r.choice = choice
+	endpoint := choice.Endpoint
 	attempt := Attempt{Exchange: r.Exchange, Endpoint: endpoint, Left: left, After: r.after}
 	if r.Prompt != nil {
 		attempt.Weights = endpoint.Weights[r.Prompt.Model]
 		attempt.Salt = r.salt(attempt.Weights)
-		plan := r.Locator.Plan(now, locator.Query{
-			Salt: attempt.Salt, Parts: r.Prompt.Parts, At: endpoint.Address, Domain: endpoint.Domain,
-			Engines: engines(view.Endpoints[r.Service]), Stores: stores(view.Catalog),
-		})
+		plan := r.Locator.Plan(now, r.at(r.query(view), view, endpoint))
 		attempt.Fetch, attempt.Save = plan.Fetch, plan.Save
 		attempt.FetchWithin = time.Duration(fetchShare * float64(r.Route.Objective))
 	}
 	return attempt, nil
 }
 
-// missing returns the share of the prompt that an endpoint would have to get or
-// read.
-func (r *run) missing(endpoint tracker.Endpoint) float64 {
-	if r.Prompt == nil || r.tokens() == 0 {
-		return 0
+// work tells what each endpoint must do for the prompt.
+func (r *run) work(view View) func(tracker.Endpoint) balancer.Work {
+	if r.Prompt == nil {
+		return nil
+	}
+	query := r.query(view)
+	return func(endpoint tracker.Endpoint) balancer.Work {
+		held, fetched := r.Locator.Cached(r.at(query, view, endpoint))
+		return balancer.Work{Read: r.Prompt.Tokens() - held - fetched, Fetch: fetched}
+	}
+}
+
+// query asks for the prompt's parts; at says for which endpoint.
+func (r *run) query(view View) locator.Query {
+	return locator.Query{Parts: r.Prompt.Parts, Engines: engines(view.Endpoints[r.Service]), Stores: stores(view.Catalog)}
+}
+
+// at completes a query for one endpoint. Parts of versions that are not retained
+// are about to be freed in the stores, and any may be while this node is out of
+// touch; they are fetched from engines only.
+func (r *run) at(query locator.Query, view View, endpoint tracker.Endpoint) locator.Query {
+	version := endpoint.Weights[r.Prompt.Model]
+	query.Salt, query.At, query.Domain = r.salt(version), endpoint.Address, endpoint.Domain
+	if version < view.Retained[r.Prompt.Model] || !r.InTouch() {
+		query.Stores = nil
+	}
+	return query
+}
+
+// banned returns the endpoints that must not get the request.
+func (r *run) banned(now time.Time, view View) map[string]bool {
+	if r.Prompt == nil {
+		return r.avoid
+	}
+	banned := view.outdated(now, r.Service, r.Prompt.Model, r.StaleLimit)
+	if len(banned) == 0 {
+		return r.avoid
+	}
+	for id := range r.avoid {
+		banned[id] = true
 	}
-	salt := r.salt(endpoint.Weights[r.Prompt.Model])
-	return 1 - float64(r.Locator.Cached(endpoint.Address, salt, r.Prompt.Parts))/float64(r.tokens())
+	return banned
 }
 
 func (r *run) stale(view View) func(tracker.Endpoint) bool {
--- a/internal/coordination/exchanger/relay.go
+++ b/internal/coordination/exchanger/relay.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"io"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,9 @@
 			return r.failed(ctx, attempt, err)
 		}
 		stall.Reset(r.pause())
+		if events == 0 {
+			r.Balancer.Begun(&r.choice)
+		}
 		if err := r.event(answer, event); err != nil {
 			return errors.Mark(err, ErrCaller)
 		}
@@ -66,6 +70,16 @@
 	return wall + "/" + model + "/" + strconv.FormatInt(version, 10)
 }
 
+// ParseSalt takes a salt apart; ok is false for one of another form.
+func ParseSalt(salt string) (model string, version int64, ok bool) {
+	fields := strings.Split(salt, "/")
+	if len(fields) != 3 {
+		return "", 0, false
+	}
+	version, err := strconv.ParseInt(fields[2], 10, 64)
+	return fields[1], version, err == nil
+}
+
 // fingerprint recognizes a request that comes again: the same caller, path and
 // body.
 func (x *Exchange) fingerprint() uint64 {
--- a/internal/coordination/locator/locator.go
+++ b/internal/coordination/locator/locator.go
@@ -136,18 +136,43 @@
 }
 
 // Cached returns how many tokens of the shared parts an engine is believed to
-// hold, counted from the prompt's start.
-func (l *Locator) Cached(engine netip.AddrPort, salt string, parts []Part) int {
+// hold, counted from the prompt's start, and how many it could fetch.
+func (l *Locator) Cached(query Query) (held, fetched int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sum := 0
-	for i := 0; i < len(parts)-1; i++ {
-		if !l.holds(engine, Key{Salt: salt, Part: parts[i].ID}, parts[i].Tokens) {
+	for i := 0; i < len(query.Parts)-1; i++ {
+		key, tokens := Key{Salt: query.Salt, Part: query.Parts[i].ID}, query.Parts[i].Tokens
+		if l.holds(query.At, key, tokens) {
+			held += tokens
+			continue
+		}
+		_, elsewhere := l.engine(key, tokens, query)
+		if !elsewhere {
+			_, elsewhere = l.stored(key, tokens, query.Stores)
+		}
+		if !elsewhere {
 			break
 		}
-		sum += parts[i].Tokens
+		fetched += tokens
+	}
+	return held, fetched
+}
+
+// Obsolete returns the parts of a place whose salt is no longer in use.
+func (l *Locator) Obsolete(place netip.AddrPort, used func(salt string) bool) []Key {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.shelves[place]
+	if !ok {
+		return nil
+	}
+	var keys []Key
+	for key := range s.held {
+		if !used(key.Salt) {
+			keys = append(keys, key)
+		}
 	}
-	return sum
+	return keys
 }
 
 // Plan tells where the shared parts of a prompt are fetched from and saved to.
--- a/internal/coordination/upgrader/upgrader.go
+++ b/internal/coordination/upgrader/upgrader.go
@@ -1,12 +1,13 @@
 // Package upgrader decides which endpoints load new weights next.
 //
-// It answers a newly named version while traffic goes on: endpoints load slower
-// when many do so at once, and each takes no requests meanwhile. So few load at
-// a time, spread over the failure domains.
+// It answers a newly named version while traffic goes on. An endpoint takes no
+// requests while it loads, it finishes those that run before it begins, and many
+// that load at once slow each other down. So few load at a time, spread over the
+// failure domains, and the next ones are drained meanwhile.
 //
 // # Usage
 //
-//	orders := upgrader.Plan(now, states, named)
+//	plan := upgrader.Next(now, states, named)
 package upgrader
 
 import (
@@ -18,11 +19,17 @@
 )
 
 const (
-	// maxLoading is how many endpoints of a service load at once; more slow each
-	// other down.
+	// maxLoading is how many endpoints load at once; more slow each other down.
 	maxLoading = 2
-	// reportLag is how long an endpoint's report may lag behind an order.
-	reportLag = 600 * time.Millisecond
+	// maxDraining is how many endpoints are drained for the next loads.
+	maxDraining = 0
+	// drainLimit is the longest time that an endpoint is drained before it gets
+	// its order; what still runs then is finished before it loads.
+	drainLimit = 150 * time.Millisecond
+	// reportLag is how long an endpoint's report may lag behind the truth.
+	reportLag = 200 * time.Millisecond
+	// orderLag is the same for the effect of an order.
+	orderLag = 600 * time.Millisecond
 	// loadLimit is how long an accepted order may take before it is given again.
 	loadLimit = 4 * time.Second
 )
@@ -35,16 +42,20 @@
 	Busy bool
 	// Sequence counts the accepted orders.
 	Sequence int64
+	// Active counts the running requests.
+	Active int
 }
 
-// State is what is known of an endpoint.
+// State is what is known of an endpoint. Zero times stand for never.
 type State struct {
 	Endpoint tracker.Endpoint
 	// Report is nil before the first one.
 	Report   *Report
 	Reported time.Duration
-	// Ordered is when the last order was accepted, or may have been; zero if
-	// none was given. Wanted is its version.
+	// Drained is when peers were told to pass the endpoint over.
+	Drained time.Duration
+	// Ordered is when the last order was accepted, or may have been. Wanted is its
+	// version.
 	Ordered time.Duration
 	Wanted  int64
 }
@@ -59,6 +70,13 @@
 	Sequence int64
 }
 
+// Plan is what is to be done now.
+type Plan struct {
+	Orders []Order
+	// Drain lists endpoints that are to get no new requests.
+	Drain []tracker.Endpoint
+}
+
 // Behind returns the model that an endpoint must load and its version.
 func Behind(weights, named map[string]int64) (model string, version int64, ok bool) {
 	for name, loaded := range weights {
@@ -77,68 +95,79 @@
 	if s.Ordered == 0 || now-s.Ordered > loadLimit {
 		return false
 	}
-	if s.Report == nil || s.Reported < s.Ordered+reportLag {
-		return true
-	}
-	for _, version := range s.Report.Weights {
-		if version >= s.Wanted {
-			return false
-		}
+	return s.Report == nil || s.Reported < s.Ordered+orderLag
+}
+
+// empty reports whether a drained endpoint can begin to load at once, or has
+// been drained for long enough.
+func (s State) empty(now time.Duration) bool {
+	if s.Drained == 0 || s.Report == nil || s.Reported <= s.Ordered {
+		return false
 	}
-	return s.Report.Busy
+	return now-s.Drained >= drainLimit || s.Report.Active == 0 && s.Reported >= s.Drained+reportLag
 }
 
-// Ask returns the endpoints whose report is needed now.
-func Ask(now time.Duration, states []State, named map[string]int64) []tracker.Endpoint {
-	var asked []tracker.Endpoint
+func behind(state State, named map[string]int64) bool {
+	_, _, ok := Behind(state.Endpoint.Weights, named)
+	return ok && !state.Endpoint.Leaving
+}
+
+// Busy returns the endpoints that are drained or load; their reports are needed.
+func Busy(now time.Duration, states []State, named map[string]int64) []tracker.Endpoint {
+	var busy []tracker.Endpoint
 	for _, state := range states {
-		_, _, behind := Behind(state.Endpoint.Weights, named)
-		if behind && !state.Endpoint.Leaving && (state.Report == nil || state.loading(now) || state.Reported <= state.Ordered) {
-			asked = append(asked, state.Endpoint)
+		if behind(state, named) && (state.Drained > 0 || state.loading(now)) {
+			busy = append(busy, state.Endpoint)
 		}
 	}
-	return asked
+	return busy
 }
 
-// Plan returns the orders to give now.
-func Plan(now time.Duration, states []State, named map[string]int64) []Order {
-	loading := map[string]int{}
+// Next returns what is to be done now.
+func Next(now time.Duration, states []State, named map[string]int64) Plan {
+	loading, draining := 0, 0
 	domains := map[string]int{}
-	var waiting []State
+	var drained, waiting []State
 	for _, state := range states {
-		if _, _, behind := Behind(state.Endpoint.Weights, named); !behind || state.Endpoint.Leaving {
-			continue
-		}
-		if state.loading(now) {
-			loading[state.Endpoint.Service]++
+		switch {
+		case !behind(state, named):
+		case state.loading(now):
+			loading++
+			domains[state.Endpoint.Domain]++
+		case state.Drained > 0:
+			draining++
 			domains[state.Endpoint.Domain]++
+			drained = append(drained, state)
+		default:
+			waiting = append(waiting, state)
+		}
+	}
+	var plan Plan
+	slices.SortFunc(drained, func(a, b State) int {
+		return cmp.Or(cmp.Compare(a.Drained, b.Drained), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
+	})
+	for _, state := range drained {
+		if loading >= maxLoading || !state.empty(now) {
 			continue
 		}
-		if state.Report != nil && state.Reported > state.Ordered {
-			waiting = append(waiting, state)
+		if model, version, ok := Behind(state.Report.Weights, named); ok {
+			plan.Orders = append(plan.Orders, Order{Endpoint: state.Endpoint, Model: model, Version: version, Sequence: state.Report.Sequence})
+			loading++
+			draining--
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, b State) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
-	var orders []Order
-	for len(waiting) > 0 {
+	slices.SortFunc(waiting, func(a, b State) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
+	for ; loading+draining < maxLoading+maxDraining && draining < maxLoading && len(waiting) > 0; draining++ {
 		best := 0
 		for i := range waiting {
 			if domains[waiting[i].Endpoint.Domain] < domains[waiting[best].Endpoint.Domain] {
 				best = i
 			}
 		}
-		state := waiting[best]
+		endpoint := waiting[best].Endpoint
 		waiting = slices.Delete(waiting, best, best+1)
-		if loading[state.Endpoint.Service] >= maxLoading {
-			continue
-		}
-		model, version, ok := Behind(state.Report.Weights, named)
-		if !ok {
-			continue
-		}
-		loading[state.Endpoint.Service]++
-		domains[state.Endpoint.Domain]++
-		orders = append(orders, Order{Endpoint: state.Endpoint, Model: model, Version: version, Sequence: state.Report.Sequence})
+		domains[endpoint.Domain]++
+		plan.Drain = append(plan.Drain, endpoint)
 	}
-	return orders
+	return plan
 }
--- a/internal/protocol/packer/packer.go
+++ b/internal/protocol/packer/packer.go
@@ -135,7 +135,8 @@
 	}
 	for _, load := range heartbeat.Loads {
 		encoded.Loads = append(encoded.Loads, &wire.Load{
-			Endpoint: load.Endpoint, Running: uint32(load.Running), Blocks: uint32(load.Tokens / blockTokens),
+			Endpoint: load.Endpoint, Running: uint32(load.Running),
+			Blocks: uint32(load.Tokens / blockTokens), Reading: uint32(load.Reading / blockTokens),
 		})
 	}
 	for _, change := range heartbeat.Changes {
@@ -167,7 +168,8 @@
 	}
 	for _, load := range encoded.Loads {
 		heartbeat.Loads = append(heartbeat.Loads, observer.Load{
-			Endpoint: load.Endpoint, Running: int(load.Running), Tokens: int(load.Blocks) * blockTokens,
+			Endpoint: load.Endpoint, Running: int(load.Running),
+			Tokens: int(load.Blocks) * blockTokens, Reading: int(load.Reading) * blockTokens,
 		})
 	}
 	for _, change := range encoded.Changes {
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -26,6 +26,9 @@
 	Key    string
 	Value  []byte
 	Offset int64
+	// Old is set by a Feed for records of its first listing, which may be of any
+	// age.
+	Old bool
 }
 
 // KeyedLog is a log of keys and values that keeps the newest value of each key.
@@ -51,10 +54,13 @@
 	Apply func(record Record, interrupted bool)
 	// Listed takes in the keys of a full listing; nil if not needed.
 	Listed func(keys map[string]bool, interrupted bool)
-	Logger zerolog.Logger
-	Now    func() time.Time
+	// Contact is called after each call that was answered; nil if not needed.
+	Contact func()
+	Logger  zerolog.Logger
+	Now     func() time.Time
 
 	offsets map[string]int64
+	listed  bool
 	next    int64
 	failed  time.Time
 	down    bool
@@ -84,6 +90,9 @@
 // ok notes the outcome of a call, and waits after a failure.
 func (f *Feed) ok(ctx context.Context, err error) bool {
 	if err == nil {
+		if f.Contact != nil {
+			f.Contact()
+		}
 		if f.down {
 			f.Logger.Info().Str("event", "dependency regained").Str("feed", f.Name).Int("tries", f.tries).Send()
 		}
@@ -113,7 +122,10 @@
 		return err
 	}
 	keys := map[string]bool{}
+	first := !f.listed
+	f.listed = true
 	for _, record := range records {
+		record.Old = first
 		keys[record.Key] = record.Value != nil
 		f.apply(record)
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -12,6 +12,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +44,8 @@
 	// Reweighed is called after an endpoint showed newer weights to this node.
 	// Loading and Loaded are called when an endpoint begins to load weights by a
 	// peer's word, and when it has newer ones.
+	// Renamed is called after new weights were named.
+	Renamed   func()
 	Reweighed func(endpoint tracker.Endpoint, model string, version int64)
 	Loading   func(id string)
 	Loaded    func(id string)
@@ -51,15 +55,20 @@
 	table   tracker.Table
 	catalog *cataloger.Catalog
 	named   map[string]int64
+	namedAt map[string]time.Time
+	// retained holds the oldest version of each model whose parts are kept.
+	retained map[string]int64
 }
 
 // New returns a node without configuration.
 func New(log zerolog.Logger, now func() time.Time) *Relayer {
 	return &Relayer{
 		Log: log, Now: now,
-		inbox: make(chan func(), inboxSize),
-		table: tracker.Table{Grace: lapseGrace},
-		named: map[string]int64{},
+		inbox:    make(chan func(), inboxSize),
+		table:    tracker.Table{Grace: lapseGrace},
+		named:    map[string]int64{},
+		namedAt:  map[string]time.Time{},
+		retained: map[string]int64{},
 	}
 }
 
@@ -111,15 +120,21 @@
 	})
 }
 
-// Name takes in the newest version of a model's weights.
-func (r *Relayer) Name(model string, version int64) {
+// Name takes in the newest version of a model's weights. fresh tells that it was
+// named just now; else the time is unknown.
+func (r *Relayer) Name(model string, version int64, fresh bool) {
 	r.do(func() {
 		if version <= r.named[model] {
 			return
 		}
+		delete(r.namedAt, model)
+		if fresh {
+			r.namedAt[model] = r.Now()
+		}
 		r.named[model] = version
 		r.publish()
-		r.Log.Info().Str("event", "weights named").Str("model", model).Int64("version", version).Send()
+		r.Log.Info().Str("event", "weights named").Str("model", model).Int64("version", version).Bool("fresh", fresh).Send()
+		r.Renamed()
 	})
 }
 
@@ -130,6 +145,7 @@
 			return
 		}
 		r.publish()
+		r.Loaded(endpoint.ID)
 		r.Log.Info().Str("event", "endpoint").Str("endpoint", endpoint.ID).Str("service", endpoint.Service).
 			Stringer("address", endpoint.Address).Bool("leaving", endpoint.Leaving).Interface("weights", endpoint.Weights).Send()
 	})
@@ -160,9 +176,6 @@
 // than its entry.
 func (r *Relayer) Reweigh(endpoint tracker.Endpoint, model string, version int64) {
 	r.do(func() {
-		if version == 0 {
-			version = r.named[model]
-		}
 		if r.table.Reweigh(endpoint, model, version) {
 			r.publish()
 			r.Log.Info().Str("event", "endpoint weights").Str("endpoint", endpoint.ID).Str("model", model).Int64("version", version).Send()
@@ -185,6 +198,7 @@
 			case r.table.Reweigh(endpoint, model, change.Version):
 				r.Loaded(endpoint.ID)
 				changed = true
+				r.Log.Info().Str("event", "endpoint weights").Str("endpoint", endpoint.ID).Str("model", model).Int64("version", change.Version).Str("source", "peer").Send()
 			}
 		}
 		if changed {
@@ -210,6 +224,26 @@
 	return tracker.Endpoint{}, "", false
 }
 
+// retire works out the version of each model that more than half of the engines
+// have. Parts of older ones are no longer fetched from stores, which need the
+// room. It never goes back.
+func (r *Relayer) retire(services map[string][]tracker.Endpoint) {
+	loaded := map[string][]int64{}
+	for _, endpoints := range services {
+		for _, endpoint := range endpoints {
+			for model, version := range endpoint.Weights {
+				loaded[model] = append(loaded[model], version)
+			}
+		}
+	}
+	for model, versions := range loaded {
+		slices.Sort(versions)
+		if common := versions[(len(versions)-1)/2]; common > r.retained[model] {
+			r.retained[model] = common
+		}
+	}
+}
+
 func (r *Relayer) sweep() {
 	dropped := r.table.Sweep(r.Now())
 	if len(dropped) == 0 {
@@ -223,11 +257,9 @@
 	if r.catalog == nil {
 		return
 	}
-	named := make(map[string]int64, len(r.named))
-	for model, version := range r.named {
-		named[model] = version
-	}
-	view := exchanger.View{Catalog: r.catalog, Endpoints: r.table.Snapshot(), Named: named}
+	view := exchanger.View{Catalog: r.catalog, Endpoints: r.table.Snapshot(), Named: maps.Clone(r.named), NamedAt: maps.Clone(r.namedAt)}
+	r.retire(view.Endpoints)
+	view.Retained = maps.Clone(r.retained)
 	r.view.Store(&view)
 	if r.Changed != nil {
 		r.Changed(view)
--- a/internal/relayer/shelves.go
+++ b/internal/relayer/shelves.go
@@ -17,6 +17,10 @@
 const (
 	// eventsWait is how long one read waits for a store's next events.
 	eventsWait = time.Second
+	// nearPause and farPause are the times between reads of events from places of
+	// the own and of other failure domains.
+	nearPause = 50 * time.Millisecond
+	farPause  = 300 * time.Millisecond
 	// relistPause is the least time between full listings of one store, which
 	// hold up its work.
 	relistPause = 5 * time.Second
@@ -60,8 +64,8 @@
 type Shelves struct {
 	Log     PartLog
 	Locator *locator.Locator
-	// Domain is the node's own failure domain. Engines of others are not
-	// followed: their events would cost more than they save.
+	// Domain is the node's own failure domain. Events of others are read less
+	// often, since bytes between domains cost more.
 	Domain string
 	Logger zerolog.Logger
 
@@ -79,17 +83,26 @@
 	}
 	places := map[netip.AddrPort]func(context.Context, netip.AddrPort) error{}
 	for _, service := range view.Catalog.Stores() {
-		places[service.Store.Address] = s.store
+		pause := farPause
+		if service.Store.Domain == s.Domain {
+			pause = nearPause
+		}
+		places[service.Store.Address] = func(ctx context.Context, place netip.AddrPort) error {
+			return s.store(ctx, place, pause)
+		}
 	}
 	for name, endpoints := range view.Endpoints {
 		if view.Catalog.Services[name].Engine == nil {
 			continue
 		}
 		for _, endpoint := range endpoints {
-			if endpoint.Domain != s.Domain {
-				continue
+			pause := farPause
+			if endpoint.Domain == s.Domain {
+				pause = nearPause
+			}
+			places[endpoint.Address] = func(ctx context.Context, place netip.AddrPort) error {
+				return s.engine(ctx, place, pause)
 			}
-			places[endpoint.Address] = s.engine
 		}
 	}
 	for address, follow := range places {
@@ -132,39 +145,48 @@
 
 // store lists what a store holds and applies its events until they have a gap or
 // it restarts.
-func (s *Shelves) store(ctx context.Context, place netip.AddrPort) error {
+func (s *Shelves) store(ctx context.Context, place netip.AddrPort, pause time.Duration) error {
 	listing, err := s.Log.List(ctx, place)
 	if err != nil {
 		return err
 	}
 	s.Locator.Reset(place, listing.Held, listing.Reserved)
 	s.Logger.Info().Str("event", "store listed").Stringer("place", place).Int64("epoch", listing.Epoch).Int("parts", len(listing.Held)).Send()
-	return s.events(ctx, place, listing.Next, listing.Epoch)
+	return s.events(ctx, place, position{listing.Epoch, listing.Next}, pause)
 }
 
 // engine applies an engine's events from the oldest that it still has. What was
 // before stays unknown: a listing would hold up its work.
-func (s *Shelves) engine(ctx context.Context, place netip.AddrPort) error {
+func (s *Shelves) engine(ctx context.Context, place netip.AddrPort, pause time.Duration) error {
 	changes, err := s.Log.Changes(ctx, place, 0, eventsWait)
 	if err != nil {
 		return err
 	}
 	s.Locator.Reset(place, map[locator.Key]int{}, 0)
 	s.apply(place, changes)
-	return s.events(ctx, place, changes.Next, changes.Epoch)
+	return s.events(ctx, place, position{changes.Epoch, changes.Next}, pause)
 }
 
-func (s *Shelves) events(ctx context.Context, place netip.AddrPort, next, epoch int64) error {
+// position is a place's next event.
+type position struct {
+	epoch int64
+	next  int64
+}
+
+func (s *Shelves) events(ctx context.Context, place netip.AddrPort, at position, pause time.Duration) error {
 	for {
-		changes, err := s.Log.Changes(ctx, place, next, eventsWait)
+		if err := retrier.Sleep(ctx, pause); err != nil {
+			return err
+		}
+		changes, err := s.Log.Changes(ctx, place, at.next, eventsWait)
 		if err != nil {
 			return err
 		}
-		if changes.Epoch != epoch || changes.Lost {
-			return errors.Newf("events have a gap: epoch %d then %d, lost %t", epoch, changes.Epoch, changes.Lost)
+		if changes.Epoch != at.epoch || changes.Lost {
+			return errors.Newf("events have a gap: epoch %d then %d, lost %t", at.epoch, changes.Epoch, changes.Lost)
 		}
 		s.apply(place, changes)
-		next = changes.Next
+		at.next = changes.Next
 	}
 }
 
--- a/internal/relayer/upgrades.go
+++ b/internal/relayer/upgrades.go
@@ -15,16 +15,18 @@
 
 const (
 	// claimHold is how long one claim lets a node give orders.
-	claimHold = 800 * time.Millisecond
+	claimHold = 500 * time.Millisecond
 	// claimMargin is added to the pause between two holders, for orders that are
 	// on their way when a claim ends.
 	claimMargin = 300 * time.Millisecond
 	// renewBefore is how much of a claim must be left to begin an order.
-	renewBefore = 300 * time.Millisecond
+	renewBefore = 200 * time.Millisecond
 	// idlePeriod is the time between looks for endpoints that are behind, and
 	// workPeriod the same while there are some.
 	idlePeriod = 250 * time.Millisecond
 	workPeriod = 120 * time.Millisecond
+	// remindPeriod is the time between reminders of endpoints that load.
+	remindPeriod = 400 * time.Millisecond
 	// claimWait is how long one read of the log of claims waits for news.
 	claimWait = 500 * time.Millisecond
 )
@@ -68,8 +70,10 @@
 	Endpoints Endpoints
 	// Self names this host.
 	Self string
-	// Ordered is told of each order that may have been accepted.
-	Ordered func(endpoint tracker.Endpoint, model string)
+	// Unload is told of each endpoint that is to get no new requests for a while.
+	Unload func(endpoint tracker.Endpoint)
+	// Loaded is told of each endpoint that has the weights it was ordered to load.
+	Loaded func(endpoint tracker.Endpoint, model string, version int64)
 	// Apart is the pause between the orders of two holders.
 	Apart  time.Duration
 	Logger zerolog.Logger
@@ -77,6 +81,8 @@
 	lease  leaser.Lease
 	states map[string]upgrader.State
 	failed bool
+	// reminded is when peers were last told which endpoints load.
+	reminded time.Duration
 }
 
 // Run works until ctx ends.
@@ -123,10 +129,13 @@
 				state = upgrader.State{}
 			}
 			state.Endpoint = endpoint
-			u.states[endpoint.ID] = state
-			if _, _, ok := upgrader.Behind(endpoint.Weights, view.Named); ok && !endpoint.Leaving {
+			if _, _, ok := upgrader.Behind(endpoint.Weights, view.Named); !ok {
+				u.loaded(state)
+				state = upgrader.State{Endpoint: endpoint}
+			} else if !endpoint.Leaving {
 				found = true
 			}
+			u.states[endpoint.ID] = state
 		}
 	}
 	for id := range u.states {
@@ -137,6 +146,16 @@
 	return found
 }
 
+// loaded tells the peers of an endpoint that has loaded what this node ordered.
+func (u *Upgrades) loaded(state upgrader.State) {
+	if state.Ordered == 0 {
+		return
+	}
+	for model, version := range state.Endpoint.Weights {
+		u.Loaded(state.Endpoint, model, version)
+	}
+}
+
 func elapsed() time.Duration {
 	now, _ := SinceBoot()
 	return now
@@ -150,12 +169,20 @@
 		}
 	}
 	if !u.lease.Claimable(elapsed()) {
+		u.forget()
 		return u.observe(ctx, claimWait)
 	}
 	u.ask(ctx)
 	return u.order(ctx)
 }
 
+// forget drops what was done under an earlier claim: another node acts now.
+func (u *Upgrades) forget() {
+	for id, state := range u.states {
+		u.states[id] = upgrader.State{Endpoint: state.Endpoint}
+	}
+}
+
 func (u *Upgrades) observe(ctx context.Context, wait time.Duration) error {
 	claims, end, err := u.Log.Claims(ctx, u.lease.End(), wait)
 	if err != nil {
@@ -202,7 +229,8 @@
 		asked  time.Duration
 		err    error
 	}
-	asked := upgrader.Ask(elapsed(), u.list(), named)
+	asked := upgrader.Busy(elapsed(), u.list(), named)
+	u.remind(asked)
 	replies := make(chan reply, len(asked))
 	for _, endpoint := range asked {
 		go func() {
@@ -228,26 +256,64 @@
 	}
 }
 
-// order gives the orders that are due, each only while the claim holds.
+// remind repeats to the peers which endpoints load: without it they soon use
+// them again.
+func (u *Upgrades) remind(busy []tracker.Endpoint) {
+	now := elapsed()
+	if now-u.reminded < remindPeriod {
+		return
+	}
+	u.reminded = now
+	for _, endpoint := range busy {
+		u.Unload(endpoint)
+	}
+}
+
+// order drains endpoints and gives the orders that are due, each only while the
+// claim holds.
 func (u *Upgrades) order(ctx context.Context) error {
-	for _, order := range upgrader.Plan(elapsed(), u.list(), u.Node.View().Named) {
-		if err := u.renew(ctx); err != nil {
+	plan := upgrader.Next(elapsed(), u.list(), u.Node.View().Named)
+	if len(plan.Drain)+len(plan.Orders) == 0 {
+		return nil
+	}
+	if err := u.renew(ctx); err != nil {
+		return err
+	}
+	if !u.lease.Valid(elapsed()) {
+		return nil
+	}
+	for _, endpoint := range plan.Drain {
+		state := u.states[endpoint.ID]
+		state.Drained = elapsed()
+		u.states[endpoint.ID] = state
+		u.Unload(endpoint)
+		u.Logger.Info().Str("event", "drain for weights").Str("endpoint", endpoint.ID).Send()
+	}
+	for _, order := range plan.Orders {
+		if err := u.give(ctx, order); err != nil {
 			return err
 		}
-		now := elapsed()
-		if !u.lease.Valid(now) {
-			return nil
-		}
-		outcome := u.Endpoints.Load(ctx, order, u.Self, u.lease.Token())
-		u.Logger.Info().Str("event", "order").Str("endpoint", order.Endpoint.ID).Str("model", order.Model).
-			Int64("version", order.Version).Int64("sequence", order.Sequence).Int64("token", u.lease.Token()).Int("outcome", int(outcome)).Send()
-		state := u.states[order.Endpoint.ID]
-		state.Report = nil
-		if outcome != OutcomeRefused {
-			state.Ordered, state.Wanted = now, order.Version
-			u.Ordered(order.Endpoint, order.Model)
-		}
-		u.states[order.Endpoint.ID] = state
 	}
 	return nil
 }
+
+func (u *Upgrades) give(ctx context.Context, order upgrader.Order) error {
+	if err := u.renew(ctx); err != nil {
+		return err
+	}
+	now := elapsed()
+	if !u.lease.Valid(now) {
+		return nil
+	}
+	outcome := u.Endpoints.Load(ctx, order, u.Self, u.lease.Token())
+	u.Logger.Info().Str("event", "order").Str("endpoint", order.Endpoint.ID).Str("model", order.Model).
+		Int64("version", order.Version).Int64("sequence", order.Sequence).Int64("token", u.lease.Token()).Int("outcome", int(outcome)).Send()
+	state := u.states[order.Endpoint.ID]
+	state.Report = nil
+	if outcome != OutcomeRefused {
+		state.Ordered, state.Wanted = now, order.Version
+		u.Unload(order.Endpoint)
+	}
+	u.states[order.Endpoint.ID] = state
+	return nil
+}
--- a/internal/state/observer/observer.go
+++ b/internal/state/observer/observer.go
@@ -50,9 +50,11 @@
 type Load struct {
 	// Endpoint is a hash of the endpoint's id.
 	Endpoint uint32
-	// Running counts requests, Tokens the memory that they take.
+	// Running counts requests, Tokens the memory that they take, and Reading the
+	// prompt tokens that are still to be read.
 	Running int
 	Tokens  int
+	Reading int
 }
 
 // Suspect is a request fingerprint and the number of endpoints it crashed.
