Keep requests waiting at the nodes when engines are full, and turn away what can't start in time

Change: an engine gets requests up to its memory; the rest waits at its node, ordered by when it must start, late ones last, at most a quarter of the caller's time; what is expected to wait longer is refused at once with the expected wait.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -26,6 +26,12 @@
 	// remoteCost is what an endpoint in another failure domain must have less
 	// load, as a share of its slots, to be preferred.
 	remoteCost = 0.6
+	// memoryShare is the share of an endpoint's memory that requests may take; the
+	// rest keeps prompt parts for the next ones.
+	memoryShare = 1.0
+	// slotShare is how many requests an endpoint gets at once, as a share of its
+	// slots; plain services queue a few themselves.
+	slotShare = 1.5
 	// readScale is how many prompt tokens that wait to be read weigh as much as a
 	// full endpoint: about 400 ms of reading.
 	readScale = 24_000
@@ -66,6 +72,8 @@
 	// both zero for requests without prompt.
 	Tokens   int
 	Capacity int
+	// Urgent requests go to an endpoint that has no room, too.
+	Urgent bool
 	// Work returns what an endpoint must do for the request's prompt; nil for
 	// requests without prompt.
 	Work func(endpoint tracker.Endpoint) Work
@@ -128,7 +136,7 @@
 	best := -1
 	var lowest float64
 	for i, endpoint := range request.Endpoints {
-		if endpoint.Leaving || request.Avoid[endpoint.ID] {
+		if endpoint.Leaving || request.Avoid[endpoint.ID] || !b.room(now, endpoint, request) {
 			continue
 		}
 		cost := b.cost(now, endpoint, request.Capacity)
@@ -156,7 +164,8 @@
 	g.tokens += request.Tokens
 	choice := Choice{Endpoint: chosen, tokens: request.Tokens}
 	if request.Work != nil {
-		choice.reading = request.Work(chosen).Read
+		choice.Work = request.Work(chosen)
+		choice.reading = choice.Work.Read
 		g.reading += choice.reading
 	}
 	return choice, true
@@ -165,15 +174,14 @@
 // Choice is an endpoint with a request that is counted on it.
 type Choice struct {
 	Endpoint tracker.Endpoint
-	tokens   int
-	reading  int
+	// Work is what the endpoint is believed to have to do.
+	Work    Work
+	tokens  int
+	reading int
 }
 
-// The costs below outweigh any load.
-const (
-	pausedCost = 100
-	triedCost  = 1000
-)
+// triedCost outweighs any load.
+const triedCost = 1000
 
 // cost is the endpoint's load as a share of what it can run at once, with what
 // speaks against it added. Slots or memory bind, whichever is scarcer.
@@ -196,10 +204,28 @@
 	if endpoint.Domain != b.Domain {
 		cost += remoteCost
 	}
+	return cost
+}
+
+// room reports whether an endpoint may get the request now.
+func (b *Balancer) room(now time.Time, endpoint tracker.Endpoint, request Request) bool {
+	g := b.gauge(endpoint.ID)
 	if now.Before(g.paused) {
-		cost += pausedCost
+		return false
 	}
-	return cost
+	others := b.others(now, endpoint.ID)
+	running, tokens := others.Running+g.running, others.Tokens+g.tokens
+	if request.Urgent || running == 0 {
+		return true
+	}
+	if request.Capacity > 0 && float64(tokens+request.Tokens) > memoryShare*float64(request.Capacity) {
+		return false
+	}
+	slots := endpoint.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return float64(running) < slotShare*float64(slots)
 }
 
 // others sums what peers told of their own work on an endpoint.
--- a/internal/coordination/exchanger/exchanger.go
+++ b/internal/coordination/exchanger/exchanger.go
@@ -8,9 +8,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/scheduler"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
 )
@@ -68,8 +68,10 @@
 	Sender   Sender
 	Balancer *balancer.Balancer
 	Locator  *locator.Locator
-	Budget   *retrier.Window
-	Suspects *retrier.Suspects
+	// Scheduler decides what waits and what is turned away.
+	Scheduler *scheduler.Scheduler
+	Budget    *retrier.Window
+	Suspects  *retrier.Suspects
 	// Misdirected is told the version that an endpoint has when it was not the
 	// expected one, or zero.
 	Misdirected func(endpoint tracker.Endpoint, model string, version int64)
@@ -94,6 +96,9 @@
 	avoid map[string]bool
 	// choice is the endpoint of the attempt under way.
 	choice balancer.Choice
+	// waited is the time in the queue, first when the first event came.
+	waited time.Duration
+	first  time.Time
 	// sends counts all attempts, ran those that may have run.
 	sends int
 	ran   int
@@ -107,7 +112,7 @@
 }
 
 // Run carries an exchange to its end. Without error the caller has a complete
-// answer. An error is a *limiter.Refusal if the request has not run, or marked
+// answer. An error is a *scheduler.Refusal if the request has not run, or marked
 // with one of the sentinels.
 func (e *Exchanger) Run(ctx context.Context, exchange *Exchange, sink Sink) error {
 	r := &run{
@@ -140,11 +145,11 @@
 
 // attempt sends the request to one endpoint and delivers its answer.
 func (r *run) attempt(ctx context.Context) error {
-	attempt, err := r.prepare()
+	attempt, err := r.prepare(ctx)
 	if err != nil {
 		return err
 	}
-	defer func() { r.Balancer.Done(r.choice) }()
+	defer r.release()
 	r.sends++
 	r.tried[attempt.Endpoint.ID] = true
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -161,28 +166,25 @@
 	return r.deliver(ctx, attempt, answer, stall)
 }
 
-// prepare chooses an endpoint and works out what goes with the request.
-func (r *run) prepare() (Attempt, error) {
-	view, now := r.View(), r.Now()
-	left := r.Limit().Sub(now)
-	if left < minLeft {
+// prepare waits for an endpoint and works out what goes with the request.
+func (r *run) prepare(ctx context.Context) (Attempt, error) {
+	if r.Limit().Sub(r.Now()) < minLeft {
 		return Attempt{}, ErrTimeout
 	}
-	choice, ok := r.Balancer.Pick(now, balancer.Request{
-		Endpoints: view.Endpoints[r.Service],
-		Tokens:    r.tokens(),
-		Capacity:  capacity(view.Catalog, r.Service),
-		Work:      r.work(view),
-		Stale:     r.stale(view),
-		Tried:     r.tried,
-		Avoid:     r.banned(now, view),
-	})
-	if !ok {
+	if !r.possible() {
 		return Attempt{}, ErrUnavailable
 	}
-	r.choice = choice
-	endpoint := choice.Endpoint
-	attempt := Attempt{Exchange: r.Exchange, Endpoint: endpoint, Left: left, After: r.after}
+	asked := r.Now()
+	choice, err := r.Scheduler.Acquire(ctx, scheduler.Request{
+		Service: r.Service, Rank: r.Rank(), Received: r.Received, Objective: r.Route.Objective,
+		Deadline: r.Limit(), Urgent: r.begun, Tokens: r.tokens(), Pick: r.pick,
+	})
+	if err != nil {
+		return Attempt{}, err
+	}
+	r.choice, r.waited = choice, r.waited+r.Now().Sub(asked)
+	view, now, endpoint := r.View(), r.Now(), choice.Endpoint
+	attempt := Attempt{Exchange: r.Exchange, Endpoint: endpoint, Left: r.Limit().Sub(now), After: r.after}
 	if r.Prompt != nil {
 		attempt.Weights = endpoint.Weights[r.Prompt.Model]
 		attempt.Salt = r.salt(attempt.Weights)
@@ -193,6 +195,39 @@
 	return attempt, nil
 }
 
+// release ends the request's count on its endpoint, which may make room.
+func (r *run) release() {
+	r.Balancer.Done(r.choice)
+	r.Scheduler.Pump()
+}
+
+// possible reports whether any endpoint may get the request, now or later.
+func (r *run) possible() bool {
+	view := r.View()
+	banned := r.banned(r.Now(), view)
+	for _, endpoint := range view.Endpoints[r.Service] {
+		if !endpoint.Leaving && !banned[endpoint.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+// pick chooses an endpoint with room by the newest view.
+func (r *run) pick() (balancer.Choice, bool) {
+	view, now := r.View(), r.Now()
+	return r.Balancer.Pick(now, balancer.Request{
+		Endpoints: view.Endpoints[r.Service],
+		Tokens:    r.tokens(),
+		Capacity:  capacity(view.Catalog, r.Service),
+		Urgent:    r.begun,
+		Work:      r.work(view),
+		Stale:     r.stale(view),
+		Tried:     r.tried,
+		Avoid:     r.banned(now, view),
+	})
+}
+
 // work tells what each endpoint must do for the prompt.
 func (r *run) work(view View) func(tracker.Endpoint) balancer.Work {
 	if r.Prompt == nil {
@@ -360,7 +395,7 @@
 // again returns nil if another attempt may follow the failed one.
 func (r *run) again(ctx context.Context, cause error) error {
 	switch {
-	case errors.Is(cause, ErrCaller), errors.Is(cause, ErrTimeout), errors.Is(cause, ErrUnavailable):
+	case errors.Is(cause, ErrCaller), errors.Is(cause, ErrTimeout), errors.Is(cause, ErrUnavailable), errors.Is(cause, scheduler.ErrBusy):
 		return cause
 	case r.sends >= maxSends:
 		return cause
@@ -397,8 +432,12 @@
 	if r.fallback != nil && !r.begun {
 		return r.whole(*r.fallback)
 	}
+	var refusal *scheduler.Refusal
+	if r.ran == 0 && errors.As(cause, &refusal) {
+		return refusal
+	}
 	if r.ran == 0 {
-		return &limiter.Refusal{Cause: cause, Retry: retryAfter}
+		return &scheduler.Refusal{Cause: cause, Retry: retryAfter}
 	}
 	return cause
 }
@@ -434,7 +473,7 @@
 func (r *run) decide(outcome string, attempt Attempt) *zerolog.Event {
 	return r.Log.Info().Str("event", "attempt").Str("request", r.ID).Str("outcome", outcome).
 		Str("endpoint", attempt.Endpoint.ID).Int("send", r.sends).Int64("weights", attempt.Weights).
-		Dur("left", attempt.Left).Dur("elapsed", r.Now().Sub(r.Received))
+		Dur("left", attempt.Left).Int("read", r.choice.Work.Read).Int("fetch", r.choice.Work.Fetch).Dur("waited", r.waited).Dur("elapsed", r.Now().Sub(r.Received))
 }
 
 // note logs the end of the exchange.
--- a/internal/coordination/exchanger/relay.go
+++ b/internal/coordination/exchanger/relay.go
@@ -27,6 +27,7 @@
 		}
 		stall.Reset(r.pause())
 		if events == 0 {
+			r.first = r.Now()
 			r.Balancer.Begun(&r.choice)
 		}
 		if err := r.event(answer, event); err != nil {
@@ -60,7 +61,7 @@
 		}
 	}
 	r.Suspects.Clear(r.print)
-	r.decide("streamed", attempt).Int("events", events).Send()
+	r.decide("streamed", attempt).Int("events", events).Dur("first", r.first.Sub(r.Received)).Send()
 	return nil
 }
 
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -258,9 +258,7 @@
 		return
 	}
 	beat := p.own(now)
-	p.send(near, beat)
-	beat.Loads = nil
-	p.send(far, beat)
+	p.send(append(near, far...), beat)
 }
 
 // due returns the peers that get a heartbeat now.
