Test the relay's decisions; say not-run only when nothing ran

Cause: a safe request whose first attempt broke and whose second found no endpoint was answered 503, not run (found by TestSafe). First in an empty queue was refused when nothing had started lately, and equal requests queued last in first out (found by TestAcquire).

--- a/internal/coordination/exchanger/exchanger.go
+++ b/internal/coordination/exchanger/exchanger.go
@@ -433,13 +433,18 @@
 		return r.whole(*r.fallback)
 	}
 	var refusal *scheduler.Refusal
-	if r.ran == 0 && errors.As(cause, &refusal) {
+	refused := errors.As(cause, &refusal)
+	switch {
+	case r.ran == 0 && refused:
 		return refusal
-	}
-	if r.ran == 0 {
+	case r.ran == 0:
 		return &scheduler.Refusal{Cause: cause, Retry: retryAfter}
+	case refused:
+		// An earlier attempt may have run.
+		return errors.Wrapf(ErrBroken, "no other endpoint: %v", refusal.Cause)
+	default:
+		return cause
 	}
-	return cause
 }
 
 // salt separates cached parts by model, weights and, for isolated teams, team.
--- /dev/null
+++ b/internal/coordination/locator/locator_test.go
@@ -0,0 +1,146 @@
+package locator_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
+)
+
+var (
+	now    = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	store  = netip.MustParseAddrPort("10.0.0.1:1")
+	engine = netip.MustParseAddrPort("10.0.1.1:1")
+	other  = netip.MustParseAddrPort("10.0.1.2:1")
+	none   = netip.AddrPort{}
+	key    = locator.Key{Salt: "s", Part: "a"}
+)
+
+func query() locator.Query {
+	return locator.Query{
+		Salt:  "s",
+		Parts: []locator.Part{{ID: "a", Tokens: 100}, {ID: "own", Tokens: 50}},
+		At:    engine, Domain: "d1",
+		Engines: []locator.Engine{{Address: engine, Domain: "d1"}, {Address: other, Domain: "d1"}},
+		Stores:  []locator.Store{{Address: store, Capacity: 1_000}},
+	}
+}
+
+// listed returns a directory whose store is known and empty.
+func listed() *locator.Locator {
+	l := locator.New()
+	l.Reset(store, map[locator.Key]int{}, 0)
+	return l
+}
+
+func assertPlan(t *testing.T, l *locator.Locator, q locator.Query, fetch, save netip.AddrPort) {
+	t.Helper()
+	plan := l.Plan(now, q)
+	assert.Equal(t, []netip.AddrPort{fetch, none}, plan.Fetch, "fetch")
+	assert.Equal(t, []netip.AddrPort{save, none}, plan.Save, "save")
+}
+
+func TestPlan(t *testing.T) {
+	t.Run("an unknown part is saved, the request's own is not", func(t *testing.T) {
+		assertPlan(t, listed(), query(), none, store)
+	})
+	t.Run("a save under way is neither repeated nor fetched", func(t *testing.T) {
+		l := listed()
+		l.Plan(now, query())
+		assertPlan(t, l, query(), none, none)
+	})
+	t.Run("a save that did not come is asked for again", func(t *testing.T) {
+		l := listed()
+		l.Plan(now.Add(-time.Minute), query())
+		assertPlan(t, l, query(), none, store)
+	})
+	t.Run("a complete part is fetched", func(t *testing.T) {
+		l := listed()
+		l.Stored(store, key, 100)
+		assertPlan(t, l, query(), store, none)
+	})
+	t.Run("a part that is shorter than asked for is not", func(t *testing.T) {
+		l := listed()
+		l.Stored(store, key, 40)
+		assertPlan(t, l, query(), none, none)
+	})
+	t.Run("a part of another salt is not", func(t *testing.T) {
+		l := listed()
+		l.Stored(store, locator.Key{Salt: "team", Part: "a"}, 100)
+		assertPlan(t, l, query(), none, store)
+	})
+	t.Run("a part that is gone is not", func(t *testing.T) {
+		l := listed()
+		l.Stored(store, key, 100)
+		l.Stored(store, key, 0)
+		assertPlan(t, l, query(), none, store)
+	})
+	t.Run("an engine is preferred to a store", func(t *testing.T) {
+		l := listed()
+		l.Stored(store, key, 100)
+		l.Reset(other, map[locator.Key]int{key: 100}, 0)
+		assertPlan(t, l, query(), other, none)
+	})
+	t.Run("the engine itself is no source", func(t *testing.T) {
+		l := listed()
+		l.Reset(engine, map[locator.Key]int{key: 100}, 0)
+		assertPlan(t, l, query(), none, store)
+	})
+	t.Run("nothing goes to or comes from a store that is not known", func(t *testing.T) {
+		l := listed()
+		l.Stored(store, key, 100)
+		l.Forget(store)
+		assertPlan(t, l, query(), none, none)
+	})
+	t.Run("a full store gets nothing", func(t *testing.T) {
+		l := listed()
+		l.Stored(store, locator.Key{Salt: "s", Part: "big"}, 900)
+		assertPlan(t, l, query(), none, none)
+	})
+	t.Run("incomplete parts take room", func(t *testing.T) {
+		l := locator.New()
+		l.Reset(store, map[locator.Key]int{}, 900)
+		assertPlan(t, l, query(), none, none)
+	})
+}
+
+func TestCached(t *testing.T) {
+	assertCached := func(t *testing.T, l *locator.Locator, held, fetched int) {
+		t.Helper()
+		gotHeld, gotFetched := l.Cached(query())
+		assert.Equal(t, held, gotHeld, "held")
+		assert.Equal(t, fetched, gotFetched, "fetched")
+	}
+	t.Run("nothing known", func(t *testing.T) { assertCached(t, listed(), 0, 0) })
+	t.Run("held by the engine", func(t *testing.T) {
+		l := listed()
+		l.Reset(engine, map[locator.Key]int{key: 100}, 0)
+		assertCached(t, l, 100, 0)
+	})
+	t.Run("held elsewhere", func(t *testing.T) {
+		l := listed()
+		l.Stored(store, key, 100)
+		assertCached(t, l, 0, 100)
+	})
+}
+
+func TestObsolete(t *testing.T) {
+	l := listed()
+	l.Stored(store, key, 100)
+	l.Stored(store, locator.Key{Salt: "old", Part: "b"}, 100)
+	keys := l.Obsolete(store, func(salt string) bool { return salt == "s" })
+	assert.Equal(t, []locator.Key{{Salt: "old", Part: "b"}}, keys)
+}
+
+func TestRankFollowsCapacity(t *testing.T) {
+	stores := []locator.Store{{Address: store, Capacity: 900}, {Address: other, Capacity: 100}}
+	first := map[netip.AddrPort]int{}
+	for i := range 2_000 {
+		k := locator.Key{Salt: "s", Part: string(rune('a'+i%26)) + string(rune('a'+i/26))}
+		first[locator.Rank(stores, k)[0].Address]++
+	}
+	assert.InDelta(t, 0.9, float64(first[store])/2_000, 0.05)
+}
--- a/internal/coordination/scheduler/order.go
+++ b/internal/coordination/scheduler/order.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -58,7 +59,7 @@
 	case before(b.request, a.request, now):
 		return 1
 	default:
-		return 0
+		return cmp.Compare(a.turn, b.turn)
 	}
 }
 
@@ -69,7 +70,7 @@
 }
 
 func resort(waiting []*waiter, now time.Time) {
-	slices.SortStableFunc(waiting, func(a, b *waiter) int { return compare(a, b, now) })
+	slices.SortFunc(waiting, func(a, b *waiter) int { return compare(a, b, now) })
 }
 
 // patience is the longest time that a request is kept waiting.
--- a/internal/coordination/scheduler/pace.go
+++ b/internal/coordination/scheduler/pace.go
@@ -36,6 +36,9 @@
 // last second nothing can be told, and the wait is taken as one span.
 func (p *pace) wait(now time.Time, tokens int) time.Duration {
 	p.forget(now)
+	if tokens == 0 {
+		return 0
+	}
 	if p.sum == 0 {
 		return paceSpan
 	}
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -60,6 +60,8 @@
 // waiter is a request in the queue.
 type waiter struct {
 	request Request
+	// turn orders requests that are equal otherwise.
+	turn    uint64
 	ready   chan balancer.Choice
 	started bool
 }
@@ -77,6 +79,7 @@
 
 	mu    sync.Mutex
 	lanes map[string]*lane
+	turn  uint64
 }
 
 // Acquire waits for an endpoint. It returns a *Refusal at once if the wait is
@@ -109,7 +112,8 @@
 			return nil, choice, nil
 		}
 	}
-	w := &waiter{request: request, ready: make(chan balancer.Choice, 1)}
+	s.turn++
+	w := &waiter{request: request, turn: s.turn, ready: make(chan balancer.Choice, 1)}
 	l.waiting = insert(l.waiting, w, now)
 	l.pump(now)
 	if w.started {
--- /dev/null
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -0,0 +1,258 @@
+package scheduler_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/scheduler"
+)
+
+const objective = time.Second
+
+// site stands in for engines that run a number of requests at once.
+type site struct {
+	scheduler *scheduler.Scheduler
+
+	mu    sync.Mutex
+	slots int
+	order []string
+}
+
+func newSite(slots int) *site {
+	return &site{scheduler: &scheduler.Scheduler{Now: time.Now}, slots: slots}
+}
+
+func (s *site) pick(name string) func() (balancer.Choice, bool) {
+	return func() (balancer.Choice, bool) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.slots == 0 {
+			return balancer.Choice{}, false
+		}
+		s.slots--
+		s.order = append(s.order, name)
+		return balancer.Choice{}, true
+	}
+}
+
+func (s *site) release() {
+	s.mu.Lock()
+	s.slots++
+	s.mu.Unlock()
+	s.scheduler.Pump()
+}
+
+func (s *site) request(name string) scheduler.Request {
+	return scheduler.Request{
+		Service: "s", Received: time.Now(), Objective: objective, Deadline: time.Now().Add(15 * time.Second),
+		Tokens: 100, Pick: s.pick(name),
+	}
+}
+
+// start acquires for a request on a goroutine of its own.
+func (s *site) start(ctx context.Context, request scheduler.Request) <-chan error {
+	result := make(chan error, 1)
+	go func() {
+		_, err := s.scheduler.Acquire(ctx, request)
+		result <- err
+	}()
+	synctest.Wait()
+	return result
+}
+
+func assertStarted(t *testing.T, result <-chan error) {
+	t.Helper()
+	synctest.Wait()
+	select {
+	case err := <-result:
+		assert.NoError(t, err)
+	default:
+		t.Error("request still waits")
+	}
+}
+
+func assertWaits(t *testing.T, result <-chan error) {
+	t.Helper()
+	synctest.Wait()
+	assert.Empty(t, result)
+}
+
+func assertRefused(t *testing.T, err error) *scheduler.Refusal {
+	t.Helper()
+	var refusal *scheduler.Refusal
+	require.ErrorAs(t, err, &refusal)
+	assert.ErrorIs(t, err, scheduler.ErrBusy)
+	assert.Positive(t, refusal.Retry)
+	return refusal
+}
+
+func TestAcquire(t *testing.T) {
+	t.Run("starts at once when there is room", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(1)
+			assertStarted(t, s.start(t.Context(), s.request("a")))
+		})
+	})
+	t.Run("waits for room", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(1)
+			assertStarted(t, s.start(t.Context(), s.request("a")))
+			waiting := s.start(t.Context(), s.request("b"))
+			assertWaits(t, waiting)
+			s.release()
+			assertStarted(t, waiting)
+		})
+	})
+	t.Run("is given up after its patience with a time to come back", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(0)
+			began := time.Now()
+			assertRefused(t, <-s.start(t.Context(), s.request("a")))
+			assert.Equal(t, 2*time.Second, time.Since(began))
+		})
+	})
+	t.Run("is kept waiting for a quarter of a short deadline only", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(0)
+			request := s.request("a")
+			request.Deadline = time.Now().Add(800 * time.Millisecond)
+			began := time.Now()
+			assertRefused(t, <-s.start(t.Context(), request))
+			assert.Equal(t, 200*time.Millisecond, time.Since(began))
+		})
+	})
+	t.Run("ends with its caller", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(0)
+			ctx, cancel := context.WithCancel(t.Context())
+			waiting := s.start(ctx, s.request("a"))
+			cancel()
+			assert.ErrorIs(t, <-waiting, context.Canceled)
+			assert.Zero(t, s.scheduler.Waiting())
+		})
+	})
+	t.Run("is refused at once when the queue is longer than it can wait", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(1)
+			assertStarted(t, s.start(t.Context(), s.request("first")))
+			for range 21 {
+				s.start(t.Context(), s.request("queued"))
+			}
+			began := time.Now()
+			refusal := assertRefused(t, <-s.start(t.Context(), s.request("last")))
+			assert.Zero(t, time.Since(began))
+			assert.Equal(t, 3*time.Second, refusal.Retry)
+		})
+	})
+}
+
+func TestOrder(t *testing.T) {
+	run := func(t *testing.T, requests func(s *site) []scheduler.Request, want ...string) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(0)
+			for _, request := range requests(s) {
+				s.start(t.Context(), request)
+			}
+			for range want {
+				s.release()
+				synctest.Wait()
+			}
+			assert.Equal(t, want, s.order)
+		})
+	}
+	t.Run("first due first", func(t *testing.T) {
+		run(t, func(s *site) []scheduler.Request {
+			slow, fast := s.request("slow"), s.request("fast")
+			fast.Objective = objective / 2
+			return []scheduler.Request{slow, fast}
+		}, "fast", "slow")
+	})
+	t.Run("lower rank first among equals", func(t *testing.T) {
+		run(t, func(s *site) []scheduler.Request {
+			bulk, chat := s.request("bulk"), s.request("chat")
+			bulk.Rank = 2
+			return []scheduler.Request{bulk, chat}
+		}, "chat", "bulk")
+	})
+	t.Run("an old request of a higher rank gets its turn", func(t *testing.T) {
+		run(t, func(s *site) []scheduler.Request {
+			bulk, chat := s.request("bulk"), s.request("chat")
+			bulk.Rank, bulk.Received = 1, bulk.Received.Add(-objective/2)
+			return []scheduler.Request{chat, bulk}
+		}, "bulk", "chat")
+	})
+	t.Run("those that are late already come last", func(t *testing.T) {
+		run(t, func(s *site) []scheduler.Request {
+			late, timely := s.request("late"), s.request("timely")
+			late.Received = late.Received.Add(-2 * objective)
+			return []scheduler.Request{late, timely}
+		}, "timely", "late")
+	})
+	t.Run("streams that go on elsewhere come first", func(t *testing.T) {
+		run(t, func(s *site) []scheduler.Request {
+			timely, urgent := s.request("timely"), s.request("urgent")
+			urgent.Urgent = true
+			return []scheduler.Request{timely, urgent}
+		}, "urgent", "timely")
+	})
+}
+
+// TestOverload replays a burst of twice what the engines can run for three
+// seconds. Requests that start must mostly start in time, and nobody must be
+// kept for long only to be refused.
+func TestOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			slots   = 10
+			service = 200 * time.Millisecond
+			gap     = 10 * time.Millisecond // 100 requests a second for 50
+			count   = 300
+		)
+		s := newSite(slots)
+		random := rand.New(rand.NewPCG(1, 2))
+		var mu sync.Mutex
+		var timely, late, refused, heldLong int
+		var group sync.WaitGroup
+		for range count {
+			group.Go(func() {
+				request := s.request("r")
+				request.Deadline = request.Received.Add(3 * time.Second)
+				_, err := s.scheduler.Acquire(t.Context(), request)
+				waited := time.Since(request.Received)
+				mu.Lock()
+				switch {
+				case err != nil:
+					refused++
+					if waited > 750*time.Millisecond {
+						heldLong++
+					}
+				case waited <= objective:
+					timely++
+				default:
+					late++
+				}
+				mu.Unlock()
+				if err == nil {
+					time.Sleep(service)
+					s.release()
+				}
+			})
+			time.Sleep(time.Duration(random.Int64N(int64(2 * gap))))
+		}
+		group.Wait()
+		capacity := int(float64(slots) / service.Seconds() * (count * gap).Seconds())
+		assert.GreaterOrEqual(t, timely, capacity*9/10, "timely %d late %d refused %d", timely, late, refused)
+		assert.Zero(t, late)
+		assert.Zero(t, heldLong)
+		assert.Zero(t, s.scheduler.Waiting())
+	})
+}
--- /dev/null
+++ b/internal/protocol/splitter/splitter_test.go
@@ -0,0 +1,78 @@
+package splitter_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/splitter"
+)
+
+// split returns all events, their ids, and the error at the end.
+func split(source io.Reader) (events, ids []string, err error) {
+	s := splitter.New(source)
+	for {
+		event, err := s.Next()
+		if err != nil {
+			return events, ids, err
+		}
+		events = append(events, string(event.Data))
+		ids = append(ids, event.ID)
+	}
+}
+
+func assertSplit(t *testing.T, text string, wantErr error, wantIDs ...string) {
+	t.Helper()
+	for name, source := range map[string]io.Reader{
+		"whole":        strings.NewReader(text),
+		"byte by byte": iotest.OneByteReader(strings.NewReader(text)),
+	} {
+		events, ids, err := split(source)
+		assert.ErrorIs(t, err, wantErr, name)
+		assert.Equal(t, wantIDs, ids, name)
+		assert.True(t, strings.HasPrefix(text, strings.Join(events, "")), name)
+	}
+}
+
+func TestNext(t *testing.T) {
+	t.Run("events", func(t *testing.T) { assertSplit(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", io.EOF, "1", "2") })
+	t.Run("other line ends", func(t *testing.T) { assertSplit(t, "id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", io.EOF, "1", "2") })
+	t.Run("id after other lines", func(t *testing.T) { assertSplit(t, "weights: 3\nid:9\ndata: a\n\n", io.EOF, "9") })
+	t.Run("no id", func(t *testing.T) { assertSplit(t, "data: a\n\n", io.EOF, "") })
+	t.Run("end in the middle of an event", func(t *testing.T) { assertSplit(t, "id: 1\n\nid: 2\nda", splitter.ErrPartial, "1") })
+	t.Run("nothing", func(t *testing.T) { assertSplit(t, "", io.EOF) })
+	t.Run("a broken source", func(t *testing.T) {
+		broken := errors.New("reset")
+		events, _, err := split(io.MultiReader(strings.NewReader("id: 1\n\nid: 2"), iotest.ErrReader(broken)))
+		require.ErrorIs(t, err, broken)
+		assert.Len(t, events, 1)
+	})
+	t.Run("an event without end", func(t *testing.T) {
+		_, _, err := split(strings.NewReader(strings.Repeat("x", 2<<20)))
+		assert.ErrorIs(t, err, splitter.ErrTooLong)
+	})
+}
+
+func FuzzNext(f *testing.F) {
+	f.Add([]byte("id: 1\n\nid: 2\r\n\r\n"), 3)
+	f.Add([]byte("\n\n\n\r\n\r\n"), 1)
+	f.Fuzz(func(t *testing.T, text []byte, chunk int) {
+		events, _, _ := split(bytes.NewReader(text))
+		chunked, _, _ := split(chunkReader{bytes.NewReader(text), 1 + max(chunk, 0)%7})
+		assert.Equal(t, events, chunked)
+	})
+}
+
+// chunkReader returns at most size bytes a read.
+type chunkReader struct {
+	source io.Reader
+	size   int
+}
+
+func (c chunkReader) Read(p []byte) (int, error) { return c.source.Read(p[:min(len(p), c.size)]) }
--- /dev/null
+++ b/internal/state/tracker/tracker_test.go
@@ -0,0 +1,97 @@
+package tracker_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
+)
+
+var (
+	start   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	address = netip.MustParseAddrPort("10.0.0.1:80")
+)
+
+func endpoint(version int64) tracker.Endpoint {
+	return tracker.Endpoint{ID: "e1", Service: "s", Address: address, Born: start, Weights: map[string]int64{"m": version}}
+}
+
+func assertListed(t *testing.T, table *tracker.Table, want int) {
+	t.Helper()
+	assert.Len(t, table.Snapshot()["s"], want)
+}
+
+func TestRemove(t *testing.T) {
+	t.Run("at once when the directory was there", func(t *testing.T) {
+		table := &tracker.Table{Grace: 2 * time.Second}
+		table.Put(endpoint(1))
+		assert.True(t, table.Remove("e1", start, false))
+		assertListed(t, table, 0)
+	})
+	t.Run("after the grace when it was away", func(t *testing.T) {
+		table := &tracker.Table{Grace: 2 * time.Second}
+		table.Put(endpoint(1))
+		table.Remove("e1", start, true)
+		assert.Empty(t, table.Sweep(start.Add(1999*time.Millisecond)))
+		assertListed(t, table, 1)
+		assert.Equal(t, []string{"e1"}, table.Sweep(start.Add(2*time.Second)))
+		assertListed(t, table, 0)
+	})
+	t.Run("not when it registers again", func(t *testing.T) {
+		table := &tracker.Table{Grace: 2 * time.Second}
+		table.Put(endpoint(1))
+		table.Remove("e1", start, true)
+		table.Put(endpoint(1))
+		assert.Empty(t, table.Sweep(start.Add(time.Hour)))
+		assertListed(t, table, 1)
+	})
+	t.Run("at once when it was leaving", func(t *testing.T) {
+		table := &tracker.Table{Grace: 2 * time.Second}
+		leaving := endpoint(1)
+		leaving.Leaving = true
+		table.Put(leaving)
+		table.Remove("e1", start, true)
+		assertListed(t, table, 0)
+	})
+	t.Run("by a full listing", func(t *testing.T) {
+		table := &tracker.Table{}
+		table.Put(endpoint(1))
+		assert.False(t, table.Retain(map[string]bool{"e1": true}, start, false))
+		assert.True(t, table.Retain(map[string]bool{"e2": true}, start, false))
+		assertListed(t, table, 0)
+	})
+}
+
+func assertVersion(t *testing.T, table *tracker.Table, want int64) {
+	t.Helper()
+	assert.Equal(t, want, table.Snapshot()["s"][0].Weights["m"])
+}
+
+func TestWeights(t *testing.T) {
+	t.Run("an entry that lags does not take them back", func(t *testing.T) {
+		table := &tracker.Table{}
+		table.Put(endpoint(1))
+		assert.True(t, table.Reweigh(endpoint(1), "m", 2))
+		assert.False(t, table.Put(endpoint(1)))
+		assertVersion(t, table, 2)
+	})
+	t.Run("a restart under the same id begins anew", func(t *testing.T) {
+		table := &tracker.Table{}
+		table.Put(endpoint(2))
+		reborn := endpoint(1)
+		reborn.Born = start.Add(time.Second)
+		assert.True(t, table.Put(reborn))
+		assertVersion(t, table, 1)
+	})
+	t.Run("word of an earlier process is ignored", func(t *testing.T) {
+		table := &tracker.Table{}
+		reborn := endpoint(1)
+		reborn.Born = start.Add(time.Second)
+		table.Put(reborn)
+		assert.False(t, table.Reweigh(endpoint(1), "m", 2))
+		assertVersion(t, table, 1)
+	})
+}
