Count the time of each named version, not of the newest only

Change: a view holds the time of each naming; an engine is passed over when any version above its own is due. Test: TestReplacedWeights, which failed before.

--- a/internal/coordination/exchanger/exchanger.go
+++ b/internal/coordination/exchanger/exchanger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,32 +34,47 @@
 type View struct {
 	Catalog   *cataloger.Catalog
 	Endpoints map[string][]tracker.Endpoint
-	// Named holds the newest named version of each model.
-	Named map[string]int64
-	// NamedAt holds when each was named; nothing if that is unknown.
-	NamedAt map[string]time.Time
+	// Namings holds the named versions of each model, the newest last.
+	Namings map[string][]Naming
 	// Retained holds the oldest version of each model whose parts are kept in
 	// stores.
 	Retained map[string]int64
 }
 
+// Naming is a version of a model's weights that the endpoints are to load.
+type Naming struct {
+	Version int64
+	// At is when it was named; zero if that is unknown.
+	At time.Time
+}
+
+// Named returns the newest named version of a model; zero for none.
+func (v View) Named(model string) int64 {
+	namings := v.Namings[model]
+	if len(namings) == 0 {
+		return 0
+	}
+	return namings[len(namings)-1].Version
+}
+
 // outdated returns the endpoints of a service that must not begin requests for a
-// model any more: a newer version was named more than limit ago, or at an unknown
-// time while other endpoints have it.
+// model any more: a newer version than theirs was named more than limit ago, or
+// at an unknown time while other endpoints have the newest.
 func (v View) outdated(now time.Time, service, model string, limit time.Duration) map[string]bool {
-	var current int
+	newest := v.Named(model)
+	current := slices.ContainsFunc(v.Endpoints[service], func(endpoint tracker.Endpoint) bool {
+		return endpoint.Weights[model] >= newest && !endpoint.Leaving
+	})
 	outdated := map[string]bool{}
 	for _, endpoint := range v.Endpoints[service] {
-		if endpoint.Weights[model] < v.Named[model] {
-			outdated[endpoint.ID] = true
-		} else if !endpoint.Leaving {
-			current++
+		for _, naming := range v.Namings[model] {
+			unknown := naming.At.IsZero()
+			over := unknown && current || !unknown && now.Sub(naming.At) >= limit
+			if endpoint.Weights[model] < naming.Version && over {
+				outdated[endpoint.ID] = true
+			}
 		}
 	}
-	at, known := v.NamedAt[model]
-	if known && now.Sub(at) < limit || !known && current == 0 {
-		return nil
-	}
 	return outdated
 }
 
@@ -277,7 +293,7 @@
 		return nil
 	}
 	return func(endpoint tracker.Endpoint) bool {
-		return endpoint.Weights[r.Prompt.Model] < view.Named[r.Prompt.Model]
+		return endpoint.Weights[r.Prompt.Model] < view.Named(r.Prompt.Model)
 	}
 }
 
--- a/internal/coordination/exchanger/exchanger_test.go
+++ b/internal/coordination/exchanger/exchanger_test.go
@@ -379,3 +379,60 @@
 		})
 	})
 }
+
+// TestReplacedWeights replays an upgrade that is held up while a newer version is
+// named: the time of the older one still counts.
+func TestReplacedWeights(t *testing.T) {
+	named := func(ago ...time.Duration) []exchanger.Naming {
+		var all []exchanger.Naming
+		for i, d := range ago {
+			all = append(all, exchanger.Naming{Version: int64(i + 2), At: time.Now().Add(-d)})
+		}
+		return all
+	}
+	run := func(t *testing.T, namings []exchanger.Naming, loaded ...int64) (*endpoints, error) {
+		t.Helper()
+		e := &endpoints{reactions: []reaction{stream(io.EOF, "1")}}
+		x := newExchanger(e)
+		x.View = func() exchanger.View {
+			v := view()
+			for i := range v.Endpoints[service] {
+				v.Endpoints[service][i].Weights = map[string]int64{"m": loaded[i]}
+			}
+			v.Namings = map[string][]exchanger.Naming{"m": namings}
+			return v
+		}
+		request := exchange(cataloger.RepeatResumable)
+		request.Prompt = &exchanger.Prompt{Model: "m", Parts: []locator.Part{{ID: "a", Tokens: 10}}}
+		return e, x.Run(t.Context(), request, &caller{})
+	}
+	t.Run("serve for a while", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			_, err := run(t, named(7*time.Second), 1, 1, 1)
+			assert.NoError(t, err)
+		})
+	})
+	t.Run("then not", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			_, err := run(t, named(9*time.Second), 1, 1, 1)
+			assertNotRun(t, err)
+		})
+	})
+	t.Run("a newer version does not extend the time", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			e, err := run(t, named(9*time.Second, time.Second), 1, 1, 2)
+			require.NoError(t, err)
+			assert.Equal(t, "e3", e.attempts[0].Endpoint.ID)
+		})
+	})
+	t.Run("named at an unknown time, only where others have it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			unknown := []exchanger.Naming{{Version: 2}}
+			_, err := run(t, unknown, 1, 1, 1)
+			assert.NoError(t, err)
+			e, err := run(t, unknown, 1, 1, 2)
+			require.NoError(t, err)
+			assert.Equal(t, "e3", e.attempts[0].Endpoint.ID)
+		})
+	})
+}
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -106,7 +106,7 @@
 func (p *Peers) names() []observer.Change {
 	view := p.Node.View()
 	var names []observer.Change
-	for model, version := range view.Named {
+	for model, version := range p.Node.Named() {
 		names = append(names, observer.Change{Endpoint: namedMark, Model: balancer.Hash(model), Version: version})
 	}
 	for model, version := range view.Retained {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -54,8 +54,7 @@
 	view    atomic.Pointer[exchanger.View]
 	table   tracker.Table
 	catalog *cataloger.Catalog
-	named   map[string]int64
-	namedAt map[string]time.Time
+	namings map[string][]exchanger.Naming
 	// retained holds the oldest version of each model whose parts are kept.
 	retained map[string]int64
 }
@@ -66,8 +65,7 @@
 		Log: log, Now: now,
 		inbox:    make(chan func(), inboxSize),
 		table:    tracker.Table{Grace: lapseGrace},
-		named:    map[string]int64{},
-		namedAt:  map[string]time.Time{},
+		namings:  map[string][]exchanger.Naming{},
 		retained: map[string]int64{},
 	}
 }
@@ -104,7 +102,14 @@
 }
 
 // Named returns the newest named version of each model.
-func (r *Relayer) Named() map[string]int64 { return r.View().Named }
+func (r *Relayer) Named() map[string]int64 {
+	view := r.View()
+	named := make(map[string]int64, len(view.Namings))
+	for model := range view.Namings {
+		named[model] = view.Named(model)
+	}
+	return named
+}
 
 // Configure takes in a configuration. Older versions than the one in force are
 // ignored.
@@ -124,14 +129,16 @@
 // named just now; else the time is unknown.
 func (r *Relayer) Name(model string, version int64, fresh bool) {
 	r.do(func() {
-		if version <= r.named[model] {
+		held := r.namings[model]
+		if len(held) > 0 && held[len(held)-1].Version >= version {
 			return
 		}
-		delete(r.namedAt, model)
+		naming := exchanger.Naming{Version: version}
 		if fresh {
-			r.namedAt[model] = r.Now()
+			naming.At = r.Now()
 		}
-		r.named[model] = version
+		// Published views share the list, so that it is copied.
+		r.namings[model] = append(slices.Clone(held), naming)
 		r.publish()
 		r.Log.Info().Str("event", "weights named").Str("model", model).Int64("version", version).Bool("fresh", fresh).Send()
 		r.Renamed()
@@ -257,7 +264,7 @@
 	if r.catalog == nil {
 		return
 	}
-	view := exchanger.View{Catalog: r.catalog, Endpoints: r.table.Snapshot(), Named: maps.Clone(r.named), NamedAt: maps.Clone(r.namedAt)}
+	view := exchanger.View{Catalog: r.catalog, Endpoints: r.table.Snapshot(), Namings: maps.Clone(r.namings)}
 	r.retire(view.Endpoints)
 	view.Retained = maps.Clone(r.retained)
 	r.view.Store(&view)
--- a/internal/relayer/upgrades.go
+++ b/internal/relayer/upgrades.go
@@ -118,7 +118,7 @@
 
 // behind takes in the node's view and reports whether an endpoint needs orders.
 func (u *Upgrades) behind() bool {
-	view := u.Node.View()
+	view, named := u.Node.View(), u.Node.Named()
 	found := false
 	listed := map[string]bool{}
 	for _, endpoints := range view.Endpoints {
@@ -129,7 +129,7 @@
 				state = upgrader.State{}
 			}
 			state.Endpoint = endpoint
-			if _, _, ok := upgrader.Behind(endpoint.Weights, view.Named); !ok {
+			if _, _, ok := upgrader.Behind(endpoint.Weights, named); !ok {
 				u.loaded(state)
 				state = upgrader.State{Endpoint: endpoint}
 			} else if !endpoint.Leaving {
@@ -222,7 +222,7 @@
 
 // ask gets the reports that the next decision needs.
 func (u *Upgrades) ask(ctx context.Context) {
-	named := u.Node.View().Named
+	named := u.Node.Named()
 	type reply struct {
 		id     string
 		report upgrader.Report
@@ -272,7 +272,7 @@
 // order drains endpoints and gives the orders that are due, each only while the
 // claim holds.
 func (u *Upgrades) order(ctx context.Context) error {
-	plan := upgrader.Next(elapsed(), u.list(), u.Node.View().Named)
+	plan := upgrader.Next(elapsed(), u.list(), u.Node.Named())
 	if len(plan.Drain)+len(plan.Orders) == 0 {
 		return nil
 	}
