--- /dev/null
+++ b/internal/relayer/relayer_test.go
@@ -0,0 +1,346 @@
+package relayer_test
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/leaser"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/upgrader"
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
+	"github.com/lacewingrelay/lacewingrelay/internal/relayer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
+)
+
+var store = netip.MustParseAddrPort("10.0.9.1:80")
+
+func engine(id string, version int64) tracker.Endpoint {
+	return tracker.Endpoint{ID: id, Service: "llm", Domain: "d1", Address: netip.MustParseAddrPort("10.0.0.1:80"), Weights: map[string]int64{"m": version}}
+}
+
+func catalog(version int64) *cataloger.Catalog {
+	services := []cataloger.Service{
+		{Name: "llm", Engine: &cataloger.Engine{}},
+		{Name: "store", Store: &cataloger.Store{Address: store, Capacity: 1000}},
+	}
+	return cataloger.New(version, nil, services, nil, cataloger.Limits{})
+}
+
+// newNode returns a running node with engines.
+func newNode(t *testing.T, endpoints ...tracker.Endpoint) *relayer.Relayer {
+	t.Helper()
+	node := relayer.New(zerolog.Nop(), time.Now)
+	node.Loaded, node.Loading = func(string) {}, func(string) {}
+	node.Renamed, node.Reweighed = func() {}, func(tracker.Endpoint, string, int64) {}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go node.Run(ctx)
+	node.Configure(catalog(1), "test")
+	for _, endpoint := range endpoints {
+		node.PutEndpoint(endpoint)
+	}
+	synctest.Wait()
+	return node
+}
+
+func assertVersion(t *testing.T, node *relayer.Relayer, want int64) {
+	t.Helper()
+	synctest.Wait()
+	assert.Equal(t, want, node.View().Catalog.Version)
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := newNode(t)
+		node.Configure(catalog(5), "log")
+		node.Configure(catalog(3), "peer")
+		assertVersion(t, node, 5)
+	})
+}
+
+func TestRetainedVersions(t *testing.T) {
+	assertRetained := func(t *testing.T, want int64, versions ...int64) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			var endpoints []tracker.Endpoint
+			for i, version := range versions {
+				endpoints = append(endpoints, engine(string(rune('a'+i)), version))
+			}
+			assert.Equal(t, want, newNode(t, endpoints...).View().Retained["m"])
+		})
+	}
+	t.Run("the old one while half of the engines have it", func(t *testing.T) { assertRetained(t, 1, 1, 1, 2, 2) })
+	t.Run("the new one when more than half have it", func(t *testing.T) { assertRetained(t, 2, 1, 2, 2) })
+}
+
+// gossip records who was sent what.
+type gossip struct {
+	sent map[netip.AddrPort]packer.Message
+}
+
+// Send implements relayer.Gossip.
+func (g *gossip) Send(to netip.AddrPort, message packer.Message) error {
+	g.sent[to] = message
+	return nil
+}
+
+// sites stands in for peers that are asked for their configuration.
+type sites struct{ asked atomic.Int64 }
+
+// Site implements relayer.SiteClient.
+func (s *sites) Site(context.Context, netip.AddrPort, int64) (messenger.Site, error) {
+	s.asked.Add(1)
+	return messenger.Site{Version: 9, Weights: map[string]int64{"m": 4}}, nil
+}
+
+func newPeers(t *testing.T, node *relayer.Relayer, client *sites) *relayer.Peers {
+	t.Helper()
+	return &relayer.Peers{
+		Name: "n1", Domain: "d1", Address: netip.MustParseAddrPort("10.0.1.1:80"), GossipPort: 7000,
+		Gossip: &gossip{sent: map[netip.AddrPort]packer.Message{}}, Client: client, Node: node,
+		Balancer: &balancer.Balancer{}, Suspects: &retrier.Suspects{Node: "n1", Expiry: time.Hour},
+		Adopt: func(site messenger.Site) { node.Configure(catalog(site.Version), "peer") },
+		Log:   zerolog.Nop(), Now: time.Now, Stopping: &atomic.Bool{},
+	}
+}
+
+func beat(sequence uint64, changes ...observer.Change) packer.Message {
+	return packer.Message{Sender: observer.Heartbeat{
+		Name: "n2", Domain: "d1", Address: netip.MustParseAddrPort("10.0.1.2:80"), Sequence: sequence, Changes: changes,
+	}}
+}
+
+func TestPeers(t *testing.T) {
+	t.Run("a peer's newer configuration is fetched", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			node, client := newNode(t), &sites{}
+			message := beat(1)
+			message.Sender.Applied = 9
+			newPeers(t, node, client).Hear(message)
+			assertVersion(t, node, 9)
+		})
+	})
+	t.Run("an older one is not", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			node, client := newNode(t), &sites{}
+			newPeers(t, node, client).Hear(beat(1))
+			synctest.Wait()
+			assert.Zero(t, client.asked.Load())
+		})
+	})
+	t.Run("word of newer weights is followed up", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			client := &sites{}
+			newPeers(t, newNode(t), client).Hear(beat(1, observer.Change{Model: balancer.Hash("m"), Version: 4}))
+			synctest.Wait()
+			assert.EqualValues(t, 1, client.asked.Load())
+		})
+	})
+	t.Run("news of an endpoint's weights is taken in", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			node := newNode(t, engine("a", 1))
+			peers := newPeers(t, node, &sites{})
+			peers.Hear(beat(1, observer.Change{Endpoint: balancer.Hash("a"), Model: balancer.Hash("m"), Version: 2}))
+			synctest.Wait()
+			assert.EqualValues(t, 2, node.View().Endpoints["llm"][0].Weights["m"])
+		})
+	})
+	t.Run("late heartbeats are ignored", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			node, client := newNode(t), &sites{}
+			peers := newPeers(t, node, client)
+			peers.Hear(beat(5))
+			message := beat(4)
+			message.Sender.Applied = 9
+			peers.Hear(message)
+			assertVersion(t, node, 1)
+		})
+	})
+	t.Run("all that were ever heard of count for shared budgets", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			peers := newPeers(t, newNode(t), &sites{})
+			assert.Equal(t, 1, peers.Count())
+			peers.Hear(beat(1))
+			peers.Learn(netip.MustParseAddrPort("10.0.1.3:80"), "d2")
+			time.Sleep(time.Hour)
+			assert.Equal(t, 3, peers.Count())
+		})
+	})
+}
+
+func TestAcknowledged(t *testing.T) {
+	retained := func(version int64) observer.Change {
+		return observer.Change{Endpoint: 1, Model: balancer.Hash("m"), Version: version}
+	}
+	t.Run("not while a peer fetches older parts", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			peers := newPeers(t, newNode(t), &sites{})
+			peers.Hear(beat(1, retained(1)))
+			assert.False(t, peers.Acknowledged("m", 2))
+			peers.Hear(beat(2, retained(2)))
+			assert.True(t, peers.Acknowledged("m", 2))
+		})
+	})
+	t.Run("a silent peer counts until it is out of touch", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			peers := newPeers(t, newNode(t), &sites{})
+			peers.Hear(beat(1, retained(1)))
+			time.Sleep(2 * time.Second)
+			assert.False(t, peers.Acknowledged("m", 2))
+			time.Sleep(2 * time.Second)
+			assert.True(t, peers.Acknowledged("m", 2))
+		})
+	})
+}
+
+// parts records what is freed.
+type parts struct{ freed []locator.Key }
+
+// Free implements relayer.PartFreer.
+func (p *parts) Free(_ context.Context, _ netip.AddrPort, keys []locator.Key) error {
+	p.freed = append(p.freed, keys...)
+	return nil
+}
+
+func TestCleaner(t *testing.T) {
+	run := func(t *testing.T, acknowledged bool, check func(t *testing.T, freed []locator.Key)) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			old := locator.Key{Salt: exchanger.Salt("", "m", 1), Part: "a"}
+			current := locator.Key{Salt: exchanger.Salt("", "m", 2), Part: "a"}
+			l, p := locator.New(), &parts{}
+			l.Reset(store, map[locator.Key]int{old: 10, current: 10}, 0)
+			cleaner := &relayer.Cleaner{
+				Node: newNode(t, engine("a", 2)), Locator: l, Parts: p, Self: "n1", Alive: func() []string { return nil },
+				Acknowledged: func(string, int64) bool { return acknowledged }, Logger: zerolog.Nop(), Now: time.Now,
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			cleaner.Run(ctx)
+			check(t, p.freed)
+		})
+	}
+	t.Run("frees parts of versions that nobody fetches", func(t *testing.T) {
+		run(t, true, func(t *testing.T, freed []locator.Key) {
+			assert.Equal(t, []locator.Key{{Salt: exchanger.Salt("", "m", 1), Part: "a"}}, freed)
+		})
+	})
+	t.Run("frees nothing that a node may still fetch", func(t *testing.T) {
+		run(t, false, func(t *testing.T, freed []locator.Key) { assert.Empty(t, freed) })
+	})
+}
+
+// claimLog stands in for the log of claims.
+type claimLog struct{ claims []leaser.Claim }
+
+// Claims implements relayer.ClaimLog.
+func (c *claimLog) Claims(_ context.Context, from int64, wait time.Duration) ([]leaser.Claim, int64, error) {
+	if from == int64(len(c.claims)) {
+		time.Sleep(wait)
+	}
+	return append([]leaser.Claim{}, c.claims[from:]...), int64(len(c.claims)), nil
+}
+
+// Claim implements relayer.ClaimLog.
+func (c *claimLog) Claim(_ context.Context, at int64, holder string) (int64, error) {
+	if at != int64(len(c.claims)) {
+		return 0, relayer.ErrConflict
+	}
+	c.claims = append(c.claims, leaser.Claim{Offset: at, Holder: holder})
+	return at, nil
+}
+
+// fleet stands in for engines that load weights.
+type fleet struct {
+	load    time.Duration
+	ready   map[string]time.Time
+	orders  []string
+	tokens  []int64
+	most    int
+	outcome relayer.Outcome
+}
+
+func (f *fleet) loading() int {
+	n := 0
+	for _, at := range f.ready {
+		if time.Now().Before(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// Report implements relayer.Endpoints.
+func (f *fleet) Report(_ context.Context, endpoint tracker.Endpoint) (upgrader.Report, error) {
+	at, ordered := f.ready[endpoint.ID]
+	report := upgrader.Report{Weights: map[string]int64{"m": 1}}
+	if ordered && !time.Now().Before(at) {
+		report.Weights["m"], report.Sequence = 2, 1
+	}
+	report.Busy = ordered && time.Now().Before(at)
+	return report, nil
+}
+
+// Load implements relayer.Endpoints.
+func (f *fleet) Load(_ context.Context, order upgrader.Order, _ string, token int64) relayer.Outcome {
+	f.orders = append(f.orders, order.Endpoint.ID)
+	f.tokens = append(f.tokens, token)
+	f.ready[order.Endpoint.ID] = time.Now().Add(f.load)
+	f.most = max(f.most, f.loading())
+	return f.outcome
+}
+
+func TestUpgrades(t *testing.T) {
+	if _, ok := relayer.SinceBoot(); !ok {
+		t.Fatal("host has no clock that runs on while it is suspended")
+	}
+	// The lease reads the host's own clock, which synctest does not move, so that
+	// this test runs in real time.
+	node := relayer.New(zerolog.Nop(), time.Now)
+	node.Loaded, node.Loading = func(string) {}, func(string) {}
+	node.Renamed, node.Reweighed = func() {}, func(tracker.Endpoint, string, int64) {}
+	go node.Run(t.Context())
+	node.Configure(catalog(1), "test")
+	for _, id := range []string{"a", "b", "c"} {
+		node.PutEndpoint(engine(id, 1))
+	}
+	f := &fleet{load: 200 * time.Millisecond, ready: map[string]time.Time{}}
+	upgrades := &relayer.Upgrades{
+		Node: node, Log: &claimLog{}, Endpoints: f, Self: "n1", Apart: time.Second, Logger: zerolog.Nop(),
+		Unload: func(tracker.Endpoint) {}, Loaded: func(tracker.Endpoint, string, int64) {},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		upgrades.Run(ctx)
+		close(done)
+	}()
+	node.Name("m", 2, true)
+	assert.Eventually(t, func() bool {
+		view := node.View()
+		for _, endpoint := range view.Endpoints["llm"] {
+			if endpoint.Weights["m"] != 2 {
+				return false
+			}
+		}
+		return len(view.Endpoints["llm"]) == 3
+	}, 20*time.Second, 20*time.Millisecond)
+	cancel()
+	<-done
+	assert.ElementsMatch(t, []string{"a", "b", "c"}, f.orders)
+	assert.LessOrEqual(t, f.most, 2)
+	assert.IsNonDecreasing(t, f.tokens)
+}
