Log through a bounded queue, serve figures, reload settings on SIGHUP

Change: lines go to standard output in batches by one goroutine, 400 a second at most over a longer time, what is over is counted; counters and latency histograms at /metrics of the control address (the product's own meter, now shared); SIGHUP reads the settings again and keeps the last good ones.

--- a/cmd/platformrelay/main.go
+++ b/cmd/platformrelay/main.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,6 +17,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/spooler"
 	"github.com/lacewingrelay/lacewingrelay/platform"
 )
 
@@ -41,6 +43,10 @@
 	}
 }
 
+// logLimit is the largest number of log lines a second: some times what the
+// requests of a busy node bring.
+const logLimit = 400
+
 func run(path string) error {
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
@@ -50,8 +56,30 @@
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	log := zerolog.New(os.Stdout).With().Timestamp().Str("node", settings.Name).Logger()
-	return (&platform.Program{Settings: settings, Log: log}).Run(ctx)
+	spool, logged := startLog()
+	defer logged()
+	program := &platform.Program{
+		Settings: settings,
+		Read:     func() (platform.Settings, error) { return platform.ReadSettings(path) },
+		Reload:   reload,
+		Log:      zerolog.New(spool).With().Timestamp().Str("node", settings.Name).Logger(),
+	}
+	return program.Run(ctx)
+}
+
+// startLog returns a writer of log lines and what writes the last of them.
+func startLog() (io.Writer, func()) {
+	spool := &spooler.Spooler{Out: os.Stdout, Limit: logLimit}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		spool.Run(ctx)
+		close(done)
+	}()
+	return spool, func() {
+		stop()
+		<-done
+	}
 }
 
 func fail(err error, code int) {
--- a/internal/coordination/exchanger/exchanger_test.go
+++ b/internal/coordination/exchanger/exchanger_test.go
@@ -138,10 +138,22 @@
 		Misdirected: func(tracker.Endpoint, string, int64) {
 		},
 		Spread: func() {}, InTouch: func() bool { return true }, StaleLimit: 8 * time.Second,
-		Log: zerolog.Nop(), Now: time.Now,
+		Meter: figures{}, Log: zerolog.Nop(), Now: time.Now,
 	}
 }
 
+// figures drops all figures.
+type figures struct{}
+
+// Request implements exchanger.Meter.
+func (figures) Request(string, string, time.Duration) {}
+
+// Attempt implements exchanger.Meter.
+func (figures) Attempt(string, string) {}
+
+// First implements exchanger.Meter.
+func (figures) First(string, time.Duration, time.Duration) {}
+
 func exchange(repeat cataloger.Repeat) *exchanger.Exchange {
 	return &exchanger.Exchange{
 		ID: "id", Service: service, Received: time.Now(), Deadline: time.Now().Add(15 * time.Second),
--- a/internal/coordination/exchanger/relay.go
+++ b/internal/coordination/exchanger/relay.go
@@ -28,6 +28,7 @@
 		stall.Reset(r.pause())
 		if events == 0 {
 			r.first = r.Now()
+			r.Meter.First(r.Service, r.first.Sub(r.Received), r.waited)
 			r.Balancer.Begun(&r.choice)
 		}
 		if err := r.event(answer, event); err != nil {
--- a/internal/runner/builder.go
+++ b/internal/runner/builder.go
@@ -6,11 +6,6 @@
 	"net/http"
 	"time"
 
-	prom "github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
-
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
@@ -27,23 +22,13 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/gossiper"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/listener"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/meter"
 )
 
 func (n *Node) buildMetrics() {
-	registry := prom.NewRegistry()
-	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	n.reporter = prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:          "lacewingrelay",
-		Tags:            map[string]string{"node": n.Settings.Name, "domain": n.Settings.Domain},
-		CachedReporter:  n.reporter,
-		Separator:       prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-
-		OmitCardinalityMetrics: true,
-	}, time.Second)
-	n.metrics = scope
-	n.closer = func() { _ = closer.Close() }
+	n.meter = meter.New(n.Settings.Name, n.Settings.Domain)
+	n.metrics = n.meter.Scope
+	n.closer = func() { _ = n.meter.Close() }
 }
 
 func (n *Node) buildTransport() {
--- a/internal/runner/operators.go
+++ b/internal/runner/operators.go
@@ -20,7 +20,7 @@
 func (n *Node) operators() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	mux.Handle("GET /metrics", n.reporter.HTTPHandler())
+	mux.Handle("GET /metrics", n.meter.Handler())
 	mux.HandleFunc("GET /v1/status", n.serveStatus)
 	mux.HandleFunc("GET /v1/applied", n.serveApplied)
 	mux.HandleFunc("GET /v1/events", n.serveEvents)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -24,7 +24,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/claimer"
@@ -41,6 +40,7 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/gossiper"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/listener"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/meter"
 )
 
 const (
@@ -93,7 +93,7 @@
 	callers   *listener.Server
 	metrics   tally.Scope
 	closer    func()
-	reporter  prometheus.Reporter
+	meter     *meter.Meter
 
 	incarnation uint64
 	process     uint64
--- /dev/null
+++ b/internal/transport/meter/meter.go
@@ -0,0 +1,56 @@
+// Package meter serves a node's counters and latency histograms in Prometheus'
+// text format.
+//
+// # Usage
+//
+//	m := meter.New("kadikoy-1", "kadikoy")
+//	defer m.Close()
+//	m.Scope.Counter("requests").Inc(1)
+//	http.Handle("/metrics", m.Handler())
+package meter
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportPeriod is the time between updates of the served figures.
+const reportPeriod = time.Second
+
+// Meter is a node's registry of figures.
+type Meter struct {
+	// Scope makes counters, gauges and histograms.
+	Scope tally.Scope
+
+	reporter prometheus.Reporter
+	closer   io.Closer
+}
+
+// New returns a meter whose figures carry the node and its failure domain.
+func New(node, domain string) *Meter {
+	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "lacewingrelay",
+		Tags:            map[string]string{"node": node, "domain": domain},
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+
+		OmitCardinalityMetrics: true,
+	}, reportPeriod)
+	return &Meter{Scope: scope, reporter: reporter, closer: closer}
+}
+
+// Handler serves the figures.
+func (m *Meter) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Close stops the updates.
+func (m *Meter) Close() error { return m.closer.Close() }
