Pass over endpoints that owe answers and send nothing, and failing ones for longer each time

Cause: a dark engine got new requests on kept connections until they were given up after 2.4 s; cut-off domains cost a failed connection a second an endpoint. Test: TestDarkEndpoint, TestFailuresPassAnEndpointOverLonger.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -52,8 +52,14 @@
 	// staleCost is what an endpoint with replaced weights must have less load to be
 	// preferred to one with the newest.
 	staleCost = 0.5
-	// failPause is how long an endpoint that could not be reached is passed over.
-	failPause = time.Second
+	// failPause is how long an endpoint that could not be reached is passed over
+	// at first; it doubles with each further failure, up to maxFailPause.
+	failPause    = time.Second
+	maxFailPause = 8 * time.Second
+	// silence is after how long an endpoint that owes answers and sends nothing is
+	// passed over. Streams send events every few dozen milliseconds, and most first
+	// ones come within half of it.
+	silence = 700 * time.Millisecond
 	// defaultSlots stands in for an endpoint that did not tell its slots.
 	defaultSlots = 8
 )
@@ -108,7 +114,12 @@
 	told   time.Time
 	own    int
 	paused time.Time
-	turn   uint64
+	// failures counts the failures since the last answer.
+	failures int
+	// heard is when the endpoint last sent something, or when it began to owe an
+	// answer.
+	heard time.Time
+	turn  uint64
 }
 
 // Balancer holds the load of all endpoints. Its fields are set before use, and
@@ -160,6 +171,9 @@
 	g := b.gauge(chosen.ID)
 	b.turn++
 	g.turn = b.turn
+	if g.running == 0 {
+		g.heard = now
+	}
 	g.running++
 	g.tokens += request.Tokens
 	choice := Choice{Endpoint: chosen, tokens: request.Tokens}
@@ -210,7 +224,7 @@
 // room reports whether an endpoint may get the request now.
 func (b *Balancer) room(now time.Time, endpoint tracker.Endpoint, request Request) bool {
 	g := b.gauge(endpoint.ID)
-	if now.Before(g.paused) {
+	if now.Before(g.paused) || g.running > 0 && now.Sub(g.heard) > silence {
 		return false
 	}
 	others := b.others(now, endpoint.ID)
@@ -308,14 +322,29 @@
 // Loading notes that an endpoint loads weights and refuses requests meanwhile.
 func (b *Balancer) Loading(id string, now time.Time) { b.pause(id, now.Add(loadPause)) }
 
-// Fail notes that an endpoint could not be reached or fell silent.
-func (b *Balancer) Fail(id string, now time.Time) { b.pause(id, now.Add(failPause)) }
+// Fail notes that an endpoint could not be reached or was given up.
+func (b *Balancer) Fail(id string, now time.Time) {
+	b.mu.Lock()
+	g := b.gauge(id)
+	pause := min(failPause<<min(g.failures, 8), maxFailPause)
+	g.failures++
+	b.mu.Unlock()
+	b.pause(id, now.Add(pause))
+}
 
-// Recover notes that an endpoint answered.
+// Recover notes that an endpoint can be used again.
 func (b *Balancer) Recover(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.gauge(id).paused = time.Time{}
+	g := b.gauge(id)
+	g.paused, g.failures = time.Time{}, 0
+}
+
+// Heard notes that an endpoint sent something.
+func (b *Balancer) Heard(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gauge(id).heard = now
 }
 
 func (b *Balancer) pause(id string, until time.Time) {
--- a/internal/coordination/balancer/balancer_test.go
+++ b/internal/coordination/balancer/balancer_test.go
@@ -134,6 +134,47 @@
 	}
 }
 
+// TestDarkEndpoint replays an endpoint that goes dark without a word while its
+// kept connections stay open.
+func TestDarkEndpoint(t *testing.T) {
+	b := &balancer.Balancer{Domain: "d1"}
+	owing := assertPicks(t, b, prompt(), "near")
+	at := func(d time.Duration, want string) {
+		t.Helper()
+		choice, ok := b.Pick(now.Add(d), prompt())
+		require.True(t, ok)
+		assert.Equal(t, want, choice.Endpoint.ID)
+		b.Done(choice)
+	}
+	at(600*time.Millisecond, "near")
+	at(800*time.Millisecond, "far")
+	b.Heard("near", now.Add(900*time.Millisecond))
+	at(time.Second, "near")
+	at(2*time.Second, "far")
+	t.Run("is tried again once it owes nothing", func(t *testing.T) {
+		b.Done(owing)
+		at(3*time.Second, "near")
+	})
+}
+
+func TestFailuresPassAnEndpointOverLonger(t *testing.T) {
+	b := &balancer.Balancer{Domain: "d1"}
+	passed := func(d time.Duration) bool {
+		choice, ok := b.Pick(now.Add(d), prompt())
+		require.True(t, ok)
+		b.Done(choice)
+		return choice.Endpoint.ID != "near"
+	}
+	b.Fail("near", now)
+	assert.True(t, passed(900*time.Millisecond))
+	assert.False(t, passed(1100*time.Millisecond))
+	b.Fail("near", now)
+	assert.True(t, passed(1900*time.Millisecond))
+	b.Recover("near")
+	b.Fail("near", now)
+	assert.False(t, passed(1100*time.Millisecond))
+}
+
 // TestPeersLoad replays uneven callers: the other nodes of a domain have filled
 // its engine, and this node has sent nothing yet.
 func TestPeersLoad(t *testing.T) {
--- a/internal/coordination/exchanger/exchanger.go
+++ b/internal/coordination/exchanger/exchanger.go
@@ -363,6 +363,7 @@
 // learn takes in what an answer tells of its endpoint.
 func (r *run) learn(attempt Attempt, answer Answer) {
 	id, now := attempt.Endpoint.ID, r.Now()
+	r.Balancer.Heard(id, now)
 	if answer.Load != nil {
 		r.Balancer.Tell(id, now, *answer.Load)
 	}
--- a/internal/coordination/exchanger/relay.go
+++ b/internal/coordination/exchanger/relay.go
@@ -26,6 +26,7 @@
 			return r.failed(ctx, attempt, err)
 		}
 		stall.Reset(r.pause())
+		r.Balancer.Heard(attempt.Endpoint.ID, r.Now())
 		if events == 0 {
 			r.first = r.Now()
 			r.Meter.First(r.Service, r.first.Sub(r.Received), r.waited)
--- a/internal/relayer/shelves.go
+++ b/internal/relayer/shelves.go
@@ -21,9 +21,9 @@
 	// the own and of other failure domains.
 	nearPause = 50 * time.Millisecond
 	farPause  = 300 * time.Millisecond
-	// relistPause is the least time between full listings of one store, which
-	// hold up its work.
-	relistPause = 5 * time.Second
+	// relistPause is the longest time between tries to follow a place that does not
+	// answer.
+	relistPause = 1500 * time.Millisecond
 )
 
 // Listing is all that a store holds.
