--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/evictor"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
@@ -28,19 +29,17 @@
 
 // Sentinel errors. Adapters mark their errors with the first four.
 var (
-	// ErrNotSent marks a request of which no byte can have left.
-	ErrNotSent = errors.New("request was not sent")
+	// ErrNotSent, ErrBroken and ErrStalled are those of exchanger.
+	ErrNotSent = exchanger.ErrNotSent
+	ErrBroken  = exchanger.ErrBroken
+	ErrStalled = exchanger.ErrStalled
 	// ErrRefused marks a request that the endpoint refused without running it.
 	ErrRefused = errors.New("endpoint refused the request")
-	// ErrBroken marks an answer that broke off.
-	ErrBroken = errors.New("endpoint broke off")
-	// ErrStalled marks an endpoint that stopped making progress.
-	ErrStalled = errors.New("endpoint stalled")
 
 	// ErrNoEndpoint is returned when no endpoint can take the request.
 	ErrNoEndpoint = errors.New("no endpoint is available")
 	// ErrPoison is returned for a request that has crashed endpoints.
-	ErrPoison = errors.New("request has crashed endpoints")
+	ErrPoison = exchanger.ErrPoison
 	// ErrBudget is returned when the retry budget is used up.
 	ErrBudget = errors.New("retry budget is used up")
 	// ErrVersionGone is returned for a started answer whose weights no endpoint
@@ -50,7 +49,7 @@
 	// may have run.
 	ErrMayHaveRun = errors.New("an earlier attempt may have run")
 	// ErrCaller marks an answer that could not be delivered to the caller.
-	ErrCaller = errors.New("caller is gone")
+	ErrCaller = exchanger.ErrCaller
 )
 
 // MayHaveRun reports whether a failed request, in any of its attempts, may have
--- a/internal/coordination/exchanger/exchanger.go
+++ b/internal/coordination/exchanger/exchanger.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/scheduler"
@@ -139,7 +140,7 @@
 }
 
 // Run carries an exchange to its end. Without error the caller has a complete
-// answer. An error is a *scheduler.Refusal if the request has not run, or marked
+// answer. An error is a *limiter.Refusal if the request has not run, or marked
 // with one of the sentinels.
 func (e *Exchanger) Run(ctx context.Context, exchange *Exchange, sink Sink) error {
 	r := &run{
@@ -207,7 +208,7 @@
 		Deadline: r.Limit(), Urgent: r.begun, Tokens: r.tokens(), Pick: r.pick,
 	})
 	if err != nil {
-		return Attempt{}, err
+		return Attempt{}, r.ended(ctx, err)
 	}
 	r.choice, r.waited = choice, r.waited+r.Now().Sub(asked)
 	view, now, endpoint := r.View(), r.Now(), choice.Endpoint
@@ -338,6 +339,9 @@
 func (r *run) failed(ctx context.Context, attempt Attempt, err error) error {
 	id := attempt.Endpoint.ID
 	if errors.Is(err, ErrNotSent) {
+		if context.Cause(ctx) != nil {
+			return r.ended(ctx, err)
+		}
 		r.Balancer.Fail(id, r.Now())
 		r.decide("not sent", attempt).Err(err).Send()
 		return err
@@ -347,10 +351,8 @@
 	case errors.Is(cause, ErrStalled):
 		r.Balancer.Fail(id, r.Now())
 		err = errors.Mark(err, ErrStalled)
-	case errors.Is(cause, ErrTimeout):
-		err = errors.Mark(err, ErrTimeout)
 	case cause != nil:
-		err = errors.Mark(err, ErrCaller)
+		err = r.ended(ctx, err)
 	default:
 		err = errors.Mark(err, ErrBroken)
 		r.Suspects.Crash(r.Now(), r.print)
@@ -360,6 +362,19 @@
 	return err
 }
 
+// ended marks an error with what ended the request from outside, if anything
+// did: its time is over, or its caller is gone.
+func (r *run) ended(ctx context.Context, err error) error {
+	switch cause := context.Cause(ctx); {
+	case cause == nil:
+		return err
+	case errors.Is(cause, ErrTimeout):
+		return errors.Mark(err, ErrTimeout)
+	default:
+		return errors.Mark(err, ErrCaller)
+	}
+}
+
 // learn takes in what an answer tells of its endpoint.
 func (r *run) learn(attempt Attempt, answer Answer) {
 	id, now := attempt.Endpoint.ID, r.Now()
@@ -460,13 +475,13 @@
 	if r.fallback != nil && !r.begun {
 		return r.whole(*r.fallback)
 	}
-	var refusal *scheduler.Refusal
+	var refusal *limiter.Refusal
 	refused := errors.As(cause, &refusal)
 	switch {
 	case r.ran == 0 && refused:
 		return refusal
 	case r.ran == 0:
-		return &scheduler.Refusal{Cause: cause, Retry: retryAfter}
+		return &limiter.Refusal{Cause: cause, Retry: retryAfter}
 	case refused:
 		// An earlier attempt may have run.
 		return errors.Wrapf(ErrBroken, "no other endpoint: %v", refusal.Cause)
@@ -512,7 +527,7 @@
 
 // outcome names the end of an exchange.
 func outcome(err error) string {
-	var refusal *scheduler.Refusal
+	var refusal *limiter.Refusal
 	switch {
 	case err == nil:
 		return "answered"
--- a/internal/coordination/exchanger/exchanger_test.go
+++ b/internal/coordination/exchanger/exchanger_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/scheduler"
@@ -175,7 +176,7 @@
 
 func assertNotRun(t *testing.T, err error) {
 	t.Helper()
-	var refusal *scheduler.Refusal
+	var refusal *limiter.Refusal
 	require.ErrorAs(t, err, &refusal)
 	assert.Positive(t, refusal.Retry)
 }
@@ -183,7 +184,7 @@
 func assertMayHaveRun(t *testing.T, err, sentinel error) {
 	t.Helper()
 	require.Error(t, err)
-	var refusal *scheduler.Refusal
+	var refusal *limiter.Refusal
 	assert.False(t, errors.As(err, &refusal), "%v says not run", err)
 	assert.True(t, errors.Is(err, sentinel), "%v", err)
 }
@@ -270,7 +271,7 @@
 	}, status(500))
 	run("refusals after a run do not make it not-run", func(t *testing.T, c *caller, e *endpoints, err error) {
 		require.Error(t, err)
-		var refusal *scheduler.Refusal
+		var refusal *limiter.Refusal
 		assert.False(t, errors.As(err, &refusal))
 	}, fails(exchanger.ErrBroken), refused)
 }
@@ -327,6 +328,39 @@
 			assert.Equal(t, 300*time.Millisecond, time.Since(began))
 		})
 	})
+	t.Run("when the caller leaves while it waits", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			e := &endpoints{reactions: []reaction{status(200)}}
+			x := newExchanger(e)
+			for _, endpoint := range view().Endpoints[service] {
+				x.Balancer.Loading(endpoint.ID, time.Now())
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(300*time.Millisecond, cancel)
+			assertMayHaveRun(t, x.Run(ctx, exchange(cataloger.RepeatSafe), &caller{}), exchanger.ErrCaller)
+			assertSends(t, e, 0)
+		})
+	})
+	t.Run("without a mark on the endpoint when the caller leaves while it connects", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			connecting := func(ctx context.Context, _ exchanger.Attempt) (exchanger.Answer, error) {
+				<-ctx.Done()
+				return exchanger.Answer{}, errors.Mark(ctx.Err(), exchanger.ErrNotSent)
+			}
+			e := &endpoints{reactions: []reaction{connecting, status(200)}}
+			x := newExchanger(e)
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(100*time.Millisecond, cancel)
+			assertMayHaveRun(t, x.Run(ctx, exchange(cataloger.RepeatSafe), &caller{}), exchanger.ErrCaller)
+			first := e.attempts[0].Endpoint.ID
+			request := balancer.Request{Endpoints: view().Endpoints[service], Avoid: map[string]bool{}}
+			for _, endpoint := range request.Endpoints {
+				request.Avoid[endpoint.ID] = endpoint.ID != first
+			}
+			_, ok := x.Balancer.Pick(time.Now(), request)
+			assert.True(t, ok)
+		})
+	})
 	t.Run("when the caller does not take the answer", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			e, err := play(t, exchange(cataloger.RepeatResumable), &caller{err: io.ErrClosedPipe}, stream(io.EOF, "1"))
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -21,23 +21,12 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 )
 
 // ErrBusy is returned for a request that can't start in time.
 var ErrBusy = errors.New("all endpoints are busy for longer than the request can wait")
 
-// Refusal is an error with the time after which a new try is sensible.
-type Refusal struct {
-	Cause error
-	Retry time.Duration
-}
-
-// Error implements error.
-func (r *Refusal) Error() string { return r.Cause.Error() }
-
-// Unwrap returns the sentinel.
-func (r *Refusal) Unwrap() error { return r.Cause }
-
 // Request asks for an endpoint.
 type Request struct {
 	Service string
@@ -82,7 +71,8 @@
 	turn  uint64
 }
 
-// Acquire waits for an endpoint. It returns a *Refusal at once if the wait is
+// Acquire waits for an endpoint. It returns a
+// *limiter.Refusal at once if the wait is
 // expected to be too long, and later if it turns out to be.
 func (s *Scheduler) Acquire(ctx context.Context, request Request) (balancer.Choice, error) {
 	s.mu.Lock()
@@ -121,7 +111,7 @@
 	}
 	if wait := l.expected(w, now); !request.Urgent && wait > patience(request) {
 		l.drop(w)
-		return nil, balancer.Choice{}, &Refusal{Cause: ErrBusy, Retry: comeback(wait)}
+		return nil, balancer.Choice{}, &limiter.Refusal{Cause: ErrBusy, Retry: comeback(wait)}
 	}
 	return w, balancer.Choice{}, nil
 }
@@ -139,7 +129,7 @@
 	if err := ctx.Err(); err != nil {
 		return balancer.Choice{}, err
 	}
-	return balancer.Choice{}, &Refusal{Cause: ErrBusy, Retry: comeback(wait)}
+	return balancer.Choice{}, &limiter.Refusal{Cause: ErrBusy, Retry: comeback(wait)}
 }
 
 // Pump starts waiting requests for which there is room now.
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/scheduler"
 )
 
@@ -85,9 +86,9 @@
 	assert.Empty(t, result)
 }
 
-func assertRefused(t *testing.T, err error) *scheduler.Refusal {
+func assertRefused(t *testing.T, err error) *limiter.Refusal {
 	t.Helper()
-	var refusal *scheduler.Refusal
+	var refusal *limiter.Refusal
 	require.ErrorAs(t, err, &refusal)
 	assert.ErrorIs(t, err, scheduler.ErrBusy)
 	assert.Positive(t, refusal.Retry)
