--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -14,11 +14,9 @@
 package balancer
 
 import (
-	"hash/fnv"
 	"sync"
 	"time"
 
-	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
 )
 
@@ -64,13 +62,6 @@
 	defaultSlots = 8
 )
 
-// Load is an endpoint's own account of its load.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-}
-
 // Request asks for an endpoint.
 type Request struct {
 	Endpoints []tracker.Endpoint
@@ -92,36 +83,6 @@
 	Avoid map[string]bool
 }
 
-// Work is what an endpoint must do for a prompt before its first token.
-type Work struct {
-	// Read counts the tokens that it must read, Fetch those that it can get from
-	// elsewhere.
-	Read  int
-	Fetch int
-}
-
-func (w Work) cost() float64 {
-	return float64(w.Read)/readScale + float64(w.Fetch)/fetchScale
-}
-
-type gauge struct {
-	running int
-	tokens  int
-	// reading counts the tokens that requests without a first token yet read.
-	reading int
-	// load was told at told, when the node itself had own requests there.
-	load   Load
-	told   time.Time
-	own    int
-	paused time.Time
-	// failures counts the failures since the last answer.
-	failures int
-	// heard is when the endpoint last sent something, or when it began to owe an
-	// answer.
-	heard time.Time
-	turn  uint64
-}
-
 // Balancer holds the load of all endpoints. Its fields are set before use, and
 // it is safe for concurrent use.
 type Balancer struct {
@@ -134,12 +95,6 @@
 	turn   uint64
 }
 
-// peer is a node's own work on endpoints, by the hash of their ids.
-type peer struct {
-	heard time.Time
-	loads map[uint32]observer.Load
-}
-
 // Pick chooses an endpoint and counts the request on it until Done.
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, bool) {
 	b.mu.Lock()
@@ -176,7 +131,7 @@
 	}
 	g.running++
 	g.tokens += request.Tokens
-	choice := Choice{Endpoint: chosen, tokens: request.Tokens}
+	choice := Choice{Endpoint: chosen, Cost: lowest, tokens: request.Tokens}
 	if request.Work != nil {
 		choice.Work = request.Work(chosen)
 		choice.reading = choice.Work.Read
@@ -188,6 +143,8 @@
 // Choice is an endpoint with a request that is counted on it.
 type Choice struct {
 	Endpoint tracker.Endpoint
+	// Cost is what the endpoint was chosen by.
+	Cost float64
 	// Work is what the endpoint is believed to have to do.
 	Work    Work
 	tokens  int
@@ -197,99 +154,6 @@
 // triedCost outweighs any load.
 const triedCost = 1000
 
-// cost is the endpoint's load as a share of what it can run at once, with what
-// speaks against it added. Slots or memory bind, whichever is scarcer.
-func (b *Balancer) cost(now time.Time, endpoint tracker.Endpoint, capacity int) float64 {
-	g := b.gauge(endpoint.ID)
-	slots := endpoint.Slots
-	if slots <= 0 {
-		slots = defaultSlots
-	}
-	others := b.others(now, endpoint.ID)
-	running, tokens := others.Running+g.running, others.Tokens+g.tokens
-	if now.Sub(g.told) < loadFresh {
-		running = max(running, g.running+g.load.Running+g.load.Waiting-g.own)
-	}
-	cost := float64(running) / float64(slots)
-	if capacity > 0 {
-		cost = max(cost, float64(tokens)/float64(capacity))
-	}
-	cost += float64(others.Reading+g.reading) / readScale
-	if endpoint.Domain != b.Domain {
-		cost += remoteCost
-	}
-	return cost
-}
-
-// room reports whether an endpoint may get the request now.
-func (b *Balancer) room(now time.Time, endpoint tracker.Endpoint, request Request) bool {
-	g := b.gauge(endpoint.ID)
-	if now.Before(g.paused) || g.running > 0 && now.Sub(g.heard) > silence {
-		return false
-	}
-	others := b.others(now, endpoint.ID)
-	running, tokens := others.Running+g.running, others.Tokens+g.tokens
-	if request.Urgent || running == 0 {
-		return true
-	}
-	if request.Capacity > 0 && float64(tokens+request.Tokens) > memoryShare*float64(request.Capacity) {
-		return false
-	}
-	slots := endpoint.Slots
-	if slots <= 0 {
-		slots = defaultSlots
-	}
-	return float64(running) < slotShare*float64(slots)
-}
-
-// others sums what peers told of their own work on an endpoint.
-func (b *Balancer) others(now time.Time, id string) observer.Load {
-	sum := observer.Load{Endpoint: Hash(id)}
-	for _, p := range b.peers {
-		if now.Sub(p.heard) < peerFresh {
-			load := p.loads[sum.Endpoint]
-			sum.Running += load.Running
-			sum.Tokens += load.Tokens
-			sum.Reading += load.Reading
-		}
-	}
-	return sum
-}
-
-// Hear takes in a peer's own work on endpoints.
-func (b *Balancer) Hear(node string, now time.Time, loads []observer.Load) {
-	held := make(map[uint32]observer.Load, len(loads))
-	for _, load := range loads {
-		held[load.Endpoint] = load
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.peers == nil {
-		b.peers = map[string]peer{}
-	}
-	b.peers[node] = peer{heard: now, loads: held}
-}
-
-// Own returns the node's own work on endpoints that have some.
-func (b *Balancer) Own() []observer.Load {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var own []observer.Load
-	for id, g := range b.gauges {
-		if g.running > 0 {
-			own = append(own, observer.Load{Endpoint: Hash(id), Running: g.running, Tokens: g.tokens, Reading: g.reading})
-		}
-	}
-	return own
-}
-
-// Hash returns the hash of an endpoint's id under which nodes tell their load.
-func Hash(id string) uint32 {
-	sum := fnv.New32a()
-	_, _ = sum.Write([]byte(id))
-	return sum.Sum32()
-}
-
 // Begun notes that a request's prompt has been read. It may be called twice.
 func (b *Balancer) Begun(choice *Choice) {
 	b.mu.Lock()
@@ -308,53 +172,6 @@
 	g.reading -= choice.reading
 }
 
-// Tell takes in an endpoint's account of its load.
-func (b *Balancer) Tell(id string, now time.Time, load Load) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	g := b.gauge(id)
-	g.load, g.told, g.own = load, now, g.running
-}
-
-// Full notes that an endpoint refused a request for want of room.
-func (b *Balancer) Full(id string, now time.Time) { b.pause(id, now.Add(fullPause)) }
-
-// Loading notes that an endpoint loads weights and refuses requests meanwhile.
-func (b *Balancer) Loading(id string, now time.Time) { b.pause(id, now.Add(loadPause)) }
-
-// Fail notes that an endpoint could not be reached or was given up.
-func (b *Balancer) Fail(id string, now time.Time) {
-	b.mu.Lock()
-	g := b.gauge(id)
-	pause := min(failPause<<min(g.failures, 8), maxFailPause)
-	g.failures++
-	b.mu.Unlock()
-	b.pause(id, now.Add(pause))
-}
-
-// Recover notes that an endpoint can be used again.
-func (b *Balancer) Recover(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	g := b.gauge(id)
-	g.paused, g.failures = time.Time{}, 0
-}
-
-// Heard notes that an endpoint sent something.
-func (b *Balancer) Heard(id string, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.gauge(id).heard = now
-}
-
-func (b *Balancer) pause(id string, until time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if g := b.gauge(id); g.paused.Before(until) {
-		g.paused = until
-	}
-}
-
 // Running returns the node's own requests on an endpoint.
 func (b *Balancer) Running(id string) int {
 	b.mu.Lock()
@@ -372,15 +189,3 @@
 		}
 	}
 }
-
-func (b *Balancer) gauge(id string) *gauge {
-	if b.gauges == nil {
-		b.gauges = map[string]*gauge{}
-	}
-	g, ok := b.gauges[id]
-	if !ok {
-		g = &gauge{}
-		b.gauges[id] = g
-	}
-	return g
-}
--- /dev/null
+++ b/internal/coordination/exchanger/view.go
@@ -0,0 +1,95 @@
+package exchanger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
+)
+
+// View is what the run of a request sees of the site.
+type View struct {
+	Catalog   *cataloger.Catalog
+	Endpoints map[string][]tracker.Endpoint
+	// Namings holds the named versions of each model, the newest last.
+	Namings map[string][]Naming
+	// Retained holds the oldest version of each model whose parts are kept in
+	// stores.
+	Retained map[string]int64
+}
+
+// Naming is a version of a model's weights that the endpoints are to load.
+type Naming struct {
+	Version int64
+	// At is when it was named; zero if that is unknown.
+	At time.Time
+}
+
+// Named returns the newest named version of a model; zero for none.
+func (v View) Named(model string) int64 {
+	namings := v.Namings[model]
+	if len(namings) == 0 {
+		return 0
+	}
+	return namings[len(namings)-1].Version
+}
+
+// IDs returns the ids of all endpoints.
+func (v View) IDs() map[string]bool {
+	ids := map[string]bool{}
+	for _, endpoints := range v.Endpoints {
+		for _, endpoint := range endpoints {
+			ids[endpoint.ID] = true
+		}
+	}
+	return ids
+}
+
+// outdated returns the endpoints of a service that must not begin requests for a
+// model any more: a newer version than theirs was named more than limit ago, or
+// at an unknown time while other endpoints have the newest.
+func (v View) outdated(now time.Time, service, model string, limit time.Duration) map[string]bool {
+	newest := v.Named(model)
+	current := slices.ContainsFunc(v.Endpoints[service], func(endpoint tracker.Endpoint) bool {
+		return endpoint.Weights[model] >= newest && !endpoint.Leaving
+	})
+	outdated := map[string]bool{}
+	for _, endpoint := range v.Endpoints[service] {
+		for _, naming := range v.Namings[model] {
+			unknown := naming.At.IsZero()
+			over := unknown && current || !unknown && now.Sub(naming.At) >= limit
+			if endpoint.Weights[model] < naming.Version && over {
+				outdated[endpoint.ID] = true
+			}
+		}
+	}
+	return outdated
+}
+
+// capacity is the memory of one endpoint of a service, in tokens.
+func capacity(catalog *cataloger.Catalog, service string) int {
+	if engine := catalog.Services[service].Engine; engine != nil {
+		return engine.Capacity
+	}
+	return 0
+}
+
+func engines(endpoints []tracker.Endpoint) []locator.Engine {
+	all := make([]locator.Engine, len(endpoints))
+	for i, endpoint := range endpoints {
+		all[i] = locator.Engine{Address: endpoint.Address, Domain: endpoint.Domain}
+	}
+	return all
+}
+
+func stores(catalog *cataloger.Catalog) []locator.Store {
+	var all []locator.Store
+	for _, service := range catalog.Stores() {
+		all = append(all, locator.Store{
+			Address: service.Store.Address, Domain: service.Store.Domain, Capacity: service.Store.Capacity,
+		})
+	}
+	return all
+}
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -110,8 +110,7 @@
 		return nil, <-w.ready, nil
 	}
 	if wait := l.expected(w, now); !request.Urgent && wait > patience(request) {
-		l.drop(w)
-		return nil, balancer.Choice{}, &limiter.Refusal{Cause: ErrBusy, Retry: comeback(wait)}
+		return nil, balancer.Choice{}, l.refuse(w, wait)
 	}
 	return w, balancer.Choice{}, nil
 }
@@ -124,12 +123,11 @@
 		return <-w.ready, nil
 	}
 	l := s.lane(w.request.Service)
-	wait := l.expected(w, s.Now())
-	l.drop(w)
 	if err := ctx.Err(); err != nil {
+		l.drop(w)
 		return balancer.Choice{}, err
 	}
-	return balancer.Choice{}, &limiter.Refusal{Cause: ErrBusy, Retry: comeback(wait)}
+	return balancer.Choice{}, l.refuse(w, l.expected(w, s.Now()))
 }
 
 // Pump starts waiting requests for which there is room now.
@@ -181,6 +179,14 @@
 	}
 }
 
+// refuse turns a waiting request away, with what decided it.
+func (l *lane) refuse(w *waiter, wait time.Duration) error {
+	cause := errors.Wrapf(ErrBusy, "%d waiting, %d tokens started in the last second, start expected in %s, patience %s",
+		len(l.waiting)-1, l.pace.sum, wait.Round(time.Millisecond), patience(w.request))
+	l.drop(w)
+	return &limiter.Refusal{Cause: cause, Retry: comeback(wait)}
+}
+
 func (l *lane) drop(w *waiter) {
 	for i, other := range l.waiting {
 		if other == w {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -90,7 +91,7 @@
 	t.Helper()
 	var refusal *limiter.Refusal
 	require.ErrorAs(t, err, &refusal)
-	assert.ErrorIs(t, err, scheduler.ErrBusy)
+	assert.True(t, errors.Is(err, scheduler.ErrBusy))
 	assert.Positive(t, refusal.Retry)
 	return refusal
 }
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
-	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
 )
 
@@ -85,155 +83,6 @@
 	fetching atomic.Bool
 }
 
-// news is a change that peers are told for a while.
-type news struct {
-	change observer.Change
-	until  time.Time
-}
-
-// Tell tells all peers what the node has learnt of an endpoint; version zero
-// says that it loads weights.
-func (p *Peers) Tell(endpoint tracker.Endpoint, model string, version int64) {
-	change := observer.Change{Endpoint: balancer.Hash(endpoint.ID), Model: balancer.Hash(model), Version: version}
-	p.mu.Lock()
-	p.news = slices.DeleteFunc(p.news, func(n news) bool { return n.change.Endpoint == change.Endpoint && n.change.Model == change.Model })
-	p.news = append(p.news, news{change: change, until: p.Now().Add(newsTime)})
-	p.mu.Unlock()
-	p.Spread()
-}
-
-// names returns what the node knows of each model, as changes without endpoint.
-func (p *Peers) names() []observer.Change {
-	view := p.Node.View()
-	var names []observer.Change
-	for model, version := range p.Node.Named() {
-		names = append(names, observer.Change{Endpoint: namedMark, Model: balancer.Hash(model), Version: version})
-	}
-	for model, version := range view.Retained {
-		names = append(names, observer.Change{Endpoint: retainedMark, Model: balancer.Hash(model), Version: version})
-	}
-	return names
-}
-
-// Unload tells all peers that an endpoint is about to load weights.
-func (p *Peers) Unload(endpoint tracker.Endpoint) {
-	for model := range endpoint.Weights {
-		p.Tell(endpoint, model, 0)
-		return
-	}
-}
-
-// changes returns the news that is fresh, the newest first.
-func (p *Peers) changes(now time.Time) []observer.Change {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.news = slices.DeleteFunc(p.news, func(n news) bool { return !now.Before(n.until) })
-	fresh := p.names()
-	for i := len(p.news) - 1; i >= 0 && len(fresh) < changeCount; i-- {
-		fresh = append(fresh, p.news[i].change)
-	}
-	return fresh
-}
-
-// member is a node that was heard of.
-type member struct {
-	domain  string
-	heard   time.Time
-	sent    time.Time
-	alive   bool
-	beat    observer.Heartbeat
-	learned bool
-	// retained holds the oldest version of each model whose parts the peer fetches,
-	// by the hash of the model.
-	retained map[uint32]int64
-}
-
-// Contact notes that the log or a peer was heard.
-func (p *Peers) Contact() {
-	now, _ := SinceBoot()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.contact = now
-}
-
-// InTouch reports whether the log or a peer was heard a short time ago, by a
-// clock that runs on while the host is suspended.
-func (p *Peers) InTouch() bool {
-	now, ok := SinceBoot()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return ok && p.contact > 0 && now-p.contact < touch
-}
-
-// Acknowledged reports whether all nodes retain parts of this or later versions
-// of a model only, or have been silent for so long that they are out of touch.
-func (p *Peers) Acknowledged(model string, version int64) bool {
-	hash, now := balancer.Hash(model), p.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, m := range p.known {
-		if now.Sub(m.heard) < peerSilence && m.retained[hash] < version {
-			return false
-		}
-	}
-	return true
-}
-
-// Learn notes a node's address, from the directory or the settings. domain may
-// be empty.
-func (p *Peers) Learn(address netip.AddrPort, domain string) {
-	if address == p.Address || !address.IsValid() {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m := p.member(address)
-	if domain != "" {
-		m.domain = domain
-	}
-	m.learned = true
-}
-
-func (p *Peers) member(address netip.AddrPort) *member {
-	if p.known == nil {
-		p.known = map[netip.AddrPort]*member{}
-	}
-	m, ok := p.known[address]
-	if !ok {
-		m = &member{}
-		p.known[address] = m
-	}
-	return m
-}
-
-// Count returns the number of nodes among which shared budgets are divided: all
-// that were ever heard of, so that a node that is cut off does not take more
-// than its share.
-func (p *Peers) Count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 1
-	for _, m := range p.known {
-		if m.learned || !m.heard.IsZero() {
-			n++
-		}
-	}
-	return n
-}
-
-// Alive returns the names of the peers that are alive.
-func (p *Peers) Alive() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var names []string
-	for _, m := range p.known {
-		if m.alive {
-			names = append(names, m.beat.Name)
-		}
-	}
-	return names
-}
-
 // Run sends heartbeats until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	ticker := time.NewTicker(nearPeriod)
@@ -345,31 +194,6 @@
 	return true
 }
 
-// learnNames keeps what a peer knows of each model, and reports whether it knows
-// of newer weights than this node.
-func (p *Peers) learnNames(beat observer.Heartbeat) bool {
-	own := map[uint32]int64{}
-	for model, version := range p.Node.Named() {
-		own[balancer.Hash(model)] = version
-	}
-	news := false
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m := p.member(beat.Address)
-	if m.retained == nil {
-		m.retained = map[uint32]int64{}
-	}
-	for _, change := range beat.Changes {
-		switch change.Endpoint {
-		case namedMark:
-			news = news || change.Version > own[change.Model]
-		case retainedMark:
-			m.retained[change.Model] = max(m.retained[change.Model], change.Version)
-		}
-	}
-	return news
-}
-
 func (p *Peers) behind(version int64) bool {
 	catalog := p.Node.View().Catalog
 	return version > 0 && (catalog == nil || catalog.Version < version)
