--- a/internal/relayer/shelves.go
+++ b/internal/relayer/shelves.go
@@ -16,7 +16,7 @@
 
 const (
 	// eventsWait is how long one read waits for a store's next events.
-	eventsWait = time.Second
+	eventsWait = 600 * time.Millisecond
 	// nearPause and farPause are the times between reads of events from places of
 	// the own and of other failure domains.
 	nearPause = 50 * time.Millisecond
