Bound heartbeats a period and the followers of a place

Change: six peers a period in the domain and six elsewhere, by turns; ten nodes, chosen by rendezvous hashing, follow a place. Test: TestFanOut, TestFollowers. Conclusion: sites of 10 nodes or fewer are as before; a shared directory for larger ones is left.

--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -1,8 +1,10 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,10 @@
 	// domain, farPeriod the same to others: bytes between domains cost more.
 	nearPeriod = 150 * time.Millisecond
 	farPeriod  = 600 * time.Millisecond
+	// nearCount and farCount bound the heartbeats of one period; with more peers
+	// they take turns.
+	nearCount = 6
+	farCount  = 6
 	// peerSilence is after how long a peer is taken for gone.
 	peerSilence = 3 * time.Second
 	// probePeriod is the time between heartbeats to a silent peer.
@@ -107,7 +113,7 @@
 		return
 	}
 	beat := p.own(now)
-	p.send(append(near, far...), beat)
+	p.send(slices.Concat(near, far), beat)
 }
 
 // due returns the peers that get a heartbeat now.
@@ -130,16 +136,29 @@
 		if !all && now.Sub(m.sent) < period-nearPeriod/2 {
 			continue
 		}
-		m.sent = now
 		if m.domain == p.Domain {
 			near = append(near, address)
 		} else {
 			far = append(far, address)
 		}
 	}
+	if !all {
+		near, far = p.longest(near, nearCount), p.longest(far, farCount)
+	}
+	for _, address := range slices.Concat(near, far) {
+		p.known[address].sent = now
+	}
 	return near, far
 }
 
+// longest returns the n peers that have waited longest for a heartbeat.
+func (p *Peers) longest(addresses []netip.AddrPort, n int) []netip.AddrPort {
+	slices.SortFunc(addresses, func(a, b netip.AddrPort) int {
+		return cmp.Or(p.known[a].sent.Compare(p.known[b].sent), a.Compare(b))
+	})
+	return addresses[:min(n, len(addresses))]
+}
+
 func (p *Peers) own(now time.Time) observer.Heartbeat {
 	beat := observer.Heartbeat{
 		Name: p.Name, Domain: p.Domain, Address: p.Address, Incarnation: p.Incarnation,
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -181,6 +184,84 @@
 	})
 }
 
+// TestFanOut replays a site with many nodes: heartbeats a period are bounded, and
+// all peers get their turn.
+func TestFanOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := newPeers(t, newNode(t), &sites{})
+		sent := &gossip{sent: map[netip.AddrPort]packer.Message{}}
+		peers.Gossip = sent
+		for i := range 40 {
+			message := beat(1)
+			message.Sender.Name, message.Sender.Address = fmt.Sprint(i), netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 2, byte(i)}), 80)
+			peers.Hear(message)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go peers.Run(ctx)
+		time.Sleep(160 * time.Millisecond)
+		synctest.Wait()
+		assert.Len(t, sent.sent, 6)
+		time.Sleep(1200 * time.Millisecond)
+		synctest.Wait()
+		assert.Len(t, sent.sent, 40)
+	})
+}
+
+// partLog counts who is asked for events.
+type partLog struct {
+	mu    sync.Mutex
+	asked map[netip.AddrPort]bool
+}
+
+// List implements relayer.PartLog.
+func (p *partLog) List(context.Context, netip.AddrPort) (relayer.Listing, error) {
+	return relayer.Listing{}, nil
+}
+
+// Changes implements relayer.PartLog.
+func (p *partLog) Changes(ctx context.Context, place netip.AddrPort, _ int64, _ time.Duration) (relayer.PartChanges, error) {
+	p.mu.Lock()
+	p.asked[place] = true
+	p.mu.Unlock()
+	<-ctx.Done()
+	return relayer.PartChanges{}, ctx.Err()
+}
+
+// TestFollowers replays sites of different sizes: a place has a bounded number of
+// followers, and each place has some.
+func TestFollowers(t *testing.T) {
+	followers := func(t *testing.T, nodes int) int {
+		t.Helper()
+		n := 0
+		synctest.Test(t, func(t *testing.T) {
+			var names []string
+			for i := range nodes {
+				names = append(names, fmt.Sprintf("n%d", i))
+			}
+			view := newNode(t).View()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			for i, name := range names {
+				log := &partLog{asked: map[netip.AddrPort]bool{}}
+				shelves := &relayer.Shelves{
+					Log: log, Locator: locator.New(), Self: name, Logger: zerolog.Nop(),
+					Alive: func() []string { return slices.Delete(slices.Clone(names), i, i+1) },
+				}
+				shelves.Follow(ctx, view)
+				time.Sleep(time.Second)
+				synctest.Wait()
+				log.mu.Lock()
+				n += len(log.asked)
+				log.mu.Unlock()
+			}
+		})
+		return n
+	}
+	assert.Equal(t, 7, followers(t, 7))
+	assert.Equal(t, 10, followers(t, 60))
+}
+
 func TestAcknowledged(t *testing.T) {
 	retained := func(version int64) observer.Change {
 		return observer.Change{Endpoint: 1, Model: balancer.Hash("m"), Version: version}
--- a/internal/relayer/shelves.go
+++ b/internal/relayer/shelves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,12 +12,16 @@
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/owner"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 )
 
 const (
 	// eventsWait is how long one read waits for a store's next events.
 	eventsWait = 600 * time.Millisecond
+	// maxFollowers is how many nodes follow one place: places answer a dozen such
+	// reads at once.
+	maxFollowers = 10
 	// nearPause and farPause are the times between reads of events from places of
 	// the own and of other failure domains.
 	nearPause = 50 * time.Millisecond
@@ -67,6 +72,9 @@
 	// Domain is the node's own failure domain. Events of others are read less
 	// often, since bytes between domains cost more.
 	Domain string
+	// Self names this node, Alive the others that are alive.
+	Self   string
+	Alive  func() []string
 	Logger zerolog.Logger
 
 	mu      sync.Mutex
@@ -105,6 +113,12 @@
 			}
 		}
 	}
+	nodes := append(s.Alive(), s.Self)
+	for address := range places {
+		if !mine(nodes, s.Self, address) {
+			delete(places, address)
+		}
+	}
 	for address, follow := range places {
 		if _, ok := s.follows[address]; !ok {
 			ctx, cancel := context.WithCancel(ctx)
@@ -120,6 +134,14 @@
 	}
 }
 
+// mine reports whether a node is among those that follow a place.
+func mine(nodes []string, self string, place netip.AddrPort) bool {
+	if len(nodes) <= maxFollowers {
+		return true
+	}
+	return slices.Index(owner.Rank(nodes, place.String()), self) < maxFollowers
+}
+
 // run follows one place. While it does not answer, nothing is fetched from or
 // saved to it.
 func (s *Shelves) run(ctx context.Context, place netip.AddrPort, follow func(context.Context, netip.AddrPort) error) {
