Read claims on after the log has dropped the oldest

Cause: a node that started after the log's retention asked for claims from 0, got 'no longer kept' for ever and never gave orders; with all nodes restarted, weights would never be loaded again. Found by reading.

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -325,10 +325,17 @@
 }
 
 // claimLog stands in for the log of claims.
-type claimLog struct{ claims []leaser.Claim }
+type claimLog struct {
+	claims []leaser.Claim
+	// first is the oldest offset kept.
+	first int64
+}
 
 // Claims implements relayer.ClaimLog.
 func (c *claimLog) Claims(_ context.Context, from int64, wait time.Duration) ([]leaser.Claim, int64, error) {
+	if from < c.first {
+		return nil, c.first, relayer.ErrExpired
+	}
 	if from == int64(len(c.claims)) {
 		time.Sleep(wait)
 	}
@@ -398,9 +405,11 @@
 	for _, id := range []string{"a", "b", "c"} {
 		node.PutEndpoint(engine(id, 1))
 	}
+	// Old claims have been dropped by the log.
+	log := &claimLog{claims: []leaser.Claim{{Offset: 0, Holder: "gone"}, {Offset: 1, Holder: "n1"}}, first: 1}
 	f := &fleet{load: 200 * time.Millisecond, ready: map[string]time.Time{}}
 	upgrades := &relayer.Upgrades{
-		Node: node, Log: &claimLog{}, Endpoints: f, Self: "n1", Apart: time.Second, Logger: zerolog.Nop(),
+		Node: node, Log: log, Endpoints: f, Self: "n1", Apart: time.Second, Logger: zerolog.Nop(),
 		Unload: func(tracker.Endpoint) {}, Loaded: func(tracker.Endpoint, string, int64) {},
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/relayer/upgrades.go
+++ b/internal/relayer/upgrades.go
@@ -50,7 +50,8 @@
 // ClaimLog is the log of claims.
 type ClaimLog interface {
 	// Claims returns the claims from an offset on and the log's end, waiting at
-	// most wait for the first. It returns ErrExpired with the first offset kept.
+	// most wait for the first. For claims that are no longer kept it returns
+	// ErrExpired with the first offset that is.
 	Claims(ctx context.Context, from int64, wait time.Duration) ([]leaser.Claim, int64, error)
 	// Claim appends a claim at an offset. It returns ErrConflict.
 	Claim(ctx context.Context, at int64, holder string) (int64, error)
@@ -185,6 +186,10 @@
 
 func (u *Upgrades) observe(ctx context.Context, wait time.Duration) error {
 	claims, end, err := u.Log.Claims(ctx, u.lease.End(), wait)
+	if errors.Is(err, ErrExpired) {
+		// Claims that the log has dropped are older than any hold.
+		claims, end, err = u.Log.Claims(ctx, end, 0)
+	}
 	if err != nil {
 		return err
 	}
