--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -203,7 +203,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.member(beat.Address)
-	if m.beat.Incarnation > beat.Incarnation || m.beat.Incarnation == beat.Incarnation && m.beat.Sequence >= beat.Sequence {
+	same := m.beat.Incarnation == beat.Incarnation
+	// Incarnations are times of day, which may have been set back; a process that
+	// has been silent is not waited for.
+	earlier := m.beat.Incarnation > beat.Incarnation && now.Sub(m.heard) < peerSilence
+	if earlier || same && m.beat.Sequence >= beat.Sequence {
 		return false
 	}
 	if !m.alive {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -172,6 +172,22 @@
 			assertVersion(t, node, 1)
 		})
 	})
+	t.Run("a restarted peer whose clock went back is heard again", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			node := newNode(t)
+			peers := newPeers(t, node, &sites{})
+			before, after := beat(5), beat(1)
+			before.Sender.Incarnation, after.Sender.Incarnation = 2, 1
+			after.Sender.Applied = 9
+			peers.Hear(before)
+			peers.Hear(after)
+			assertVersion(t, node, 1)
+			time.Sleep(4 * time.Second)
+			after.Sender.Sequence++
+			peers.Hear(after)
+			assertVersion(t, node, 9)
+		})
+	})
 	t.Run("all that were ever heard of count for shared budgets", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			peers := newPeers(t, newNode(t), &sites{})
