Keep heartbeats within a datagram on large sites

Cause: work on every endpoint and all models were told; with 112 engines a heartbeat was over 1,400 bytes, could not be packed, and no node heard of any other, without a log line. Found by reading. Change: the 30 largest works, 8 models by turns, 8 changes; a heartbeat that can't be sent is logged once. Test: TestHeartbeatsFit, which failed before.

--- a/internal/coordination/balancer/balancer_test.go
+++ b/internal/coordination/balancer/balancer_test.go
@@ -198,9 +198,9 @@
 	t.Run("own work is told", func(t *testing.T) {
 		b := &balancer.Balancer{Domain: "d1"}
 		choice := assertPicks(t, b, prompt(), "near")
-		assert.Equal(t, []observer.Load{{Endpoint: balancer.Hash("near"), Running: 1, Tokens: 1_000}}, b.Own())
+		assert.Equal(t, []observer.Load{{Endpoint: balancer.Hash("near"), Running: 1, Tokens: 1_000}}, b.Own(9))
 		b.Done(choice)
-		assert.Empty(t, b.Own())
+		assert.Empty(t, b.Own(9))
 	})
 }
 
--- a/internal/coordination/balancer/told.go
+++ b/internal/coordination/balancer/told.go
@@ -1,7 +1,9 @@
 package balancer
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
@@ -34,8 +36,8 @@
 	b.peers[node] = peer{heard: now, loads: held}
 }
 
-// Own returns the node's own work on endpoints that have some.
-func (b *Balancer) Own() []observer.Load {
+// Own returns the node's own work on at most n endpoints, the largest first.
+func (b *Balancer) Own(n int) []observer.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var own []observer.Load
@@ -44,7 +46,10 @@
 			own = append(own, observer.Load{Endpoint: Hash(id), Running: g.running, Tokens: g.tokens, Reading: g.reading})
 		}
 	}
-	return own
+	slices.SortFunc(own, func(a, b observer.Load) int {
+		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(b.Running, a.Running), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return own[:min(n, len(own))]
 }
 
 // Hash returns the hash of an endpoint's id under which nodes tell their load.
--- a/internal/relayer/news.go
+++ b/internal/relayer/news.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -26,16 +27,24 @@
 	p.Spread()
 }
 
-// names returns what the node knows of each model, as changes without endpoint.
+// names returns what the node knows of some models, as changes without endpoint.
+// With many models they take turns.
 func (p *Peers) names() []observer.Change {
-	view := p.Node.View()
+	view, named := p.Node.View(), p.Node.Named()
+	all := maps.Clone(named)
+	maps.Copy(all, view.Retained)
+	models := slices.Sorted(maps.Keys(all))
 	var names []observer.Change
-	for model, version := range p.Node.Named() {
-		names = append(names, observer.Change{Endpoint: namedMark, Model: balancer.Hash(model), Version: version})
-	}
-	for model, version := range view.Retained {
-		names = append(names, observer.Change{Endpoint: retainedMark, Model: balancer.Hash(model), Version: version})
+	for i := range min(modelCount, len(models)) {
+		model := models[(p.turn*modelCount+i)%len(models)]
+		if version, ok := named[model]; ok {
+			names = append(names, observer.Change{Endpoint: namedMark, Model: balancer.Hash(model), Version: version})
+		}
+		if version, ok := view.Retained[model]; ok {
+			names = append(names, observer.Change{Endpoint: retainedMark, Model: balancer.Hash(model), Version: version})
+		}
 	}
+	p.turn++
 	return names
 }
 
@@ -53,7 +62,7 @@
 	defer p.mu.Unlock()
 	p.news = slices.DeleteFunc(p.news, func(n news) bool { return !now.Before(n.until) })
 	fresh := p.names()
-	for i := len(p.news) - 1; i >= 0 && len(fresh) < changeCount; i-- {
+	for i := len(p.news) - 1; i >= max(0, len(p.news)-changeCount); i-- {
 		fresh = append(fresh, p.news[i].change)
 	}
 	return fresh
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -33,9 +33,12 @@
 	probePeriod = 2 * time.Second
 	// suspectCount is the number of suspects in a heartbeat.
 	suspectCount = 8
-	// changeCount bounds the changes in a heartbeat, newsTime is how long each is
-	// told, so that a lost heartbeat does not matter.
-	changeCount = 12
+	// loadCount, modelCount and changeCount bound the endpoints with work, the
+	// models and the changes in a heartbeat, so that it fits a datagram. newsTime is
+	// how long each change is told, so that a lost heartbeat does not matter.
+	loadCount   = 30
+	modelCount  = 8
+	changeCount = 8
 	newsTime    = 700 * time.Millisecond
 	// touch is how long a node that hears nothing, neither of peers nor of the log,
 	// goes on as if nothing had changed.
@@ -81,12 +84,16 @@
 	// Stopping is set once the node is to be stopped.
 	Stopping *atomic.Bool
 
-	mu       sync.Mutex
-	known    map[netip.AddrPort]*member
-	news     []news
+	mu    sync.Mutex
+	known map[netip.AddrPort]*member
+	news  []news
+	// turn counts heartbeats, for the models that they tell of.
+	turn     int
 	contact  time.Duration
 	sequence atomic.Uint64
 	fetching atomic.Bool
+	// unsent is set while heartbeats can't be sent.
+	unsent atomic.Bool
 }
 
 // Run sends heartbeats until ctx ends.
@@ -163,7 +170,7 @@
 	beat := observer.Heartbeat{
 		Name: p.Name, Domain: p.Domain, Address: p.Address, Incarnation: p.Incarnation,
 		Sequence: p.sequence.Add(1), Leaving: p.Stopping.Load(),
-		Suspects: p.Suspects.Own(now, suspectCount), Loads: p.Balancer.Own(), Changes: p.changes(now),
+		Suspects: p.Suspects.Own(now, suspectCount), Loads: p.Balancer.Own(loadCount), Changes: p.changes(now),
 	}
 	if catalog := p.Node.View().Catalog; catalog != nil {
 		beat.Applied = uint64(catalog.Version)
@@ -173,9 +180,10 @@
 
 func (p *Peers) send(to []netip.AddrPort, beat observer.Heartbeat) {
 	for _, address := range to {
-		// A lost heartbeat is no error; a peer that can't be reached is noticed by
-		// its own silence.
-		_ = p.Gossip.Send(netip.AddrPortFrom(address.Addr(), p.GossipPort), packer.Message{Sender: beat})
+		err := p.Gossip.Send(netip.AddrPortFrom(address.Addr(), p.GossipPort), packer.Message{Sender: beat})
+		if unsent := err != nil; p.unsent.Swap(unsent) != unsent {
+			p.Log.Warn().Str("event", "heartbeats").Bool("sent", !unsent).Stringer("address", address).AnErr("error", err).Send()
+		}
 	}
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
@@ -233,6 +234,43 @@
 	})
 }
 
+// lastBeat keeps the last heartbeat.
+type lastBeat struct{ message packer.Message }
+
+// Send implements relayer.Gossip.
+func (l *lastBeat) Send(_ netip.AddrPort, message packer.Message) error {
+	l.message = message
+	return nil
+}
+
+// TestHeartbeatsFit replays a large site: work on hundreds of endpoints, and many
+// models with news of their weights.
+func TestHeartbeatsFit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := newNode(t, engine("a", 1))
+		for i := range 30 {
+			node.Name(fmt.Sprintf("model-%d", i), 2, true)
+		}
+		peers := newPeers(t, node, &sites{})
+		last := &lastBeat{}
+		peers.Gossip = last
+		for i := range 300 {
+			endpoint := engine(fmt.Sprintf("e%d", i), 1)
+			_, ok := peers.Balancer.Pick(time.Now(), balancer.Request{Endpoints: []tracker.Endpoint{endpoint}, Tokens: 100_000 + i})
+			require.True(t, ok)
+		}
+		peers.Learn(netip.MustParseAddrPort("10.0.1.2:80"), "d1")
+		synctest.Wait()
+		for i := range 20 {
+			peers.Tell(engine(fmt.Sprintf("e%d", i), 1), "m", 2)
+		}
+		_, err := packer.Packer{}.Pack(last.message)
+		assert.NoError(t, err)
+		assert.Equal(t, balancer.Hash("e299"), last.message.Sender.Loads[0].Endpoint, "the largest work is told first")
+		assert.True(t, slices.ContainsFunc(last.message.Sender.Changes, func(c observer.Change) bool { return c.Endpoint == balancer.Hash("e19") }))
+	})
+}
+
 // partLog counts who is asked for events.
 type partLog struct {
 	mu    sync.Mutex
