--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
@@ -75,6 +76,22 @@
 	})
 }
 
+// TestConfigurationMerge takes versions from the log and from peers in any order:
+// the newest is in force after each, and callers never see an older one.
+func TestConfigurationMerge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		versions := rapid.SliceOfN(rapid.Int64Range(1, 20), 1, 30).Draw(rt, "versions")
+		synctest.Test(t, func(t *testing.T) {
+			node, newest := newNode(t), int64(1)
+			for i, version := range versions {
+				node.Configure(catalog(version), []string{"log", "peer"}[i%2])
+				newest = max(newest, version)
+				assertVersion(t, node, newest)
+			}
+		})
+	})
+}
+
 func TestRetainedVersions(t *testing.T) {
 	assertRetained := func(t *testing.T, want int64, versions ...int64) {
 		t.Helper()
