Close an endpoint's kept connections after a stall; remove what nothing uses

Cause: connections may go silent for good while new ones work; each kept one cost a request its whole patience. Test: TestOnce (a silent one), which failed before.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -172,13 +172,6 @@
 	g.reading -= choice.reading
 }
 
-// Running returns the node's own requests on an endpoint.
-func (b *Balancer) Running(id string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.gauge(id).running
-}
-
 // Keep forgets endpoints that are not listed and have no requests.
 func (b *Balancer) Keep(listed map[string]bool) {
 	b.mu.Lock()
--- a/internal/coordination/exchanger/exchange.go
+++ b/internal/coordination/exchanger/exchange.go
@@ -173,6 +173,9 @@
 // Sender sends attempts to endpoints. It never sends one twice.
 type Sender interface {
 	Send(ctx context.Context, attempt Attempt) (Answer, error)
+	// Drop closes the kept connections to an endpoint, which may have gone silent
+	// for good.
+	Drop(endpoint tracker.Endpoint)
 }
 
 // Sink takes an answer to the caller.
--- a/internal/coordination/exchanger/exchanger_test.go
+++ b/internal/coordination/exchanger/exchanger_test.go
@@ -31,8 +31,12 @@
 type endpoints struct {
 	reactions []reaction
 	attempts  []exchanger.Attempt
+	dropped   []string
 }
 
+// Drop implements exchanger.Sender.
+func (e *endpoints) Drop(endpoint tracker.Endpoint) { e.dropped = append(e.dropped, endpoint.ID) }
+
 // Send implements exchanger.Sender.
 func (e *endpoints) Send(ctx context.Context, attempt exchanger.Attempt) (exchanger.Answer, error) {
 	react := e.reactions[min(len(e.attempts), len(e.reactions)-1)]
@@ -234,6 +238,7 @@
 	run("a silent one is given up and not sent again", func(t *testing.T, c *caller, e *endpoints, err error) {
 		assertMayHaveRun(t, err, exchanger.ErrStalled)
 		assertSends(t, e, 1)
+		assert.Equal(t, []string{e.attempts[0].Endpoint.ID}, e.dropped, "other kept connections may be silent too")
 	}, silent)
 	run("refused by all", func(t *testing.T, c *caller, e *endpoints, err error) {
 		assertNotRun(t, err)
--- a/internal/coordination/exchanger/outcome.go
+++ b/internal/coordination/exchanger/outcome.go
@@ -43,6 +43,7 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, ErrStalled):
 		r.Balancer.Fail(id, r.Now())
+		r.Sender.Drop(attempt.Endpoint)
 		err = errors.Mark(err, ErrStalled)
 	case cause != nil:
 		err = r.ended(ctx, err)
--- a/internal/coordination/upgrader/upgrader.go
+++ b/internal/coordination/upgrader/upgrader.go
@@ -54,10 +54,8 @@
 	Reported time.Duration
 	// Drained is when peers were told to pass the endpoint over.
 	Drained time.Duration
-	// Ordered is when the last order was accepted, or may have been. Wanted is its
-	// version.
+	// Ordered is when the last order was accepted, or may have been.
 	Ordered time.Duration
-	Wanted  int64
 }
 
 // Order asks an endpoint to load a version.
--- a/internal/coordination/upgrader/upgrader_test.go
+++ b/internal/coordination/upgrader/upgrader_test.go
@@ -31,7 +31,7 @@
 
 func loading(id string) upgrader.State {
 	state := drained(id)
-	state.Ordered, state.Wanted, state.Report = now-50*time.Millisecond, 2, nil
+	state.Ordered, state.Report = now-50*time.Millisecond, nil
 	return state
 }
 
--- a/internal/relayer/shelves.go
+++ b/internal/relayer/shelves.go
@@ -44,7 +44,6 @@
 
 // PartChange is one event of a store; zero tokens mean that the part is gone.
 type PartChange struct {
-	Number int64
 	Key    locator.Key
 	Tokens int
 }
--- a/internal/relayer/upgrades.go
+++ b/internal/relayer/upgrades.go
@@ -316,7 +316,7 @@
 	state := u.states[order.Endpoint.ID]
 	state.Report = nil
 	if outcome != OutcomeRefused {
-		state.Ordered, state.Wanted = now, order.Version
+		state.Ordered = now
 		u.Unload(order.Endpoint)
 	}
 	u.states[order.Endpoint.ID] = state
--- a/internal/transport/sender/sender.go
+++ b/internal/transport/sender/sender.go
@@ -55,8 +55,6 @@
 type Sender struct {
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
-	// Dialed is told of each new connection; nil for none.
-	Dialed func(target Target)
 
 	mu   sync.Mutex
 	idle map[Target][]*conn
@@ -110,9 +108,6 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", target.Address)
 	}
-	if s.Dialed != nil {
-		s.Dialed(target)
-	}
 	return newConn(target, raw), nil
 }
 
