Pass over weights that were replaced at an unknown time, also while a newer version is named

Change: a version named at an unknown time counts as due once any endpoint has it. Test: TestReplacedWeights, which failed before.

--- a/internal/coordination/exchanger/exchanger_test.go
+++ b/internal/coordination/exchanger/exchanger_test.go
@@ -476,6 +476,13 @@
 			assert.Equal(t, "e3", e.attempts[0].Endpoint.ID)
 		})
 	})
+	t.Run("named at an unknown time, also when a newer one is named that no endpoint has", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			e, err := run(t, []exchanger.Naming{{Version: 2}, {Version: 3, At: time.Now()}}, 1, 1, 2)
+			require.NoError(t, err)
+			assert.Equal(t, "e3", e.attempts[0].Endpoint.ID)
+		})
+	})
 	t.Run("named at an unknown time, only where others have it", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			unknown := []exchanger.Naming{{Version: 2}}
--- a/internal/coordination/exchanger/view.go
+++ b/internal/coordination/exchanger/view.go
@@ -1,7 +1,6 @@
 package exchanger
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
@@ -49,17 +48,19 @@
 
 // outdated returns the endpoints of a service that must not begin requests for a
 // model any more: a newer version than theirs was named more than limit ago, or
-// at an unknown time while other endpoints have the newest.
+// at an unknown time while other endpoints have it.
 func (v View) outdated(now time.Time, service, model string, limit time.Duration) map[string]bool {
-	newest := v.Named(model)
-	current := slices.ContainsFunc(v.Endpoints[service], func(endpoint tracker.Endpoint) bool {
-		return endpoint.Weights[model] >= newest && !endpoint.Leaving
-	})
+	var best int64
+	for _, endpoint := range v.Endpoints[service] {
+		if !endpoint.Leaving {
+			best = max(best, endpoint.Weights[model])
+		}
+	}
 	outdated := map[string]bool{}
 	for _, endpoint := range v.Endpoints[service] {
 		for _, naming := range v.Namings[model] {
 			unknown := naming.At.IsZero()
-			over := unknown && current || !unknown && now.Sub(naming.At) >= limit
+			over := unknown && best >= naming.Version || !unknown && now.Sub(naming.At) >= limit
 			if endpoint.Weights[model] < naming.Version && over {
 				outdated[endpoint.ID] = true
 			}
