Work out a prompt's work once an endpoint, and slots and pauses in one place

Pick asked the directory again for the endpoint it had chosen; the default of slots and the pause between reads of events stood twice; the usage in relayer's package comment was not its own.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -101,13 +101,16 @@
 	defer b.mu.Unlock()
 	best := -1
 	var lowest float64
+	var least Work
 	for i, endpoint := range request.Endpoints {
 		if endpoint.Leaving || request.Avoid[endpoint.ID] || !b.room(now, endpoint, request) {
 			continue
 		}
 		cost := b.cost(now, endpoint, request.Capacity)
+		var work Work
 		if request.Work != nil {
-			cost += request.Work(endpoint).cost()
+			work = request.Work(endpoint)
+			cost += work.cost()
 		}
 		if request.Stale != nil && request.Stale(endpoint) {
 			cost += staleCost
@@ -116,7 +119,7 @@
 			cost += triedCost
 		}
 		if best < 0 || cost < lowest || cost == lowest && b.gauge(endpoint.ID).turn < b.gauge(request.Endpoints[best].ID).turn {
-			best, lowest = i, cost
+			best, lowest, least = i, cost, work
 		}
 	}
 	if best < 0 {
@@ -131,13 +134,8 @@
 	}
 	g.running++
 	g.tokens += request.Tokens
-	choice := Choice{Endpoint: chosen, Cost: lowest, tokens: request.Tokens}
-	if request.Work != nil {
-		choice.Work = request.Work(chosen)
-		choice.reading = choice.Work.Read
-		g.reading += choice.reading
-	}
-	return choice, true
+	g.reading += least.Read
+	return Choice{Endpoint: chosen, Cost: lowest, Work: least, tokens: request.Tokens, reading: least.Read}, true
 }
 
 // Choice is an endpoint with a request that is counted on it.
--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -41,16 +41,12 @@
 // speaks against it added. Slots or memory bind, whichever is scarcer.
 func (b *Balancer) cost(now time.Time, endpoint tracker.Endpoint, capacity int) float64 {
 	g := b.gauge(endpoint.ID)
-	slots := endpoint.Slots
-	if slots <= 0 {
-		slots = defaultSlots
-	}
 	others := b.others(now, endpoint.ID)
 	running, tokens := others.Running+g.running, others.Tokens+g.tokens
 	if now.Sub(g.told) < loadFresh {
 		running = max(running, g.running+g.load.Running+g.load.Waiting-g.own)
 	}
-	cost := float64(running) / float64(slots)
+	cost := float64(running) / slots(endpoint)
 	if capacity > 0 {
 		cost = max(cost, float64(tokens)/float64(capacity))
 	}
@@ -75,11 +71,15 @@
 	if request.Capacity > 0 && float64(tokens+request.Tokens) > memoryShare*float64(request.Capacity) {
 		return false
 	}
-	slots := endpoint.Slots
-	if slots <= 0 {
-		slots = defaultSlots
+	return float64(running) < slotShare*slots(endpoint)
+}
+
+// slots is the number of requests that an endpoint runs at once.
+func slots(endpoint tracker.Endpoint) float64 {
+	if endpoint.Slots <= 0 {
+		return defaultSlots
 	}
-	return float64(running) < slotShare*float64(slots)
+	return float64(endpoint.Slots)
 }
 
 // others sums what peers told of their own work on an endpoint.
--- a/internal/relayer/cleaner.go
+++ b/internal/relayer/cleaner.go
@@ -29,8 +29,8 @@
 }
 
 // Cleaner frees parts that were made with weights of versions that are no longer
-// retained, once no node fetches them any more. Each store has an owner among the nodes; two owners free the same parts. Its
-// fields are set before Run.
+// retained, once no node fetches them any more. Each store has an owner among
+// the nodes; two owners free the same parts. Its fields are set before Run.
 type Cleaner struct {
 	Node    *Relayer
 	Locator *locator.Locator
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -4,9 +4,9 @@
 //
 // # Usage
 //
-//	node := &relayer.Relayer{Domain: "kadikoy", Log: log}
+//	node := relayer.New(log, time.Now)
 //	go node.Run(ctx)
-//	node.Configure(catalog)
+//	node.Configure(catalog, "log")
 //	view := node.View()
 package relayer
 
@@ -41,14 +41,14 @@
 	Now func() time.Time
 	// Changed is called by the control goroutine after the endpoints changed.
 	Changed func(view exchanger.View)
+	// Renamed is called after new weights were named.
+	Renamed func()
 	// Reweighed is called after an endpoint showed newer weights to this node.
+	Reweighed func(endpoint tracker.Endpoint, model string, version int64)
 	// Loading and Loaded are called when an endpoint begins to load weights by a
 	// peer's word, and when it has newer ones.
-	// Renamed is called after new weights were named.
-	Renamed   func()
-	Reweighed func(endpoint tracker.Endpoint, model string, version int64)
-	Loading   func(id string)
-	Loaded    func(id string)
+	Loading func(id string)
+	Loaded  func(id string)
 
 	inbox   chan func()
 	view    atomic.Pointer[exchanger.View]
--- a/internal/relayer/shelves.go
+++ b/internal/relayer/shelves.go
@@ -90,10 +90,7 @@
 	}
 	places := map[netip.AddrPort]func(context.Context, netip.AddrPort) error{}
 	for _, service := range view.Catalog.Stores() {
-		pause := farPause
-		if service.Store.Domain == s.Domain {
-			pause = nearPause
-		}
+		pause := s.pause(service.Store.Domain)
 		places[service.Store.Address] = func(ctx context.Context, place netip.AddrPort) error {
 			return s.store(ctx, place, pause)
 		}
@@ -103,10 +100,7 @@
 			continue
 		}
 		for _, endpoint := range endpoints {
-			pause := farPause
-			if endpoint.Domain == s.Domain {
-				pause = nearPause
-			}
+			pause := s.pause(endpoint.Domain)
 			places[endpoint.Address] = func(ctx context.Context, place netip.AddrPort) error {
 				return s.engine(ctx, place, pause)
 			}
@@ -133,6 +127,14 @@
 	}
 }
 
+// pause is the time between reads of events from places of a failure domain.
+func (s *Shelves) pause(domain string) time.Duration {
+	if domain == s.Domain {
+		return nearPause
+	}
+	return farPause
+}
+
 // mine reports whether a node is among those that follow a place.
 func mine(nodes []string, self string, place netip.AddrPort) bool {
 	if len(nodes) <= maxFollowers {
