Run the chat interface and plain calls on the exchanger

Cause: dispatcher and exchanger decided the same things twice (what may be sent again, budgets, suspects, resumed streams, when a request is given up), and had drifted: a refusal cost nothing from the retry budget in one of them, so that engines that all refuse were offered each prompt six times.

Change: exchanger keeps the run loop and reaches endpoints through a Placer. placer holds what was mixed into it: balancer, locator, scheduler, weights. dispatcher is an edge: promptRun and callRun are Placer, Sender and Sink of one request. Senders say whether an answer is a failure (Answer.Failed); a plain service's 500 stays its answer.

Prompt and order matrices unchanged, passed.

--- a/internal/coordination/dispatcher/calls.go
+++ b/internal/coordination/dispatcher/calls.go
@@ -6,10 +6,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/publisher"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
 )
 
 // Calls runs calls on plain services. Its fields are set before use.
@@ -29,50 +32,109 @@
 // endpoint within the retry budget; any other call only when no byte of it can
 // have left, which the error's mark ErrNotSent also tells the caller.
 func (c *Calls) Run(ctx context.Context, team string, call Call) (Response, error) {
-	c.Budget.Request()
-	tried := map[string]bool{}
-	ran := false
-	for attempt := 0; ; attempt++ {
-		response, err := c.attempt(ctx, team, call, tried)
-		if err == nil {
-			return response, nil
-		}
-		if ran = ran || MayHaveRun(err); ran {
-			err = errors.Mark(err, ErrMayHaveRun)
-		}
-		if errors.Is(err, ErrNoEndpoint) {
-			return response, err
-		}
-		if ctx.Err() != nil || attempt+1 >= maxAttempts || !c.repeat(call, err) {
-			return response, err
-		}
-		c.event(call, team, recorder.KindRetry, "", err.Error())
-		if waitErr := retrier.Sleep(ctx, retrier.Backoff(attempt, backoffBase, backoffLimit, c.Jitter)); waitErr != nil {
-			return response, err
-		}
+	run := &callRun{Calls: c, call: call, team: team}
+	e := &exchanger.Exchanger{
+		Placer: run, Sender: run, Budget: share{c.Budget},
+		// Without an expiry crashes are not counted: a plain service that is down
+		// breaks every call.
+		Suspects: &retrier.Suspects{}, Spread: func() {}, Backoff: run.backoff, Now: c.Now,
 	}
+	err := e.Run(ctx, run.exchange(), run)
+	return run.response, outcome(err)
+}
+
+// callRun is one call on its way through its attempts.
+type callRun struct {
+	*Calls
+	call     Call
+	team     string
+	row      registrar.Row
+	response Response
 }
 
-func (c *Calls) repeat(call Call, cause error) bool {
-	if errors.Is(cause, ErrNotSent) {
-		return true
+func (r *callRun) exchange() *exchanger.Exchange {
+	repeat := cataloger.RepeatOnce
+	if r.call.Repeatable {
+		repeat = cataloger.RepeatSafe
+	}
+	return &exchanger.Exchange{
+		ID: r.call.Request, Caller: r.team, Service: r.call.Service.Name, Received: r.Now(), Watched: true,
+		Method: r.call.Method, Target: r.call.Target, Body: r.call.Body,
+		Route: cataloger.Route{Repeat: repeat, Attempts: maxAttempts},
 	}
-	return call.Repeatable && c.Budget.Spend()
 }
 
-func (c *Calls) attempt(ctx context.Context, team string, call Call, tried map[string]bool) (Response, error) {
-	row, ok := c.pick(call, tried)
+// Place implements exchanger.Placer.
+func (r *callRun) Place(_ context.Context, _ *exchanger.Exchange, progress exchanger.Progress) (exchanger.Placement, error) {
+	row, ok := r.pick(r.call, progress.Tried)
 	if !ok {
-		return Response{}, errors.Mark(errors.Wrap(ErrNoEndpoint, call.Service.Name), ErrNotSent)
+		return nil, errors.Wrap(ErrNoEndpoint, r.call.Service.Name)
 	}
-	defer c.Flight.leave(row.Name, false)
-	tried[row.Name] = true
-	c.event(call, team, recorder.KindDispatch, row.Name, call.Method)
-	response, err := c.Caller.Do(ctx, row.Endpoint, call)
-	response.Endpoint = row.Name
-	return response, err
+	r.row = row
+	r.event(recorder.KindDispatch, row.Name, r.call.Method)
+	return &callPlace{run: r, row: row}, nil
+}
+
+// Send implements exchanger.Sender.
+func (r *callRun) Send(ctx context.Context, _ exchanger.Attempt) (exchanger.Answer, error) {
+	response, err := r.Caller.Do(ctx, r.row.Endpoint, r.call)
+	if err != nil {
+		return exchanger.Answer{}, err
+	}
+	return exchanger.Answer{Status: response.Status, Header: response.Header, Body: response.Body, Close: func() {}}, nil
+}
+
+// Drop implements exchanger.Sender. The dialer drops connections itself.
+func (r *callRun) Drop(tracker.Endpoint) {}
+
+// Whole implements exchanger.Sink.
+func (r *callRun) Whole(answer exchanger.Answer) error {
+	r.response = Response{Status: answer.Status, Header: answer.Header, Body: answer.Body, Endpoint: r.row.Name}
+	return nil
+}
+
+// Begin implements exchanger.Sink. Plain services don't stream.
+func (r *callRun) Begin(exchanger.Answer) error { return nil }
+
+// Event implements exchanger.Sink.
+func (r *callRun) Event(exchanger.Event) error { return nil }
+
+func (r *callRun) backoff(attempt int, cause error) time.Duration {
+	r.event(recorder.KindRetry, "", cause.Error())
+	return retrier.Backoff(attempt, backoffBase, backoffLimit, r.Jitter)
+}
+
+func (r *callRun) event(kind recorder.Kind, endpoint, detail string) {
+	r.Journal.Record(r.Now(), recorder.Event{Kind: kind, Request: r.call.Request, Team: r.team, Endpoint: endpoint, Detail: detail})
+}
+
+// callPlace is a call's count on its endpoint. It implements
+// exchanger.Placement.
+type callPlace struct {
+	run *callRun
+	row registrar.Row
+}
+
+// Attempt implements exchanger.Placement.
+func (p *callPlace) Attempt() exchanger.Attempt {
+	return exchanger.Attempt{Endpoint: tracker.Endpoint{ID: p.row.Name}}
 }
 
+// Answered implements exchanger.Placement.
+func (p *callPlace) Answered(exchanger.Answer) {}
+
+// Event implements exchanger.Placement.
+func (p *callPlace) Event(bool) {}
+
+// Failed implements exchanger.Placement. Reports tell which endpoints fail.
+func (p *callPlace) Failed(error) {}
+
+// Completed implements exchanger.Placement.
+func (p *callPlace) Completed() {}
+
+// Release implements exchanger.Placement.
+func (p *callPlace) Release() { p.run.Flight.leave(p.row.Name, false) }
+
 // pick takes the endpoint with the fewest running requests, the near ones first.
 // Once all have been tried they are tried again: after a stall on a connection
 // that has gone silent, the same endpoint may answer on a new one.
@@ -125,13 +187,3 @@
 	}
 	return price
 }
-
-func (c *Calls) event(call Call, team string, kind recorder.Kind, endpoint, detail string) {
-	c.Journal.Record(c.Now(), recorder.Event{
-		Kind:     kind,
-		Request:  call.Request,
-		Team:     team,
-		Endpoint: endpoint,
-		Detail:   detail,
-	})
-}
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -1,6 +1,7 @@
-// Package dispatcher carries admitted requests to endpoints: prompts with
-// retries and resumed streams, calls to plain services, and requests that run
-// at most once.
+// Package dispatcher carries the chat interface's admitted requests to
+// endpoints: prompts, calls to plain services, and requests that run at most
+// once. What is sent again, and where a stream goes on, is decided by exchanger;
+// this package places the attempts and translates tokens and calls.
 //
 // It reaches endpoints through the small interfaces below and never opens a
 // connection itself.
@@ -29,33 +30,28 @@
 
 // Sentinel errors. Adapters mark their errors with the first four.
 var (
-	// ErrNotSent, ErrBroken and ErrStalled are those of exchanger.
+	// ErrNotSent, ErrBroken, ErrStalled and ErrRefused are those of exchanger.
 	ErrNotSent = exchanger.ErrNotSent
 	ErrBroken  = exchanger.ErrBroken
 	ErrStalled = exchanger.ErrStalled
-	// ErrRefused marks a request that the endpoint refused without running it.
-	ErrRefused = errors.New("endpoint refused the request")
-
-	// ErrNoEndpoint is returned when no endpoint can take the request.
-	ErrNoEndpoint = errors.New("no endpoint is available")
-	// ErrPoison is returned for a request that has crashed endpoints.
-	ErrPoison = exchanger.ErrPoison
-	// ErrBudget is returned when the retry budget is used up.
-	ErrBudget = errors.New("retry budget is used up")
-	// ErrVersionGone is returned for a started answer whose weights no endpoint
-	// has any more.
-	ErrVersionGone = errors.New("weights of the started answer are gone")
+	ErrRefused = exchanger.ErrRefused
+
+	// ErrNoEndpoint, ErrPoison, ErrBudget, ErrVersionGone and ErrCaller, too.
+	ErrNoEndpoint  = exchanger.ErrUnavailable
+	ErrPoison      = exchanger.ErrPoison
+	ErrBudget      = exchanger.ErrBudget
+	ErrVersionGone = exchanger.ErrVersionGone
+	ErrCaller      = exchanger.ErrCaller
+
 	// ErrMayHaveRun marks the failure of a request of which an earlier attempt
 	// may have run.
 	ErrMayHaveRun = errors.New("an earlier attempt may have run")
-	// ErrCaller marks an answer that could not be delivered to the caller.
-	ErrCaller = exchanger.ErrCaller
 )
 
 // MayHaveRun reports whether a failed request, in any of its attempts, may have
 // run. Without it "not run" is true.
 func MayHaveRun(err error) bool {
-	for _, sentinel := range []error{ErrBroken, ErrStalled, ErrMayHaveRun, ErrPoison, ErrBudget, ErrVersionGone, ErrCaller} {
+	for _, sentinel := range []error{ErrBroken, ErrStalled, ErrMayHaveRun, ErrPoison, ErrVersionGone, ErrCaller} {
 		if errors.Is(err, sentinel) {
 			return true
 		}
--- a/internal/coordination/dispatcher/prompts.go
+++ b/internal/coordination/dispatcher/prompts.go
@@ -4,35 +4,32 @@
 	"context"
 	"fmt"
 	"io"
-	"sync"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/hinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/router"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/publisher"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
 )
 
 const (
-	// maxAttempts bounds the attempts at one prompt.
-	maxAttempts = 6
 	// aloneWait is the longest time that a suspect request waits for an
 	// endpoint on which nothing runs.
 	aloneWait = 2 * time.Second
 	// alonePoll is the time between looks for such an endpoint.
 	alonePoll = 50 * time.Millisecond
-
 	// spreadWait is the time in which peers hear of each other's suspects.
 	spreadWait = 100 * time.Millisecond
-
-	backoffBase  = 20 * time.Millisecond
-	backoffLimit = 500 * time.Millisecond
 )
 
 // Prompts runs prompts on model engines. Its fields are set before use.
@@ -57,21 +54,35 @@
 	Now    func() time.Time
 }
 
+// Run runs a prompt to its end and returns the usage of the last attempt. On
+// error the caller has got a prefix of the answer at most, without end mark.
+func (p *Prompts) Run(ctx context.Context, prompt Prompt, sink Sink) (Usage, error) {
+	run := newPromptRun(p, prompt, sink)
+	e := &exchanger.Exchanger{
+		Placer: run, Sender: run, Budget: share{p.Budget}, Suspects: p.Suspects, Spread: p.Spread,
+		Backoff: run.backoff, Now: p.Now,
+	}
+	err := e.Run(ctx, run.exchange, run)
+	return run.usage, outcome(err)
+}
+
 // promptRun is one prompt on its way through its attempts.
 type promptRun struct {
 	*Prompts
-	prompt      Prompt
-	sink        Sink
-	fingerprint uint64
+	prompt   Prompt
+	exchange *exchanger.Exchange
+	sink     Sink
 	// root and tokens are the router's view of the prompt.
 	root   uint64
 	tokens int
 	// hashed holds the prompt's blocks by weights.
 	hashed map[string][]fingerprinter.Block
 	tried  map[string]bool
+	// alone is set while the request is suspected of a crash.
 	alone  bool
-	// ran is set once an attempt may have run.
-	ran bool
+	chosen place
+	// next is the token on its way to the caller.
+	next Token
 	// delivered holds the tokens that the caller has.
 	delivered []string
 	// weights is set by the first delivered token; later attempts must match.
@@ -79,112 +90,46 @@
 	usage   Usage
 	// found holds what the store tier has of the prompt, by weights.
 	found map[string]archiver.Found
-	// unqueue ends the count of the attempt's work.
-	unqueue func()
 }
 
-// Run runs a prompt to its end and returns the usage of the last attempt. On
-// error the caller has got a prefix of the answer at most, without end mark.
-func (p *Prompts) Run(ctx context.Context, prompt Prompt, sink Sink) (Usage, error) {
+func newPromptRun(p *Prompts, prompt Prompt, sink Sink) *promptRun {
 	run := &promptRun{
-		Prompts:     p,
-		prompt:      prompt,
-		sink:        sink,
-		fingerprint: fingerprinter.Request(prompt.Team, prompt.Text),
-		tokens:      fingerprinter.Tokens(prompt.Text),
-		hashed:      map[string][]fingerprinter.Block{},
-		tried:       map[string]bool{},
-		found:       map[string]archiver.Found{},
+		Prompts: p,
+		prompt:  prompt,
+		sink:    sink,
+		tokens:  fingerprinter.Tokens(prompt.Text),
+		hashed:  map[string][]fingerprinter.Block{},
+		found:   map[string]archiver.Found{},
+		exchange: &exchanger.Exchange{
+			ID: prompt.Request, Caller: prompt.Team, Service: prompt.Service.Name, Received: p.Now(),
+			Watched: true, Body: prompt.Text,
+			Route: cataloger.Route{Stream: true, Repeat: cataloger.RepeatResumable, Attempts: maxAttempts},
+		},
 	}
 	run.root = fingerprinter.Root(run.seed(""), prompt.Text)
-	p.Budget.Request()
-	if err := run.judge(); err != nil {
-		return Usage{}, err
-	}
-	for attempt := 0; ; attempt++ {
-		err := run.attempt(ctx)
-		if err == nil {
-			p.Suspects.Clear(run.fingerprint)
-			return run.usage, nil
-		}
-		run.ran = run.ran || MayHaveRun(err)
-		if err := run.again(ctx, attempt, err); err != nil {
-			return run.usage, run.mark(err)
-		}
-	}
+	return run
 }
 
-// mark notes on a final error that an earlier attempt may have run.
-func (r *promptRun) mark(err error) error {
-	if !r.ran {
-		return err
-	}
-	return errors.Mark(err, ErrMayHaveRun)
-}
-
-// judge applies what is known of the request's crashes.
-func (r *promptRun) judge() error {
-	switch r.Suspects.Judge(r.Now(), r.fingerprint) {
-	case retrier.VerdictRefuse:
-		return ErrPoison
-	case retrier.VerdictAlone:
-		r.alone = true
-	}
-	return nil
-}
-
-// again returns nil when the failed attempt may be followed by another.
-func (r *promptRun) again(ctx context.Context, attempt int, cause error) error {
-	if ctx.Err() != nil || errors.Is(cause, ErrCaller) || attempt+1 >= maxAttempts {
-		return cause
-	}
-	switch {
-	case errors.Is(cause, ErrNotSent), errors.Is(cause, ErrRefused):
-		// Nothing ran, so the attempt costs no budget.
-	case errors.Is(cause, ErrBroken), errors.Is(cause, ErrStalled):
-		if err := r.afterFailure(cause); err != nil {
-			return err
-		}
-	default:
-		return cause
-	}
+// backoff gives peers the time to tell of crashes of the same request.
+func (r *promptRun) backoff(attempt int, cause error) time.Duration {
 	r.event(recorder.KindRetry, "", cause.Error())
 	wait := retrier.Backoff(attempt, backoffBase, backoffLimit, r.Jitter)
 	if errors.Is(cause, ErrBroken) {
 		wait = max(wait, spreadWait)
 	}
-	if err := retrier.Sleep(ctx, wait); err != nil {
-		return err
-	}
-	// Peers may have seen crashes of the same request meanwhile.
-	if err := r.judge(); err != nil {
-		return errors.CombineErrors(err, cause)
-	}
-	return nil
+	return wait
 }
 
-func (r *promptRun) afterFailure(cause error) error {
-	if errors.Is(cause, ErrBroken) {
-		r.Suspects.Crash(r.Now(), r.fingerprint)
-		r.Spread()
-		r.event(recorder.KindSuspect, "", cause.Error())
-	}
-	if !r.Budget.Spend() {
-		return errors.CombineErrors(ErrBudget, cause)
-	}
-	return nil
-}
-
-func (r *promptRun) attempt(ctx context.Context) error {
+// Place implements exchanger.Placer.
+func (r *promptRun) Place(ctx context.Context, _ *exchanger.Exchange, progress exchanger.Progress) (exchanger.Placement, error) {
+	r.tried = progress.Tried
+	r.alone = r.alone || r.Suspects.Judge(r.Now(), r.exchange.Fingerprint()) == retrier.VerdictAlone
 	chosen, err := r.choose(ctx)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	row := chosen.row
-	defer r.Flight.leave(row.Name, r.alone)
-	r.queue(chosen)
-	defer r.unqueue()
-	r.tried[row.Name] = true
+	r.chosen = chosen
+	placed := newPromptPlace(r, chosen)
 	if chosen.transfer {
 		r.bring(ctx, chosen)
 	}
@@ -192,28 +137,8 @@
 	if len(r.delivered) > 0 {
 		kind = recorder.KindResume
 	}
-	r.event(kind, row.Name, fmt.Sprintf("weights %s, %d tokens delivered", row.Report.Version, len(r.delivered)))
-	stream, err := r.Engine.Complete(ctx, row.Endpoint, r.completion(row, chosen.chain))
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	if err := r.relay(stream, row); err != nil {
-		if errors.Is(err, ErrBroken) && ctx.Err() == nil {
-			// The endpoint may have crashed and lost its cache.
-			r.Hints.Forget(row.Name)
-		}
-		return err
-	}
-	r.Hints.Stored(row.Name, chosen.chain)
-	r.store(chosen)
-	return nil
-}
-
-// queue counts the prompt's work on its endpoint until the first token comes.
-func (r *promptRun) queue(chosen place) {
-	r.Flight.queue(chosen.row.Name, chosen.tokens)
-	r.unqueue = sync.OnceFunc(func() { r.Flight.queue(chosen.row.Name, -chosen.tokens) })
+	r.event(kind, chosen.row.Name, fmt.Sprintf("weights %s, %d tokens delivered", chosen.row.Report.Version, len(r.delivered)))
+	return placed, nil
 }
 
 // bring imports stored blocks to the chosen endpoint. What does not arrive is
@@ -240,6 +165,23 @@
 	})
 }
 
+// Send implements exchanger.Sender.
+func (r *promptRun) Send(ctx context.Context, _ exchanger.Attempt) (exchanger.Answer, error) {
+	row := r.chosen.row
+	stream, err := r.Engine.Complete(ctx, row.Endpoint, r.completion(row, r.chosen.chain))
+	switch {
+	case errors.Is(err, ErrRefused):
+		r.event(recorder.KindRefuse, row.Name, err.Error())
+		return exchanger.Answer{Run: exchanger.RunRefused, Close: func() {}}, nil
+	case err != nil:
+		return exchanger.Answer{}, err
+	}
+	return exchanger.Answer{Events: &tokens{run: r, stream: stream}, Close: stream.Close}, nil
+}
+
+// Drop implements exchanger.Sender. The dialer drops connections itself.
+func (r *promptRun) Drop(tracker.Endpoint) {}
+
 func (r *promptRun) completion(row registrar.Row, blocks []fingerprinter.Block) Completion {
 	return Completion{
 		Request:   r.prompt.Request,
@@ -255,21 +197,31 @@
 	}
 }
 
-// relay passes tokens on until the answer is whole.
-func (r *promptRun) relay(stream TokenStream, row registrar.Row) error {
-	for {
-		token, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			r.usage = stream.Usage()
-			return r.checkLength()
-		}
-		if err != nil {
-			return err
-		}
-		if err := r.deliver(token, row); err != nil {
-			return err
+// tokens checks an engine's tokens as they come. It implements
+// exchanger.Events.
+type tokens struct {
+	run    *promptRun
+	stream TokenStream
+}
+
+// Next implements exchanger.Events.
+func (t *tokens) Next() (exchanger.Event, error) {
+	token, err := t.stream.Next()
+	if errors.Is(err, io.EOF) {
+		t.run.usage = t.stream.Usage()
+		if err := t.run.checkLength(); err != nil {
+			return exchanger.Event{}, err
 		}
+		return exchanger.Event{}, io.EOF
+	}
+	if err == nil {
+		err = t.run.check(token)
 	}
+	if err != nil {
+		return exchanger.Event{}, err
+	}
+	t.run.next = token
+	return exchanger.Event{ID: strconv.Itoa(token.Index), Data: []byte(token.Text)}, nil
 }
 
 func (r *promptRun) checkLength() error {
@@ -279,22 +231,33 @@
 	return nil
 }
 
-func (r *promptRun) deliver(token Token, row registrar.Row) error {
-	r.unqueue()
+// check accepts the token that follows the delivered ones, of the same weights.
+func (r *promptRun) check(token Token) error {
 	if token.Index != len(r.delivered) {
 		return errors.Wrapf(ErrBroken, "token %d came in place of token %d", token.Index, len(r.delivered))
 	}
 	if r.weights == "" {
 		r.weights = token.Weights
-		r.event(recorder.KindFirstToken, row.Name, "")
+		r.event(recorder.KindFirstToken, r.chosen.row.Name, "")
 	}
 	if token.Weights != r.weights {
-		return errors.Wrapf(ErrVersionGone, "answer began with %s, %s has %s", r.weights, row.Name, token.Weights)
+		return errors.Wrapf(ErrVersionGone, "answer began with %s, %s has %s", r.weights, r.chosen.row.Name, token.Weights)
 	}
-	if err := r.sink.Token(token); err != nil {
-		return errors.Mark(err, ErrCaller)
+	return nil
+}
+
+// Whole implements exchanger.Sink. Engines answer with streams only.
+func (r *promptRun) Whole(exchanger.Answer) error { return nil }
+
+// Begin implements exchanger.Sink. The sink begins with the first token.
+func (r *promptRun) Begin(exchanger.Answer) error { return nil }
+
+// Event implements exchanger.Sink.
+func (r *promptRun) Event(exchanger.Event) error {
+	if err := r.sink.Token(r.next); err != nil {
+		return err
 	}
-	r.delivered = append(r.delivered, token.Text)
+	r.delivered = append(r.delivered, r.next.Text)
 	return nil
 }
 
--- a/internal/coordination/dispatcher/prompts_test.go
+++ b/internal/coordination/dispatcher/prompts_test.go
@@ -15,8 +15,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/hinter"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/router"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
@@ -432,13 +434,16 @@
 		require.Len(t, w.found, 1)
 	})
 	t.Run("an answer with a gap", func(t *testing.T) {
-		run := &promptRun{Prompts: w.nodes[0], sink: &textSink{}, unqueue: func() {}}
-		require.NoError(t, run.deliver(Token{Index: 0, Text: "a"}, registrar.Row{}))
-		require.Error(t, run.deliver(Token{Index: 2, Text: "c"}, registrar.Row{}))
+		run := &promptRun{Prompts: w.nodes[0], sink: &textSink{}}
+		run.next = Token{Index: 0, Text: "a"}
+		require.NoError(t, run.check(run.next))
+		require.NoError(t, run.Event(exchanger.Event{}))
+		require.Error(t, run.check(Token{Index: 2, Text: "c"}))
 	})
 	t.Run("not-run of a request that ran", func(t *testing.T) {
 		require.False(t, MayHaveRun(ErrNoEndpoint))
-		require.True(t, MayHaveRun((&promptRun{ran: true}).mark(ErrNoEndpoint)))
+		require.False(t, MayHaveRun(outcome(&limiter.Refusal{Cause: ErrNoEndpoint})))
+		require.True(t, MayHaveRun(outcome(ErrNoEndpoint)))
 	})
 	t.Run("work at a leaving endpoint", func(t *testing.T) {
 		w.left["engine-0"] = time.Now().Add(-time.Minute)
--- a/internal/coordination/exchanger/exchange.go
+++ b/internal/coordination/exchanger/exchange.go
@@ -2,14 +2,14 @@
 // answers back: whole answers, and streams of events that are relayed as they
 // come.
 //
-// It decides which endpoint gets a request, what may be sent again after a
-// failure, where a broken stream goes on, and when a request is given up. It
-// reaches callers and endpoints through the interfaces below and never opens a
-// connection itself.
+// It decides what may be sent again after a failure, where a broken stream goes
+// on, and when a request is given up. Which endpoint gets an attempt is its
+// Placer's choice. It reaches callers and endpoints through the interfaces below
+// and never opens a connection itself.
 //
 // # Usage
 //
-//	e := &exchanger.Exchanger{View: view, Sender: sender, Balancer: balancer, …}
+//	e := &exchanger.Exchanger{Placer: placer, Sender: sender, Budget: budget, …}
 //	err := e.Run(ctx, exchange, sink)
 package exchanger
 
@@ -35,6 +35,9 @@
 	ErrBroken = errors.New("answer broke off")
 	// ErrStalled marks an attempt without progress for too long.
 	ErrStalled = errors.New("endpoint made no progress")
+	// ErrRefused is the cause of a refusal if the last endpoint that was asked
+	// would not run the request.
+	ErrRefused = errors.New("endpoint refused the request")
 
 	// ErrUnavailable is returned for a request that has not run because no
 	// endpoint could take it.
@@ -43,7 +46,12 @@
 	ErrTimeout = errors.New("request timed out")
 	// ErrPoison is returned for a request that has crashed endpoints.
 	ErrPoison = errors.New("request has crashed endpoints")
-	// ErrCaller marks an answer that could not be delivered.
+	// ErrBudget marks a failure after which the retry budget had no room.
+	ErrBudget = errors.New("retry budget is used up")
+	// ErrVersionGone marks a started answer whose weights no endpoint has any more.
+	ErrVersionGone = errors.New("weights of the started answer are gone")
+	// ErrCaller marks an answer that could not be delivered. With ErrNotSent the
+	// request has not run.
 	ErrCaller = errors.New("caller is gone")
 )
 
@@ -73,9 +81,13 @@
 	Route    cataloger.Route
 	Service  string
 	Received time.Time
-	// Deadline is when the caller stops waiting.
+	// Deadline is when the caller stops waiting; zero if it did not say.
 	Deadline time.Time
-	Method   string
+	// Configuration is the version that the request was admitted under.
+	Configuration int64
+	// Watched is set if the Sender itself gives up endpoints that make no progress.
+	Watched bool
+	Method  string
 	// Target is the path and query as the caller wrote them.
 	Target string
 	Host   string
@@ -87,11 +99,11 @@
 	After string
 }
 
-// Limit returns the time by which the caller must have an answer.
+// Limit returns the time by which the caller must have an answer; zero for none.
 func (x *Exchange) Limit() time.Time {
 	limit := x.Deadline
 	if x.Route.Timeout > 0 {
-		if timeout := x.Received.Add(x.Route.Timeout); timeout.Before(limit) {
+		if timeout := x.Received.Add(x.Route.Timeout); limit.IsZero() || timeout.Before(limit) {
 			limit = timeout
 		}
 	}
@@ -124,6 +136,17 @@
 	Save  []netip.AddrPort
 	// FetchWithin bounds the wait for fetched parts; what is late is read.
 	FetchWithin time.Duration
+	// Reason is what the endpoint was chosen by.
+	Reason Reason
+}
+
+// Reason holds the inputs of a choice, for the log.
+type Reason struct {
+	// Cost is the endpoint's load, as a share of what it can take.
+	Cost float64
+	// Read and Fetch are the prompt tokens that it must read and fetch.
+	Read  int
+	Fetch int
 }
 
 // Run tells whether an endpoint ran an attempt.
@@ -158,6 +181,9 @@
 	Run    Run
 	Status int
 	Header http.Header
+	// Failed is the endpoint's word that it ran the request and failed; another one
+	// may do better.
+	Failed bool
 	// Load is the endpoint's account of its load; nil if it gave none.
 	Load *balancer.Load
 	// Weights is the version that the endpoint has; zero if it gave none.
--- a/internal/coordination/exchanger/exchanger_test.go
+++ b/internal/coordination/exchanger/exchanger_test.go
@@ -18,6 +18,7 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/placer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/scheduler"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
@@ -48,7 +49,7 @@
 
 func status(code int) reaction {
 	return func(context.Context, exchanger.Attempt) (exchanger.Answer, error) {
-		return exchanger.Answer{Status: code, Body: []byte{byte(code)}, Header: http.Header{}}, nil
+		return exchanger.Answer{Status: code, Failed: code >= 500, Body: []byte{byte(code)}, Header: http.Header{}}, nil
 	}
 }
 
@@ -122,9 +123,9 @@
 
 const service = "s"
 
-func view() exchanger.View {
+func view() placer.View {
 	services := []cataloger.Service{{Name: service, Engine: &cataloger.Engine{Capacity: 10_000}}}
-	v := exchanger.View{Catalog: cataloger.New(1, nil, services, nil, cataloger.Limits{}), Endpoints: map[string][]tracker.Endpoint{}}
+	v := placer.View{Catalog: cataloger.New(1, nil, services, nil, cataloger.Limits{}), Endpoints: map[string][]tracker.Endpoint{}}
 	for i, id := range []string{"e1", "e2", "e3"} {
 		v.Endpoints[service] = append(v.Endpoints[service], tracker.Endpoint{
 			ID: id, Service: service, Slots: 4, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
@@ -136,17 +137,19 @@
 
 func newExchanger(e *endpoints) *exchanger.Exchanger {
 	return &exchanger.Exchanger{
-		View: view, Sender: e, Balancer: &balancer.Balancer{}, Locator: locator.New(),
-		Scheduler: &scheduler.Scheduler{Now: time.Now},
-		Budget:    &retrier.Window{Share: 1, Slack: 100, Span: time.Second, Nodes: func() int { return 1 }},
-		Suspects:  &retrier.Suspects{Node: "n", Expiry: time.Hour},
-		Misdirected: func(tracker.Endpoint, string, int64) {
+		Placer: &placer.Placer{
+			View: view, Balancer: &balancer.Balancer{}, Locator: locator.New(), Scheduler: &scheduler.Scheduler{Now: time.Now},
+			Misdirected: func(tracker.Endpoint, string, int64) {}, InTouch: func() bool { return true }, StaleLimit: 8 * time.Second, Now: time.Now,
 		},
-		Spread: func() {}, InTouch: func() bool { return true }, StaleLimit: 8 * time.Second,
-		Meter: figures{}, Log: zerolog.Nop(), Now: time.Now,
+		Sender:   e,
+		Budget:   &retrier.Window{Share: 1, Slack: 100, Span: time.Second, Nodes: func() int { return 1 }},
+		Suspects: &retrier.Suspects{Node: "n", Expiry: time.Hour},
+		Spread:   func() {}, Meter: figures{}, Log: zerolog.Nop(), Now: time.Now,
 	}
 }
 
+func placerOf(x *exchanger.Exchanger) *placer.Placer { return x.Placer.(*placer.Placer) }
+
 // figures drops all figures.
 type figures struct{}
 
@@ -338,7 +341,7 @@
 			e := &endpoints{reactions: []reaction{status(200)}}
 			x := newExchanger(e)
 			for _, endpoint := range view().Endpoints[service] {
-				x.Balancer.Loading(endpoint.ID, time.Now())
+				placerOf(x).Balancer.Loading(endpoint.ID, time.Now())
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			time.AfterFunc(300*time.Millisecond, cancel)
@@ -362,7 +365,7 @@
 			for _, endpoint := range request.Endpoints {
 				request.Avoid[endpoint.ID] = endpoint.ID != first
 			}
-			_, ok := x.Balancer.Pick(time.Now(), request)
+			_, ok := placerOf(x).Balancer.Pick(time.Now(), request)
 			assert.True(t, ok)
 		})
 	})
@@ -417,7 +420,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			attempt := run(t, cataloger.Team{Name: "t"})
 			assert.EqualValues(t, 1, attempt.Weights)
-			model, version, ok := exchanger.ParseSalt(attempt.Salt)
+			model, version, ok := placer.ParseSalt(attempt.Salt)
 			assert.True(t, ok)
 			assert.Equal(t, "m", model)
 			assert.EqualValues(t, 1, version)
@@ -434,23 +437,23 @@
 // TestReplacedWeights replays an upgrade that is held up while a newer version is
 // named: the time of the older one still counts.
 func TestReplacedWeights(t *testing.T) {
-	named := func(ago ...time.Duration) []exchanger.Naming {
-		var all []exchanger.Naming
+	named := func(ago ...time.Duration) []placer.Naming {
+		var all []placer.Naming
 		for i, d := range ago {
-			all = append(all, exchanger.Naming{Version: int64(i + 2), At: time.Now().Add(-d)})
+			all = append(all, placer.Naming{Version: int64(i + 2), At: time.Now().Add(-d)})
 		}
 		return all
 	}
-	run := func(t *testing.T, namings []exchanger.Naming, loaded ...int64) (*endpoints, error) {
+	run := func(t *testing.T, namings []placer.Naming, loaded ...int64) (*endpoints, error) {
 		t.Helper()
 		e := &endpoints{reactions: []reaction{stream(io.EOF, "1")}}
 		x := newExchanger(e)
-		x.View = func() exchanger.View {
+		placerOf(x).View = func() placer.View {
 			v := view()
 			for i := range v.Endpoints[service] {
 				v.Endpoints[service][i].Weights = map[string]int64{"m": loaded[i]}
 			}
-			v.Namings = map[string][]exchanger.Naming{"m": namings}
+			v.Namings = map[string][]placer.Naming{"m": namings}
 			return v
 		}
 		request := exchange(cataloger.RepeatResumable)
@@ -478,14 +481,14 @@
 	})
 	t.Run("named at an unknown time, also when a newer one is named that no endpoint has", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			e, err := run(t, []exchanger.Naming{{Version: 2}, {Version: 3, At: time.Now()}}, 1, 1, 2)
+			e, err := run(t, []placer.Naming{{Version: 2}, {Version: 3, At: time.Now()}}, 1, 1, 2)
 			require.NoError(t, err)
 			assert.Equal(t, "e3", e.attempts[0].Endpoint.ID)
 		})
 	})
 	t.Run("named at an unknown time, only where others have it", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			unknown := []exchanger.Naming{{Version: 2}}
+			unknown := []placer.Naming{{Version: 2}}
 			_, err := run(t, unknown, 1, 1, 1)
 			assert.NoError(t, err)
 			e, err := run(t, unknown, 1, 1, 2)
--- a/internal/coordination/exchanger/journal.go
+++ b/internal/coordination/exchanger/journal.go
@@ -21,10 +21,13 @@
 
 // decide begins the log line of a decision on an attempt.
 func (r *run) decide(outcome string, attempt Attempt) *zerolog.Event {
-	r.Meter.Attempt(r.Service, outcome)
+	if r.Meter != nil {
+		r.Meter.Attempt(r.Service, outcome)
+	}
 	return r.Log.Info().Str("event", "attempt").Str("request", r.ID).Str("outcome", outcome).
 		Str("endpoint", attempt.Endpoint.ID).Int("send", r.sends).Int64("weights", attempt.Weights).
-		Dur("left", attempt.Left).Float64("cost", r.choice.Cost).Int("read", r.choice.Work.Read).Int("fetch", r.choice.Work.Fetch).Dur("waited", r.waited).Dur("elapsed", r.Now().Sub(r.Received))
+		Dur("left", attempt.Left).Float64("cost", attempt.Reason.Cost).Int("read", attempt.Reason.Read).
+		Int("fetch", attempt.Reason.Fetch).Dur("waited", r.waited).Dur("elapsed", r.Now().Sub(r.Received))
 }
 
 // outcome names the end of an exchange.
@@ -48,12 +51,25 @@
 
 // note logs and counts the end of the exchange.
 func (r *run) note(err error) {
-	r.Meter.Request(r.Service, outcome(err), r.Now().Sub(r.Received))
+	if r.Meter != nil {
+		r.Meter.Request(r.Service, outcome(err), r.Now().Sub(r.Received))
+	}
 	event := r.Log.Info()
 	if err != nil {
 		event = r.Log.Warn().Err(err)
 	}
 	event.Str("event", "request").Str("outcome", outcome(err)).Str("request", r.ID).Str("route", r.Route.Name).Str("service", r.Service).
-		Str("team", r.Team.Name).Int64("configuration", r.View().Catalog.Version).Int("sends", r.sends).Int("ran", r.ran).
-		Bool("begun", r.begun).Dur("elapsed", r.Now().Sub(r.Received)).Send()
+		Str("team", r.Team.Name).Int64("configuration", r.Configuration).Int("sends", r.sends).Int("ran", r.ran).
+		Bool("begun", r.Begun).Dur("elapsed", r.Now().Sub(r.Received)).Send()
+}
+
+// begin notes the first event of an answer.
+func (r *run) begin() {
+	if !r.first.IsZero() {
+		return
+	}
+	r.first = r.Now()
+	if r.Meter != nil {
+		r.Meter.First(r.Service, r.first.Sub(r.Received), r.waited)
+	}
 }
--- a/internal/coordination/exchanger/outcome.go
+++ b/internal/coordination/exchanger/outcome.go
@@ -9,13 +9,8 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 )
 
-// Internal outcomes of attempts.
-var (
-	// errRefused marks an attempt that the endpoint has not run.
-	errRefused = errors.New("endpoint refused the request")
-	// errFailed marks an attempt that ran and failed by the endpoint's own word.
-	errFailed = errors.New("endpoint failed the request")
-)
+// errFailed marks an attempt that ran and failed by the endpoint's own word.
+var errFailed = errors.New("endpoint failed the request")
 
 // pause is the longest time without progress before an endpoint is given up.
 // It follows the callers' patience.
@@ -25,30 +20,37 @@
 
 // watch cancels an attempt at an endpoint that makes no progress.
 func (r *run) watch(cancel context.CancelCauseFunc) *time.Timer {
-	return time.AfterFunc(r.pause(), func() { cancel(ErrStalled) })
+	return time.AfterFunc(r.pause(), func() {
+		if !r.Watched {
+			cancel(ErrStalled)
+		}
+	})
 }
 
 // failed classifies the error of an attempt.
 func (r *run) failed(ctx context.Context, attempt Attempt, err error) error {
-	id := attempt.Endpoint.ID
+	cause := context.Cause(ctx)
 	if errors.Is(err, ErrNotSent) {
-		if context.Cause(ctx) != nil {
+		if cause != nil {
 			return r.ended(ctx, err)
 		}
-		r.Balancer.Fail(id, r.Now())
+		r.placement.Failed(err)
 		r.decide("not sent", attempt).Err(err).Send()
 		return err
 	}
 	r.ran++
-	switch cause := context.Cause(ctx); {
+	switch {
 	case errors.Is(cause, ErrStalled):
-		r.Balancer.Fail(id, r.Now())
 		r.Sender.Drop(attempt.Endpoint)
 		err = errors.Mark(err, ErrStalled)
+		r.placement.Failed(err)
 	case cause != nil:
 		err = r.ended(ctx, err)
-	default:
+	case errors.Is(err, ErrStalled):
+		r.placement.Failed(err)
+	case !errors.Is(err, ErrVersionGone):
 		err = errors.Mark(err, ErrBroken)
+		r.placement.Failed(err)
 		r.Suspects.Crash(r.Now(), r.print)
 		r.Spread()
 	}
@@ -69,48 +71,28 @@
 	}
 }
 
-// learn takes in what an answer tells of its endpoint.
-func (r *run) learn(attempt Attempt, answer Answer) {
-	id, now := attempt.Endpoint.ID, r.Now()
-	r.Balancer.Heard(id, now)
-	if answer.Load != nil {
-		r.Balancer.Tell(id, now, *answer.Load)
-	}
-	switch answer.Run {
-	case RunDone:
-		r.Balancer.Recover(id)
-	case RunRefused:
-		r.Balancer.Full(id, now)
-	case RunMisdirected:
-		r.avoid[id] = true
-		model := ""
-		if r.Prompt != nil {
-			model = r.Prompt.Model
-		}
-		r.Misdirected(attempt.Endpoint, model, answer.Weights)
-	}
-}
-
 // deliver passes an answer on to the caller.
 func (r *run) deliver(ctx context.Context, attempt Attempt, answer Answer, stall *time.Timer) error {
 	if answer.Run != RunDone {
+		r.Misdirected[attempt.Endpoint.ID] = answer.Run == RunMisdirected
 		r.decide("endpoint refused", attempt).Int("status", answer.Status).Send()
-		return errRefused
+		return ErrRefused
 	}
 	r.ran++
 	if answer.Events != nil {
 		return r.relay(ctx, attempt, answer, stall)
 	}
-	if r.begun {
+	if r.Begun {
 		return errors.Wrapf(ErrBroken, "status %d in the middle of a stream", answer.Status)
 	}
-	if answer.Status >= 500 && r.Route.Repeat != cataloger.RepeatOnce {
+	if answer.Failed && r.Route.Repeat != cataloger.RepeatOnce {
 		r.fallback = &answer
 		r.decide("endpoint failed", attempt).Int("status", answer.Status).Send()
 		return errFailed
 	}
 	r.Suspects.Clear(r.print)
 	r.decide("answered", attempt).Int("status", answer.Status).Send()
+	r.placement.Completed()
 	return r.whole(answer)
 }
 
--- a/internal/coordination/exchanger/repeat.go
+++ b/internal/coordination/exchanger/repeat.go
@@ -7,48 +7,59 @@
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/scheduler"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 )
 
 // again returns nil if another attempt may follow the failed one.
 func (r *run) again(ctx context.Context, cause error) error {
+	var refusal *limiter.Refusal
 	switch {
-	case errors.Is(cause, ErrCaller), errors.Is(cause, ErrTimeout), errors.Is(cause, ErrUnavailable), errors.Is(cause, scheduler.ErrBusy):
+	case errors.IsAny(cause, ErrCaller, ErrTimeout, ErrUnavailable, ErrVersionGone), errors.As(cause, &refusal):
 		return cause
 	case r.sends >= maxSends:
 		return cause
 	case context.Cause(ctx) != nil:
 		return errors.Mark(cause, context.Cause(ctx))
 	case errors.Is(cause, ErrNotSent):
-		return nil
-	case errors.Is(cause, errRefused):
-		return r.spend(cause)
-	}
-	if r.Route.Repeat == cataloger.RepeatOnce || r.ran >= r.Route.Attempts {
+		return r.back(ctx, cause)
+	case errors.Is(cause, ErrRefused):
+		// Nothing ran, but the endpoint had to answer.
+	case r.Route.Repeat == cataloger.RepeatOnce, r.ran >= r.Route.Attempts:
 		return cause
-	}
-	if r.Suspects.Judge(r.Now(), r.print) == retrier.VerdictRefuse {
+	case r.poison():
 		return errors.Mark(cause, ErrPoison)
 	}
-	return r.spend(cause)
+	if !r.Budget.Spend(r.Now(), r.Service) {
+		r.Log.Warn().Str("request", r.ID).Str("service", r.Service).Msg("retry budget is used up")
+		return errors.Mark(cause, ErrBudget)
+	}
+	return r.back(ctx, cause)
 }
 
-// spend takes another arrival at an endpoint from the retry budget.
-func (r *run) spend(cause error) error {
-	if r.Budget.Spend(r.Now(), r.Service) {
+// back waits before the next attempt. Peers may see crashes of the same request
+// meanwhile.
+func (r *run) back(ctx context.Context, cause error) error {
+	if r.Backoff == nil {
 		return nil
 	}
-	r.Log.Warn().Str("request", r.ID).Str("service", r.Service).Msg("retry budget is used up")
-	return cause
+	if err := retrier.Sleep(ctx, r.Backoff(r.sends-1, cause)); err != nil {
+		return r.ended(ctx, cause)
+	}
+	if r.ran > 0 && r.poison() {
+		return errors.Mark(cause, ErrPoison)
+	}
+	return nil
 }
 
 // finish turns the last attempt's error into the exchange's.
 func (r *run) finish(cause error) error {
 	if errors.Is(cause, ErrCaller) {
+		if r.ran == 0 {
+			return errors.Mark(cause, ErrNotSent)
+		}
 		return cause
 	}
-	if r.fallback != nil && !r.begun {
+	if r.fallback != nil && !r.Begun {
 		return r.whole(*r.fallback)
 	}
 	var refusal *limiter.Refusal
--- a/internal/coordination/fingerprinter/fingerprinter.go
+++ b/internal/coordination/fingerprinter/fingerprinter.go
@@ -59,11 +59,6 @@
 	return digest(seed, start)
 }
 
-// Request returns a fingerprint of a whole prompt within its team.
-func Request(team string, prompt []byte) uint64 {
-	return digest(Seed{Team: team}, prompt)
-}
-
 // Tokens returns the number of tokens of a prompt.
 func Tokens(prompt []byte) int {
 	return len(prompt)/TokenBytes + 1
--- a/internal/relayer/cleaner.go
+++ b/internal/relayer/cleaner.go
@@ -7,9 +7,9 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/owner"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/placer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 )
 
@@ -68,7 +68,7 @@
 }
 
 // look works out which versions all nodes have stopped fetching.
-func (c *Cleaner) look(view exchanger.View) {
+func (c *Cleaner) look(view placer.View) {
 	for model, version := range view.Retained {
 		if c.floors[model].version != version && c.Acknowledged(model, version) {
 			c.floors[model] = floor{version: version, since: c.Now()}
@@ -76,7 +76,7 @@
 	}
 }
 
-func (c *Cleaner) clean(ctx context.Context, view exchanger.View) {
+func (c *Cleaner) clean(ctx context.Context, view placer.View) {
 	alive := append(c.Alive(), c.Self)
 	for _, service := range view.Catalog.Stores() {
 		address := service.Store.Address
@@ -99,7 +99,7 @@
 
 // used reports whether requests may still use parts under a salt.
 func (c *Cleaner) used(salt string) bool {
-	model, version, ok := exchanger.ParseSalt(salt)
+	model, version, ok := placer.ParseSalt(salt)
 	if !ok {
 		return false
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -20,7 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/placer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/observer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
@@ -40,7 +40,7 @@
 	Log zerolog.Logger
 	Now func() time.Time
 	// Changed is called by the control goroutine after the endpoints changed.
-	Changed func(view exchanger.View)
+	Changed func(view placer.View)
 	// Renamed is called after new weights were named.
 	Renamed func()
 	// Reweighed is called after an endpoint showed newer weights to this node.
@@ -51,10 +51,10 @@
 	Loaded  func(id string)
 
 	inbox   chan func()
-	view    atomic.Pointer[exchanger.View]
+	view    atomic.Pointer[placer.View]
 	table   tracker.Table
 	catalog *cataloger.Catalog
-	namings map[string][]exchanger.Naming
+	namings map[string][]placer.Naming
 	// retained holds the oldest version of each model whose parts are kept.
 	retained map[string]int64
 }
@@ -65,7 +65,7 @@
 		Log: log, Now: now,
 		inbox:    make(chan func(), inboxSize),
 		table:    tracker.Table{Grace: lapseGrace},
-		namings:  map[string][]exchanger.Naming{},
+		namings:  map[string][]placer.Naming{},
 		retained: map[string]int64{},
 	}
 }
@@ -94,11 +94,11 @@
 
 // View returns the published state; its catalog is nil before the first
 // configuration.
-func (r *Relayer) View() exchanger.View {
+func (r *Relayer) View() placer.View {
 	if view := r.view.Load(); view != nil {
 		return *view
 	}
-	return exchanger.View{}
+	return placer.View{}
 }
 
 // Named returns the newest named version of each model.
@@ -133,7 +133,7 @@
 		if len(held) > 0 && held[len(held)-1].Version >= version {
 			return
 		}
-		naming := exchanger.Naming{Version: version}
+		naming := placer.Naming{Version: version}
 		if fresh {
 			naming.At = r.Now()
 		}
@@ -264,7 +264,7 @@
 	if r.catalog == nil {
 		return
 	}
-	view := exchanger.View{Catalog: r.catalog, Endpoints: r.table.Snapshot(), Namings: maps.Clone(r.namings)}
+	view := placer.View{Catalog: r.catalog, Endpoints: r.table.Snapshot(), Namings: maps.Clone(r.namings)}
 	r.retire(view.Endpoints)
 	view.Retained = maps.Clone(r.retained)
 	r.view.Store(&view)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -17,9 +17,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/leaser"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/placer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/upgrader"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
@@ -380,8 +380,8 @@
 	run := func(t *testing.T, acknowledged bool, check func(t *testing.T, freed []locator.Key)) {
 		t.Helper()
 		synctest.Test(t, func(t *testing.T) {
-			old := locator.Key{Salt: exchanger.Salt("", "m", 1), Part: "a"}
-			current := locator.Key{Salt: exchanger.Salt("", "m", 2), Part: "a"}
+			old := locator.Key{Salt: placer.Salt("", "m", 1), Part: "a"}
+			current := locator.Key{Salt: placer.Salt("", "m", 2), Part: "a"}
 			l, p := locator.New(), &parts{}
 			l.Reset(store, map[locator.Key]int{old: 10, current: 10}, 0)
 			cleaner := &relayer.Cleaner{
@@ -396,7 +396,7 @@
 	}
 	t.Run("frees parts of versions that nobody fetches", func(t *testing.T) {
 		run(t, true, func(t *testing.T, freed []locator.Key) {
-			assert.Equal(t, []locator.Key{{Salt: exchanger.Salt("", "m", 1), Part: "a"}}, freed)
+			assert.Equal(t, []locator.Key{{Salt: placer.Salt("", "m", 1), Part: "a"}}, freed)
 		})
 	})
 	t.Run("frees nothing that a node may still fetch", func(t *testing.T) {
--- a/internal/relayer/shelves.go
+++ b/internal/relayer/shelves.go
@@ -10,9 +10,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/owner"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/placer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 )
 
@@ -82,7 +82,7 @@
 
 // Follow starts following the stores and engines of a view and stops following
 // others.
-func (s *Shelves) Follow(ctx context.Context, view exchanger.View) {
+func (s *Shelves) Follow(ctx context.Context, view placer.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.follows == nil {
