Load the oldest weights first, and claim orders as soon as the log allows

Ruled out: load or noise (the log shows claims at 20.0, 24.2 and 29.5 s and the order of loads); more than two loads at once (slower for all, measured earlier); a shorter pause between holders (it is the platform's bound).

Change: endpoints whose weights are the furthest behind load first: they are the first that may not serve. A node that waits for another's claim to run out reads the log no longer than that; it read on for up to 0.5 s.

Tests: TestNext "those with the oldest weights come first" failed before (a, b instead of c, d); TestWait.

--- a/internal/coordination/leaser/leaser.go
+++ b/internal/coordination/leaser/leaser.go
@@ -65,11 +65,15 @@
 
 // Claimable reports whether the node may claim: nobody has, it was the last
 // itself, or the last holder has been silent for long enough.
-func (l *Lease) Claimable(now time.Duration) bool {
-	if !l.known {
-		return false
+func (l *Lease) Claimable(now time.Duration) bool { return l.known && l.Wait(now) == 0 }
+
+// Wait returns the time until the node may claim if no other claim comes; the
+// log must be known.
+func (l *Lease) Wait(now time.Duration) time.Duration {
+	if l.last.Holder == "" || l.last.Holder == l.Self {
+		return 0
 	}
-	return l.last.Holder == "" || l.last.Holder == l.Self || now-l.seen >= l.Hold+l.Apart
+	return max(l.seen+l.Hold+l.Apart-now, 0)
 }
 
 // Claimed notes a successful claim. before is when its append was begun.
--- a/internal/coordination/leaser/leaser_test.go
+++ b/internal/coordination/leaser/leaser_test.go
@@ -51,6 +51,20 @@
 	})
 }
 
+func TestWait(t *testing.T) {
+	t.Run("nothing once claimable", func(t *testing.T) {
+		l := newLease("a")
+		l.Observe(0, nil, 0)
+		assert.Zero(t, l.Wait(time.Second))
+	})
+	t.Run("until another's claim and the pause are over", func(t *testing.T) {
+		l := newLease("a")
+		l.Observe(time.Second, []leaser.Claim{{Offset: 4, Holder: "b"}}, 5)
+		assert.Equal(t, time.Millisecond, l.Wait(time.Second+hold+apart-time.Millisecond))
+		assert.Zero(t, l.Wait(time.Minute))
+	})
+}
+
 func TestValid(t *testing.T) {
 	l := newLease("a")
 	l.Observe(0, nil, 0)
--- a/internal/coordination/upgrader/upgrader.go
+++ b/internal/coordination/upgrader/upgrader.go
@@ -2,8 +2,8 @@
 //
 // It answers a newly named version while traffic goes on. An endpoint takes no
 // requests while it loads, it finishes those that run before it begins, and many
-// that load at once slow each other down. So few load at a time, spread over the
-// failure domains, and the next ones are drained meanwhile.
+// that load at once slow each other down. So few load at a time, those with the
+// oldest weights first, spread over the failure domains.
 //
 // # Usage
 //
@@ -85,6 +85,16 @@
 	return "", 0, false
 }
 
+// lag is how far an endpoint's weights are behind: the sooner it may not serve
+// any more.
+func (s State) lag(named map[string]int64) int64 {
+	var lag int64
+	for model, loaded := range s.Endpoint.Weights {
+		lag = max(lag, named[model]-loaded)
+	}
+	return lag
+}
+
 // loading reports whether an order is under way on the endpoint.
 func (s State) loading(now time.Duration) bool {
 	if s.Report != nil && s.Report.Busy && s.Reported >= s.Ordered {
@@ -154,11 +164,13 @@
 			draining--
 		}
 	}
-	slices.SortFunc(waiting, func(a, b State) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
+	slices.SortFunc(waiting, func(a, b State) int {
+		return cmp.Or(cmp.Compare(b.lag(named), a.lag(named)), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
+	})
 	for ; loading+draining < maxLoading+maxDraining && draining < maxLoading && len(waiting) > 0; draining++ {
 		best := 0
 		for i := range waiting {
-			if domains[waiting[i].Endpoint.Domain] < domains[waiting[best].Endpoint.Domain] {
+			if waiting[i].lag(named) == waiting[0].lag(named) && domains[waiting[i].Endpoint.Domain] < domains[waiting[best].Endpoint.Domain] {
 				best = i
 			}
 		}
--- a/internal/coordination/upgrader/upgrader_test.go
+++ b/internal/coordination/upgrader/upgrader_test.go
@@ -53,6 +53,12 @@
 	t.Run("two are drained, in different domains", func(t *testing.T) {
 		assertPlan(t, []upgrader.State{fresh("a", "d1", 1), fresh("b", "d1", 1), fresh("c", "d2", 1)}, nil, []string{"a", "c"})
 	})
+	t.Run("those with the oldest weights come first, as they are the first that may not serve", func(t *testing.T) {
+		plan := upgrader.Next(now, []upgrader.State{fresh("a", "d1", 2), fresh("b", "d2", 2), fresh("c", "d1", 1), fresh("d", "d1", 1)}, weights(3))
+		require.Len(t, plan.Drain, 2)
+		assert.Equal(t, "c", plan.Drain[0].ID)
+		assert.Equal(t, "d", plan.Drain[1].ID)
+	})
 	t.Run("nothing while two load", func(t *testing.T) {
 		assertPlan(t, []upgrader.State{loading("a"), loading("b"), fresh("c", "d2", 1)}, nil, nil)
 	})
--- a/internal/relayer/upgrades.go
+++ b/internal/relayer/upgrades.go
@@ -169,9 +169,9 @@
 			return err
 		}
 	}
-	if !u.lease.Claimable(elapsed()) {
+	if wait := u.lease.Wait(elapsed()); wait > 0 {
 		u.forget()
-		return u.observe(ctx, claimWait)
+		return u.observe(ctx, min(wait, claimWait))
 	}
 	u.ask(ctx)
 	return u.order(ctx)
