Fetch parts from stores whose links are idle before engines

Change: each node sums its transfers from and to a store over the last second by the link's rate, twice for other domains, and takes the other nodes to do the same. Up to 0.3 of the link in use the store is the source, beyond it an engine if one holds the part.

Tests: TestSources (idle, busy, idle again, other nodes, domains, saves, only source); before, an engine was always the source.

--- a/internal/coordination/exchanger/exchanger_test.go
+++ b/internal/coordination/exchanger/exchanger_test.go
@@ -139,7 +139,7 @@
 	return &exchanger.Exchanger{
 		Placer: &placer.Placer{
 			View: view, Balancer: &balancer.Balancer{}, Locator: locator.New(), Scheduler: &scheduler.Scheduler{Now: time.Now},
-			Misdirected: func(tracker.Endpoint, string, int64) {}, InTouch: func() bool { return true }, StaleLimit: 8 * time.Second, Now: time.Now,
+			Misdirected: func(tracker.Endpoint, string, int64) {}, Nodes: func() int { return 1 }, InTouch: func() bool { return true }, StaleLimit: 8 * time.Second, Now: time.Now,
 		},
 		Sender:   e,
 		Budget:   &retrier.Window{Share: 1, Slack: 100, Span: time.Second, Nodes: func() int { return 1 }},
--- /dev/null
+++ b/internal/coordination/locator/links_test.go
@@ -0,0 +1,93 @@
+package locator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
+)
+
+// linked asks for a part of 100 tokens over a link that carries 1,000 a second.
+func linked(nodes int) locator.Query {
+	q := query()
+	q.Nodes = nodes
+	q.Stores = []locator.Store{{Address: store, Domain: q.Domain, Capacity: 1_000_000, Rate: 1_000}}
+	return q
+}
+
+// both returns a directory in which the store and another engine hold the part.
+func both() *locator.Locator {
+	l := listed()
+	l.Stored(store, key, 100)
+	l.Reset(other, map[locator.Key]int{key: 100}, 0)
+	return l
+}
+
+func assertSource(t *testing.T, l *locator.Locator, at time.Duration, q locator.Query, fromStore bool) {
+	t.Helper()
+	want := other
+	if fromStore {
+		want = store
+	}
+	assert.Equal(t, want, l.Plan(now.Add(at), q).Fetch[0])
+}
+
+// TestSources replays engines whose memory fills with running requests: they drop
+// parts before a fetch gets there. A store keeps them, but has a slow link.
+func TestSources(t *testing.T) {
+	t.Run("a store with an idle link before an engine", func(t *testing.T) {
+		assertSource(t, both(), 0, linked(1), true)
+	})
+	t.Run("an engine once a third of the link is in use", func(t *testing.T) {
+		l := both()
+		for range 3 {
+			assertSource(t, l, 0, linked(1), true)
+		}
+		assertSource(t, l, 0, linked(1), false)
+	})
+	t.Run("the store again when the link is idle again", func(t *testing.T) {
+		l := both()
+		for range 4 {
+			l.Plan(now, linked(1))
+		}
+		assertSource(t, l, 3*time.Second, linked(1), true)
+	})
+	t.Run("other nodes use the link as much as this one", func(t *testing.T) {
+		l := both()
+		assertSource(t, l, 0, linked(7), true)
+		assertSource(t, l, 0, linked(7), false)
+	})
+	t.Run("transfers between domains count twice", func(t *testing.T) {
+		l := both()
+		q := linked(1)
+		q.Stores[0].Domain = "d2"
+		assertSource(t, l, 0, q, true)
+		assertSource(t, l, 0, q, true)
+		assertSource(t, l, 0, q, false)
+	})
+	t.Run("saves use the link, too", func(t *testing.T) {
+		l := both()
+		q := linked(1)
+		q.Parts = []locator.Part{{ID: "new", Tokens: 400}, {ID: "own", Tokens: 50}}
+		assert.Equal(t, store, l.Plan(now, q).Save[0])
+		assertSource(t, l, 0, linked(1), false)
+	})
+	t.Run("a busy store is used where no engine holds the part", func(t *testing.T) {
+		l := both()
+		l.Forget(other)
+		for range 9 {
+			assertSource(t, l, 0, linked(7), true)
+		}
+	})
+	t.Run("parts that the engine is believed to hold use no link", func(t *testing.T) {
+		l := both()
+		l.Reset(engine, map[locator.Key]int{key: 100}, 0)
+		for range 9 {
+			l.Plan(now, linked(7))
+		}
+		l.Forget(engine)
+		assertSource(t, l, 0, linked(1), true)
+	})
+}
--- a/internal/coordination/locator/locator.go
+++ b/internal/coordination/locator/locator.go
@@ -53,6 +53,8 @@
 	Domain  string
 	// Capacity is in tokens.
 	Capacity int
+	// Rate is its link's speed in tokens a second; zero if unknown.
+	Rate float64
 }
 
 // Engine is an endpoint whose memory holds parts that it has read.
@@ -71,6 +73,8 @@
 	// Engines and Stores are the places that can be reached.
 	Engines []Engine
 	Stores  []Store
+	// Nodes is the number of nodes that use the same stores.
+	Nodes int
 }
 
 // Plan names a place for each part; an invalid address stands for none.
@@ -90,11 +94,12 @@
 type Locator struct {
 	mu      sync.Mutex
 	shelves map[netip.AddrPort]*shelf
+	links   map[netip.AddrPort]*link
 }
 
 // New returns an empty directory.
 func New() *Locator {
-	return &Locator{shelves: map[netip.AddrPort]*shelf{}}
+	return &Locator{shelves: map[netip.AddrPort]*shelf{}, links: map[netip.AddrPort]*link{}}
 }
 
 // Reset replaces what a place holds. reserved is the memory of incomplete
@@ -186,16 +191,13 @@
 	plan := Plan{Fetch: make([]netip.AddrPort, n), Save: make([]netip.AddrPort, n)}
 	for i := 0; i < n-1; i++ {
 		key, tokens := Key{Salt: query.Salt, Part: query.Parts[i].ID}, query.Parts[i].Tokens
-		store, stored := l.stored(key, tokens, query.Stores)
-		plan.Fetch[i] = store
-		if engine, ok := l.engine(key, tokens, query); ok {
-			plan.Fetch[i] = engine
-		}
-		if stored || l.coming(now, key) {
+		plan.Fetch[i] = l.source(now, key, tokens, query)
+		if _, stored := l.stored(key, tokens, query.Stores); stored || l.coming(now, key) {
 			continue
 		}
 		if home, ok := l.home(now, key, tokens, query.Stores); ok {
-			plan.Save[i] = home
+			l.transfer(now, home, tokens, query.Domain)
+			plan.Save[i] = home.Address
 		}
 	}
 	return plan
@@ -206,17 +208,17 @@
 	return ok && tokens > 0 && s.held[key] >= tokens
 }
 
-func (l *Locator) stored(key Key, tokens int, stores []Store) (netip.AddrPort, bool) {
+func (l *Locator) stored(key Key, tokens int, stores []Store) (Store, bool) {
 	for _, store := range stores {
 		if l.holds(store.Address, key, tokens) {
-			return store.Address, true
+			return store, true
 		}
 	}
-	return netip.AddrPort{}, false
+	return Store{}, false
 }
 
 // engine returns another engine that holds a part, one of the same failure
-// domain if there is one: engines' links are faster than stores'.
+// domain if there is one.
 func (l *Locator) engine(key Key, tokens int, query Query) (netip.AddrPort, bool) {
 	var found netip.AddrPort
 	for _, engine := range query.Engines {
@@ -245,7 +247,7 @@
 
 // home picks the first store in the part's order that has room, and notes the
 // save.
-func (l *Locator) home(now time.Time, key Key, tokens int, stores []Store) (netip.AddrPort, bool) {
+func (l *Locator) home(now time.Time, key Key, tokens int, stores []Store) (Store, bool) {
 	for _, store := range Rank(stores, key) {
 		s, ok := l.shelves[store.Address]
 		if !ok || s.held[key] > 0 {
@@ -255,9 +257,9 @@
 			continue
 		}
 		s.coming[key] = now.Add(saveWait)
-		return store.Address, true
+		return store, true
 	}
-	return netip.AddrPort{}, false
+	return Store{}, false
 }
 
 // Rank orders stores for a part by weighted rendezvous hashing.
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -39,6 +39,8 @@
 	// Misdirected is told the version that an endpoint has when it was not the
 	// expected one, or zero.
 	Misdirected func(endpoint tracker.Endpoint, model string, version int64)
+	// Nodes returns the number of nodes that are alive.
+	Nodes func() int
 	// InTouch reports whether the node would have heard of new weights by now.
 	InTouch func() bool
 	// StaleLimit is how long after new weights were named requests may begin on
@@ -129,7 +131,9 @@
 
 // query asks for the prompt's parts; at says for which endpoint.
 func (s *search) query(view View) locator.Query {
-	return locator.Query{Parts: s.Prompt.Parts, Engines: engines(view.Endpoints[s.Service]), Stores: stores(view.Catalog)}
+	return locator.Query{
+		Parts: s.Prompt.Parts, Engines: engines(view.Endpoints[s.Service]), Stores: stores(view.Catalog, s.Service), Nodes: s.Nodes(),
+	}
 }
 
 // at completes a query for one endpoint. Parts of versions that are not retained
--- a/internal/coordination/placer/view.go
+++ b/internal/coordination/placer/view.go
@@ -85,12 +85,22 @@
 	return all
 }
 
-func stores(catalog *cataloger.Catalog) []locator.Store {
+// stores returns the stores as the engines of a service see them.
+func stores(catalog *cataloger.Catalog, service string) []locator.Store {
+	var bits float64
+	if engine := catalog.Services[service].Engine; engine != nil {
+		bits = 8 * float64(engine.TokenBytes)
+	}
 	var all []locator.Store
 	for _, service := range catalog.Stores() {
-		all = append(all, locator.Store{
-			Address: service.Store.Address, Domain: service.Store.Domain, Capacity: service.Store.Capacity,
-		})
+		store := locator.Store{Address: service.Store.Address, Domain: service.Store.Domain, Capacity: service.Store.Capacity}
+		if bits > 0 {
+			store.Rate = service.Store.Rate * megabit / bits
+		}
+		all = append(all, store)
 	}
 	return all
 }
+
+// megabit is the unit of links' rates, in bits.
+const megabit = 1e6
