--- a/internal/coordination/dispatcher/calls.go
+++ b/internal/coordination/dispatcher/calls.go
@@ -108,33 +108,6 @@
 	r.Journal.Record(r.Now(), recorder.Event{Kind: kind, Request: r.call.Request, Team: r.team, Endpoint: endpoint, Detail: detail})
 }
 
-// callPlace is a call's count on its endpoint. It implements
-// exchanger.Placement.
-type callPlace struct {
-	run *callRun
-	row registrar.Row
-}
-
-// Attempt implements exchanger.Placement.
-func (p *callPlace) Attempt() exchanger.Attempt {
-	return exchanger.Attempt{Endpoint: tracker.Endpoint{ID: p.row.Name}}
-}
-
-// Answered implements exchanger.Placement.
-func (p *callPlace) Answered(exchanger.Answer) {}
-
-// Event implements exchanger.Placement.
-func (p *callPlace) Event(bool) {}
-
-// Failed implements exchanger.Placement. Reports tell which endpoints fail.
-func (p *callPlace) Failed(error) {}
-
-// Completed implements exchanger.Placement.
-func (p *callPlace) Completed() {}
-
-// Release implements exchanger.Placement.
-func (p *callPlace) Release() { p.run.Flight.leave(p.row.Name, false) }
-
 // pick takes the endpoint with the fewest running requests, the near ones first.
 // Once all have been tried they are tried again: after a stall on a connection
 // that has gone silent, the same endpoint may answer on a new one.
--- a/internal/coordination/dispatcher/placement.go
+++ b/internal/coordination/dispatcher/placement.go
@@ -2,23 +2,17 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/archiver"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/evictor"
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/exchanger"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/fingerprinter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/router"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/publisher"
-	"github.com/lacewingrelay/lacewingrelay/internal/state/recorder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
-	"github.com/lacewingrelay/lacewingrelay/internal/state/tracker"
 )
 
 // place is where an attempt runs.
@@ -33,59 +27,6 @@
 	tokens int
 }
 
-// promptPlace is a prompt's count on its endpoint. It implements
-// exchanger.Placement.
-type promptPlace struct {
-	run *promptRun
-	place
-	// alone is set if nothing else may run on the endpoint.
-	alone bool
-	// unqueue ends the count of the prompt's tokens; it may be called twice.
-	unqueue func()
-}
-
-// newPromptPlace counts the prompt's work on its endpoint until the first token
-// comes.
-func newPromptPlace(r *promptRun, chosen place) *promptPlace {
-	r.Flight.queue(chosen.row.Name, chosen.tokens)
-	return &promptPlace{
-		run: r, place: chosen, alone: r.alone,
-		unqueue: sync.OnceFunc(func() { r.Flight.queue(chosen.row.Name, -chosen.tokens) }),
-	}
-}
-
-// Attempt implements exchanger.Placement.
-func (p *promptPlace) Attempt() exchanger.Attempt {
-	return exchanger.Attempt{Endpoint: tracker.Endpoint{ID: p.row.Name}}
-}
-
-// Answered implements exchanger.Placement.
-func (p *promptPlace) Answered(exchanger.Answer) {}
-
-// Event implements exchanger.Placement.
-func (p *promptPlace) Event(bool) { p.unqueue() }
-
-// Failed implements exchanger.Placement. An endpoint that broke off may have
-// crashed and lost its cache.
-func (p *promptPlace) Failed(err error) {
-	if errors.Is(err, ErrBroken) {
-		p.run.Hints.Forget(p.row.Name)
-		p.run.event(recorder.KindSuspect, p.row.Name, err.Error())
-	}
-}
-
-// Completed implements exchanger.Placement.
-func (p *promptPlace) Completed() {
-	p.run.Hints.Stored(p.row.Name, p.chain)
-	p.run.store(p.place)
-}
-
-// Release implements exchanger.Placement.
-func (p *promptPlace) Release() {
-	p.unqueue()
-	p.run.Flight.leave(p.row.Name, p.alone)
-}
-
 // choose picks an endpoint and counts the request there.
 func (r *promptRun) choose(ctx context.Context) (place, error) {
 	deadline := r.Now().Add(aloneWait)
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -134,6 +134,7 @@
 	routes map[string][]Route
 	teams  map[string]Team
 	keyed  bool
+	stores []Service
 }
 
 // New returns a catalog. teams maps keys to their holders; nil turns the check
@@ -149,7 +150,11 @@
 	}
 	for _, service := range services {
 		c.Services[service.Name] = service
+		if service.Store != nil {
+			c.stores = append(c.stores, service)
+		}
 	}
+	slices.SortFunc(c.stores, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		c.routes[host] = append(c.routes[host], route)
@@ -188,16 +193,7 @@
 }
 
 // Stores returns the stores ordered by name.
-func (c *Catalog) Stores() []Service {
-	var stores []Service
-	for _, service := range c.Services {
-		if service.Store != nil {
-			stores = append(stores, service)
-		}
-	}
-	slices.SortFunc(stores, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
-	return stores
-}
+func (c *Catalog) Stores() []Service { return c.stores }
 
 // Routes returns the number of routes.
 func (c *Catalog) Routes() int {
