Ask a refused caller back no sooner than it has waited in vain

Ruled out: a pace for each size (few starts a second of the long ones); not asking back at all (capacity does come).

Change: who waited until its patience ran out is told the longer of the expected wait and that patience.

Test: TestAcquire "is not asked back sooner than it has waited in vain" got 150 ms before, 700 ms now.

--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -127,7 +127,8 @@
 		l.drop(w)
 		return balancer.Choice{}, err
 	}
-	return balancer.Choice{}, l.refuse(w, l.expected(w, s.Now()))
+	// It has waited in vain for this long, whatever the pace promises.
+	return balancer.Choice{}, l.refuse(w, max(l.expected(w, s.Now()), patience(w.request)))
 }
 
 // Pump starts waiting requests for which there is room now.
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -121,6 +121,19 @@
 			assert.Equal(t, 700*time.Millisecond, time.Since(began), "the rest of the objective is for the prompt")
 		})
 	})
+	t.Run("is not asked back sooner than it has waited in vain", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(40)
+			// The pace of small ones says that the large one should start at once.
+			for range 40 {
+				assertStarted(t, s.start(t.Context(), s.request("small")))
+			}
+			request := s.request("large")
+			request.Tokens = 12_000
+			refusal := assertRefused(t, <-s.start(t.Context(), request))
+			assert.Equal(t, 700*time.Millisecond, refusal.Retry)
+		})
+	})
 	t.Run("is kept waiting for a quarter of a short deadline only", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			s := newSite(0)
