Measure what a log line costs, and show that the merge's checker finds faults

The check of merged configurations was shown on the right node only; three broken merges (last wins, peers unheard, first stays) are found by it now. Tests only, no change of the product.

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -76,22 +76,62 @@
 	})
 }
 
+// mergeFaults gives versions to a node in turn, from the log and from a peer, and
+// returns how the version in force differs from the newest given. configure
+// returns the version in force after it.
+func mergeFaults(versions []int64, configure func(version int64, source string) int64) []string {
+	var faults []string
+	newest := int64(1)
+	for i, version := range versions {
+		newest = max(newest, version)
+		if got := configure(version, []string{"log", "peer"}[i%2]); got != newest {
+			faults = append(faults, fmt.Sprintf("%d in force after %v", got, versions[:i+1]))
+		}
+	}
+	return faults
+}
+
 // TestConfigurationMerge takes versions from the log and from peers in any order:
 // the newest is in force after each, and callers never see an older one.
 func TestConfigurationMerge(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		versions := rapid.SliceOfN(rapid.Int64Range(1, 20), 1, 30).Draw(rt, "versions")
 		synctest.Test(t, func(t *testing.T) {
-			node, newest := newNode(t), int64(1)
-			for i, version := range versions {
-				node.Configure(catalog(version), []string{"log", "peer"}[i%2])
-				newest = max(newest, version)
-				assertVersion(t, node, newest)
-			}
+			node := newNode(t)
+			assert.Empty(t, mergeFaults(versions, func(version int64, source string) int64 {
+				node.Configure(catalog(version), source)
+				synctest.Wait()
+				return node.View().Catalog.Version
+			}))
 		})
 	})
 }
 
+func TestMergeCheckerFindsFaults(t *testing.T) {
+	run := func(name string, broken func(held, version int64, source string) int64) {
+		t.Run(name, func(t *testing.T) {
+			held := int64(1)
+			assert.NotEmpty(t, mergeFaults([]int64{5, 3, 2, 9}, func(version int64, source string) int64 {
+				held = broken(held, version, source)
+				return held
+			}))
+		})
+	}
+	run("the last one is in force", func(_, version int64, _ string) int64 { return version })
+	run("peers are not heard", func(held, version int64, source string) int64 {
+		if source == "peer" {
+			return held
+		}
+		return max(held, version)
+	})
+	run("the first one stays", func(held, version int64, _ string) int64 {
+		if held == 1 {
+			return version
+		}
+		return held
+	})
+}
+
 func TestRetainedVersions(t *testing.T) {
 	assertRetained := func(t *testing.T, want int64, versions ...int64) {
 		t.Helper()
--- a/internal/transport/spooler/spooler_test.go
+++ b/internal/transport/spooler/spooler_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/spooler"
@@ -88,3 +89,29 @@
 		})
 	})
 }
+
+// BenchmarkBurst writes lines as they are written for attempts, faster than a slow
+// reader takes them: what a line costs its writer, within the limit and beyond.
+func BenchmarkBurst(b *testing.B) {
+	run := func(name string, limit float64) {
+		b.Run(name, func(b *testing.B) {
+			s := &spooler.Spooler{Out: &reader{pause: time.Millisecond}, Limit: limit}
+			ctx, cancel := context.WithCancel(b.Context())
+			done := make(chan struct{})
+			go func() {
+				s.Run(ctx)
+				close(done)
+			}()
+			log := zerolog.New(s).With().Timestamp().Str("node", "front-1").Logger()
+			for b.Loop() {
+				log.Info().Str("event", "attempt").Str("request", "07adf3504d85b425").Str("outcome", "streamed").
+					Str("endpoint", "i-0a34f96d13").Int("send", 1).Int64("weights", 1).Dur("left", time.Second).
+					Float64("cost", 1.64).Int("read", 238).Int("fetch", 1707).Dur("waited", time.Millisecond).Send()
+			}
+			cancel()
+			<-done
+		})
+	}
+	run("within the limit", 1e9)
+	run("beyond the limit", 400)
+}
