Use one stand-in of engines in the scheduler's tests

memorySite was site with tokens in place of slots: pick takes how much room a request needs, and serves both.

--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -19,35 +19,36 @@
 
 const objective = time.Second
 
-// site stands in for engines that run a number of requests at once.
+// site stands in for engines with room for a number of requests, or of tokens.
 type site struct {
 	scheduler *scheduler.Scheduler
 
 	mu    sync.Mutex
-	slots int
+	free  int
 	order []string
 }
 
-func newSite(slots int) *site {
-	return &site{scheduler: &scheduler.Scheduler{Now: time.Now}, slots: slots}
+func newSite(free int) *site {
+	return &site{scheduler: &scheduler.Scheduler{Now: time.Now}, free: free}
 }
 
-func (s *site) pick(name string) func() (balancer.Choice, bool) {
+// pick takes n of the room for a named request.
+func (s *site) pick(name string, n int) func() (balancer.Choice, bool) {
 	return func() (balancer.Choice, bool) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if s.slots == 0 {
+		if s.free < n {
 			return balancer.Choice{}, false
 		}
-		s.slots--
+		s.free -= n
 		s.order = append(s.order, name)
 		return balancer.Choice{}, true
 	}
 }
 
-func (s *site) release() {
+func (s *site) release(n int) {
 	s.mu.Lock()
-	s.slots++
+	s.free += n
 	s.mu.Unlock()
 	s.scheduler.Pump()
 }
@@ -55,7 +56,7 @@
 func (s *site) request(name string) scheduler.Request {
 	return scheduler.Request{
 		Service: "s", Received: time.Now(), Objective: objective, Deadline: time.Now().Add(15 * time.Second),
-		Tokens: 100, Pick: s.pick(name),
+		Tokens: 100, Pick: s.pick(name, 1),
 	}
 }
 
@@ -109,7 +110,7 @@
 			assertStarted(t, s.start(t.Context(), s.request("a")))
 			waiting := s.start(t.Context(), s.request("b"))
 			assertWaits(t, waiting)
-			s.release()
+			s.release(1)
 			assertStarted(t, waiting)
 		})
 	})
@@ -183,7 +184,7 @@
 				s.start(t.Context(), request)
 			}
 			for range want {
-				s.release()
+				s.release(1)
 				synctest.Wait()
 			}
 			assert.Equal(t, want, s.order)
@@ -278,7 +279,7 @@
 				mu.Unlock()
 				if err == nil {
 					time.Sleep(service)
-					s.release()
+					s.release(1)
 				}
 			})
 			time.Sleep(time.Duration(random.Int64N(int64(2 * gap))))
@@ -292,33 +293,6 @@
 	})
 }
 
-// memorySite stands in for engines whose memory binds.
-type memorySite struct {
-	scheduler *scheduler.Scheduler
-
-	mu   sync.Mutex
-	free int
-}
-
-func (s *memorySite) pick(tokens int) func() (balancer.Choice, bool) {
-	return func() (balancer.Choice, bool) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.free < tokens {
-			return balancer.Choice{}, false
-		}
-		s.free -= tokens
-		return balancer.Choice{}, true
-	}
-}
-
-func (s *memorySite) release(tokens int) {
-	s.mu.Lock()
-	s.free += tokens
-	s.mu.Unlock()
-	s.scheduler.Pump()
-}
-
 // kind is a kind of request in a replayed load.
 type kind struct {
 	tokens    int
@@ -335,8 +309,11 @@
 // wait behind the long, and those long ones that start must start in time.
 func TestMixedOverload(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const span = 10 * time.Second
-		s := &memorySite{scheduler: &scheduler.Scheduler{Now: time.Now}, free: 100_000}
+		const (
+			span   = 10 * time.Second
+			memory = 100_000
+		)
+		s := newSite(memory)
 		short := &kind{tokens: 2_000, runs: 200 * time.Millisecond, perSecond: 50, deadline: 3 * time.Second}
 		long := &kind{tokens: 12_000, runs: 2 * time.Second, perSecond: 5, deadline: 15 * time.Second}
 		random := rand.New(rand.NewPCG(3, 4))
@@ -345,7 +322,7 @@
 		send := func(k *kind) {
 			request := scheduler.Request{
 				Service: "s", Received: time.Now(), Objective: objective, Deadline: time.Now().Add(k.deadline),
-				Tokens: k.tokens, Pick: s.pick(k.tokens),
+				Tokens: k.tokens, Pick: s.pick("", k.tokens),
 			}
 			_, err := s.scheduler.Acquire(t.Context(), request)
 			waited := time.Since(request.Received)
@@ -378,7 +355,7 @@
 		}
 		group.Wait()
 		shortMemory := float64(short.tokens*short.perSecond) * short.runs.Seconds()
-		room := (100_000 - shortMemory) / float64(long.tokens) / long.runs.Seconds() * span.Seconds()
+		room := (memory - shortMemory) / float64(long.tokens) / long.runs.Seconds() * span.Seconds()
 		assert.GreaterOrEqual(t, short.timely, int(span.Seconds())*short.perSecond*95/100, "short %+v", *short)
 		assert.GreaterOrEqual(t, float64(long.timely), 0.8*room, "long %+v", *long)
 		assert.Zero(t, short.late+long.late)
