Do once what the exchanges did twice

Cause, by the last read of the whole change: the chat edge hashed each prompt again and judged its suspicion beside the exchanger for every attempt; a plan looked each part up in the stores twice; the names of all living peers were collected for each choice, though only the plan needs their number; two constants bounded one call to a peer.

Change: the exchanger tells its placers of a suspicion (Progress.Alone); source tells whether a store holds the part; Nodes is asked for the plan only; FetchTimeout stands once. Dead bounds are gone: maxAttempts (6) lay above the five offers that end a request, and maxDraining was zero. Copies and comparisons of weights are the library's; three stale usage comments are mended.

Ruled out: joining engines and stores into the published view (each choice still needs its own salt and place); a shared type for empty placements (one word saved).

--- a/internal/coordination/dispatcher/calls.go
+++ b/internal/coordination/dispatcher/calls.go
@@ -60,7 +60,7 @@
 	return &exchanger.Exchange{
 		ID: r.call.Request, Caller: r.team, Service: r.call.Service.Name, Received: r.Now(), Watched: true,
 		Method: r.call.Method, Target: r.call.Target, Body: r.call.Body,
-		Route: cataloger.Route{Repeat: repeat, Attempts: maxAttempts},
+		Route: cataloger.Route{Repeat: repeat, Attempts: exchanger.MaxSends},
 	}
 }
 
--- a/internal/coordination/dispatcher/edge.go
+++ b/internal/coordination/dispatcher/edge.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// maxAttempts bounds the endpoints that one request may run on; exchanger
-	// bounds those that it is offered to.
-	maxAttempts = 6
-
 	backoffBase  = 20 * time.Millisecond
 	backoffLimit = 500 * time.Millisecond
 )
--- a/internal/coordination/dispatcher/prompts.go
+++ b/internal/coordination/dispatcher/prompts.go
@@ -103,7 +103,7 @@
 		exchange: &exchanger.Exchange{
 			ID: prompt.Request, Caller: prompt.Team, Service: prompt.Service.Name, Received: p.Now(),
 			Watched: true, Body: prompt.Text,
-			Route: cataloger.Route{Stream: true, Repeat: cataloger.RepeatResumable, Attempts: maxAttempts},
+			Route: cataloger.Route{Stream: true, Repeat: cataloger.RepeatResumable, Attempts: exchanger.MaxSends},
 		},
 	}
 	run.root = fingerprinter.Root(run.seed(""), prompt.Text)
@@ -122,8 +122,7 @@
 
 // Place implements exchanger.Placer.
 func (r *promptRun) Place(ctx context.Context, _ *exchanger.Exchange, progress exchanger.Progress) (exchanger.Placement, error) {
-	r.tried = progress.Tried
-	r.alone = r.alone || r.Suspects.Judge(r.Now(), r.exchange.Fingerprint()) == retrier.VerdictAlone
+	r.tried, r.alone = progress.Tried, progress.Alone
 	chosen, err := r.choose(ctx)
 	if err != nil {
 		return nil, err
--- a/internal/coordination/exchanger/attempt.go
+++ b/internal/coordination/exchanger/attempt.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 )
 
 // attempt sends the request to one endpoint and delivers its answer.
@@ -33,6 +35,7 @@
 	if limit := r.Limit(); !limit.IsZero() && limit.Sub(asked) < minLeft {
 		return ErrTimeout
 	}
+	r.Alone = r.Alone || r.Suspects.Judge(asked, r.fingerprint) == retrier.VerdictAlone
 	placement, err := r.Placer.Place(ctx, r.Exchange, r.Progress)
 	if err != nil {
 		return r.ended(ctx, err)
--- a/internal/coordination/exchanger/exchanger.go
+++ b/internal/coordination/exchanger/exchanger.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// maxSends bounds the endpoints that one request is offered to, refusals
+	// MaxSends bounds the endpoints that one request is offered to, refusals
 	// included.
-	maxSends = 5
+	MaxSends = 5
 	// minLeft is the least time worth giving to an endpoint.
 	minLeft = 10 * time.Millisecond
 	// retryAfter is when a refused caller may come back: by then an endpoint
@@ -62,7 +62,8 @@
 	// fallback is a failure of an endpoint that is delivered if nothing better
 	// comes.
 	fallback *Answer
-	print    uint64
+	// fingerprint recognizes the request among suspects.
+	fingerprint uint64
 }
 
 // Run carries an exchange to its end. Without error the caller has a complete
@@ -70,7 +71,7 @@
 // with one of the sentinels.
 func (e *Exchanger) Run(ctx context.Context, exchange *Exchange, sink Sink) error {
 	r := &run{
-		Exchanger: e, Exchange: exchange, sink: sink, print: exchange.Fingerprint(),
+		Exchanger: e, Exchange: exchange, sink: sink, fingerprint: exchange.fingerprint(),
 		Progress: Progress{Tried: map[string]bool{}, Misdirected: map[string]bool{}, After: exchange.After},
 	}
 	if limit := exchange.Limit(); !limit.IsZero() {
@@ -100,4 +101,4 @@
 }
 
 // poison reports whether the request has crashed too many endpoints.
-func (r *run) poison() bool { return r.Suspects.Judge(r.Now(), r.print) == retrier.VerdictRefuse }
+func (r *run) poison() bool { return r.Suspects.Judge(r.Now(), r.fingerprint) == retrier.VerdictRefuse }
--- a/internal/coordination/exchanger/fingerprint.go
+++ b/internal/coordination/exchanger/fingerprint.go
@@ -6,9 +6,9 @@
 	"io"
 )
 
-// Fingerprint recognizes a request that comes again: the same caller, path and
+// fingerprint recognizes a request that comes again: the same caller, path and
 // body. Nobody can make a request that is taken for another caller's.
-func (x *Exchange) Fingerprint() uint64 {
+func (x *Exchange) fingerprint() uint64 {
 	sum := sha256.New()
 	for _, field := range []string{x.Caller, x.Method, x.Host, x.Target} {
 		_ = binary.Write(sum, binary.BigEndian, uint32(len(field)))
--- a/internal/coordination/exchanger/outcome.go
+++ b/internal/coordination/exchanger/outcome.go
@@ -51,7 +51,7 @@
 	case !errors.Is(err, ErrVersionGone):
 		err = errors.Mark(err, ErrBroken)
 		r.placement.Failed(err)
-		r.Suspects.Crash(r.Now(), r.print)
+		r.Suspects.Crash(r.Now(), r.fingerprint)
 		r.Spread()
 	}
 	r.decide("attempt failed", attempt).Err(err).Send()
@@ -90,7 +90,7 @@
 		r.decide("endpoint failed", attempt).Int("status", answer.Status).Send()
 		return errFailed
 	}
-	r.Suspects.Clear(r.print)
+	r.Suspects.Clear(r.fingerprint)
 	r.decide("answered", attempt).Int("status", answer.Status).Send()
 	r.placement.Completed()
 	return r.whole(answer)
--- a/internal/coordination/exchanger/placement.go
+++ b/internal/coordination/exchanger/placement.go
@@ -21,6 +21,9 @@
 	// event that it has.
 	Begun bool
 	After string
+	// Alone is set once the request is suspected of a crash: it is best placed
+	// where nothing else runs.
+	Alone bool
 }
 
 // Placement is an attempt that is counted on its endpoint, and hears what comes
--- a/internal/coordination/exchanger/relay.go
+++ b/internal/coordination/exchanger/relay.go
@@ -54,7 +54,7 @@
 			return errors.Mark(err, ErrCaller)
 		}
 	}
-	r.Suspects.Clear(r.print)
+	r.Suspects.Clear(r.fingerprint)
 	r.placement.Completed()
 	r.decide("streamed", attempt).Int("events", events).Dur("first", r.first.Sub(r.Received)).Send()
 	return nil
--- a/internal/coordination/exchanger/repeat.go
+++ b/internal/coordination/exchanger/repeat.go
@@ -16,7 +16,7 @@
 	switch {
 	case errors.IsAny(cause, ErrCaller, ErrTimeout, ErrUnavailable, ErrVersionGone), errors.As(cause, &refusal):
 		return cause
-	case r.sends >= maxSends:
+	case r.sends >= MaxSends:
 		return cause
 	case context.Cause(ctx) != nil:
 		return errors.Mark(cause, context.Cause(ctx))
--- a/internal/coordination/locator/links.go
+++ b/internal/coordination/locator/links.go
@@ -58,19 +58,19 @@
 
 // source returns where an engine fetches a part from. Engines' links are fast, but
 // an engine under load has often dropped the part by then, and it is read again;
-// so a store whose link is idle goes before.
-func (l *Locator) source(now time.Time, key Key, tokens int, query Query) netip.AddrPort {
+// so a store whose link is idle goes before. stored tells whether a store holds it.
+func (l *Locator) source(now time.Time, key Key, tokens int, query Query) (place netip.AddrPort, stored bool) {
 	store, stored := l.stored(key, tokens, query.Stores)
 	engine, held := l.engine(key, tokens, query)
 	switch {
 	case held && (!stored || !l.idle(now, store, query.Nodes)):
-		return engine
+		return engine, stored
 	case stored:
 		if !l.holds(query.At, key, tokens) {
 			l.transfer(now, store, tokens, query.Domain)
 		}
-		return store.Address
+		return store.Address, true
 	default:
-		return netip.AddrPort{}
+		return netip.AddrPort{}, false
 	}
 }
--- a/internal/coordination/locator/locator.go
+++ b/internal/coordination/locator/locator.go
@@ -10,7 +10,7 @@
 //	l := locator.New()
 //	l.Reset(store, held)
 //	l.Stored(store, key, tokens)
-//	plan := l.Plan(now, salt, parts, stores)
+//	plan := l.Plan(now, locator.Query{Salt: salt, Parts: parts, Stores: stores, …})
 package locator
 
 import (
@@ -73,7 +73,7 @@
 	// Engines and Stores are the places that can be reached.
 	Engines []Engine
 	Stores  []Store
-	// Nodes is the number of nodes that use the same stores.
+	// Nodes is the number of nodes that use the same stores; only Plan needs it.
 	Nodes int
 }
 
@@ -191,8 +191,9 @@
 	plan := Plan{Fetch: make([]netip.AddrPort, n), Save: make([]netip.AddrPort, n)}
 	for i := 0; i < n-1; i++ {
 		key, tokens := Key{Salt: query.Salt, Part: query.Parts[i].ID}, query.Parts[i].Tokens
-		plan.Fetch[i] = l.source(now, key, tokens, query)
-		if _, stored := l.stored(key, tokens, query.Stores); stored || l.coming(now, key) {
+		var stored bool
+		plan.Fetch[i], stored = l.source(now, key, tokens, query)
+		if stored || l.coming(now, key) {
 			continue
 		}
 		if home, ok := l.home(now, key, tokens, query.Stores); ok {
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -84,7 +84,9 @@
 	}
 	attempt.Weights = endpoint.Weights[s.Prompt.Model]
 	attempt.Salt = s.salt(attempt.Weights)
-	plan := s.Locator.Plan(now, s.at(s.query(view), view, endpoint))
+	query := s.at(s.query(view), view, endpoint)
+	query.Nodes = s.Nodes()
+	plan := s.Locator.Plan(now, query)
 	attempt.Fetch, attempt.Save = plan.Fetch, plan.Save
 	attempt.FetchWithin = time.Duration(fetchShare * float64(s.Route.Objective))
 	return attempt
@@ -132,7 +134,7 @@
 // query asks for the prompt's parts; at says for which endpoint.
 func (s *search) query(view View) locator.Query {
 	return locator.Query{
-		Parts: s.Prompt.Parts, Engines: engines(view.Endpoints[s.Service]), Stores: stores(view.Catalog, s.Service), Nodes: s.Nodes(),
+		Parts: s.Prompt.Parts, Engines: engines(view.Endpoints[s.Service]), Stores: stores(view.Catalog, s.Service),
 	}
 }
 
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -9,8 +9,8 @@
 //
 // # Usage
 //
-//	s := &scheduler.Scheduler{Pick: pick, Now: time.Now}
-//	choice, err := s.Acquire(ctx, scheduler.Request{…})
+//	s := &scheduler.Scheduler{Now: time.Now}
+//	choice, err := s.Acquire(ctx, scheduler.Request{Pick: pick, …})
 package scheduler
 
 import (
@@ -71,9 +71,8 @@
 	turn  uint64
 }
 
-// Acquire waits for an endpoint. It returns a
-// *limiter.Refusal at once if the wait is
-// expected to be too long, and later if it turns out to be.
+// Acquire waits for an endpoint. It returns a *limiter.Refusal at once if the
+// wait is expected to be too long, and later if it turns out to be.
 func (s *Scheduler) Acquire(ctx context.Context, request Request) (balancer.Choice, error) {
 	s.mu.Lock()
 	w, choice, err := s.enter(request)
--- a/internal/coordination/upgrader/upgrader.go
+++ b/internal/coordination/upgrader/upgrader.go
@@ -21,8 +21,6 @@
 const (
 	// maxLoading is how many endpoints load at once; more slow each other down.
 	maxLoading = 2
-	// maxDraining is how many endpoints are drained for the next loads.
-	maxDraining = 0
 	// drainLimit is the longest time that an endpoint is drained before it gets
 	// its order; what still runs then is finished before it loads.
 	drainLimit = 150 * time.Millisecond
@@ -167,7 +165,7 @@
 	slices.SortFunc(waiting, func(a, b State) int {
 		return cmp.Or(cmp.Compare(b.lag(named), a.lag(named)), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
 	})
-	for ; loading+draining < maxLoading+maxDraining && draining < maxLoading && len(waiting) > 0; draining++ {
+	for ; loading+draining < maxLoading && len(waiting) > 0; draining++ {
 		best := 0
 		for i := range waiting {
 			if waiting[i].lag(named) == waiting[0].lag(named) && domains[waiting[i].Endpoint.Domain] < domains[waiting[best].Endpoint.Domain] {
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -47,8 +47,8 @@
 	// of a model: its newest named version, and the oldest whose parts are kept.
 	namedMark    = 0
 	retainedMark = 1
-	// fetchTimeout bounds the fetch of a configuration from a peer.
-	fetchTimeout = 700 * time.Millisecond
+	// FetchTimeout bounds the fetch of a configuration from a peer.
+	FetchTimeout = 700 * time.Millisecond
 )
 
 // Gossip sends heartbeats.
@@ -233,7 +233,7 @@
 // fetch gets the configuration of a peer that has a newer one.
 func (p *Peers) fetch(beat observer.Heartbeat) {
 	defer p.fetching.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), FetchTimeout)
 	defer cancel()
 	var held int64
 	if catalog := p.Node.View().Catalog; catalog != nil {
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -15,6 +15,7 @@
 package tracker
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -125,18 +126,8 @@
 }
 
 func equal(a, b Endpoint) bool {
-	if !a.Same(b) || a.Service != b.Service || a.Domain != b.Domain || a.Slots != b.Slots || a.Leaving != b.Leaving {
-		return false
-	}
-	if len(a.Weights) != len(b.Weights) {
-		return false
-	}
-	for model, version := range a.Weights {
-		if b.Weights[model] != version {
-			return false
-		}
-	}
-	return true
+	return a.Same(b) && a.Service == b.Service && a.Domain == b.Domain && a.Slots == b.Slots && a.Leaving == b.Leaving &&
+		maps.Equal(a.Weights, b.Weights)
 }
 
 // Reweigh notes the version of a model that an endpoint showed itself. It
@@ -146,10 +137,9 @@
 	if !ok || !held.endpoint.Same(endpoint) || held.endpoint.Weights[model] >= version {
 		return false
 	}
-	weights := make(map[string]int64, len(held.endpoint.Weights))
-	for name, loaded := range held.endpoint.Weights {
-		weights[name] = loaded
-	}
+	// Snapshots share the map, so that it is copied.
+	weights := make(map[string]int64, len(held.endpoint.Weights)+1)
+	maps.Copy(weights, held.endpoint.Weights)
 	weights[model] = version
 	held.endpoint.Weights = weights
 	t.rows[endpoint.ID] = held
