Follow a log store that is restored from a copy; heed endpoints that leave or ask for a pause

A restored store gives out lower offsets; Feed.apply dropped all records below the last offset of their key, so what operators and workers write again was ignored. Server-Leaving and a worker's Retry-After were read nowhere. Ruled out: a comparison of values instead of positions (an older value looks new); taking all entries of the copy (an endpoint that left would be in use again); giving the lease of the earlier era its remaining time (two holders). Change: state from the log carries (era, offset); a higher era lists anew, pages of two eras are not joined, responses of an earlier era are dropped. Entries of the copy that are older than the known ones, by process and number of renewals, are ignored, also for removed endpoints. A claim states its era; the lease ends with it, and nobody claims for the pause between holders; tokens rise over eras. A node that a listing lacks registers again. An endpoint's own word that it is leaving holds for its process and is told to peers.

--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -31,6 +31,8 @@
 	reportedAt      time.Time
 	runningAtReport int
 	backoffUntil    time.Time
+	// holdUntil is until when the endpoint has asked for no requests.
+	holdUntil time.Time
 	// failures counts the failures since the last success.
 	failures int
 	// lastActivity is when the endpoint last sent data or, if later, when it got
@@ -64,7 +66,7 @@
 // accepts reports whether the request may be sent to the endpoint now.
 func (b *Balancer) accepts(now time.Time, endpoint endpointtracker.Endpoint, request Request) bool {
 	state := b.endpointState(endpoint.ID)
-	if now.Before(state.backoffUntil) || state.running > 0 && now.Sub(state.lastActivity) > stallTimeout {
+	if now.Before(state.backoffUntil) || now.Before(state.holdUntil) || state.running > 0 && now.Sub(state.lastActivity) > stallTimeout {
 		return false
 	}
 	peerLoad := b.peerLoad(now, endpoint.ID)
--- a/internal/coordination/balancer/reports.go
+++ b/internal/coordination/balancer/reports.go
@@ -74,6 +74,37 @@
 // RecordRefusal records that an endpoint refused a request for lack of capacity.
 func (b *Balancer) RecordRefusal(id string, now time.Time) { b.backoff(id, now.Add(fullBackoff)) }
 
+// RecordHold records that an endpoint has asked for no requests from this node for a
+// time. Unlike a backoff, it does not end early.
+func (b *Balancer) RecordHold(id string, now time.Time, hold time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if state := b.endpointState(id); state.holdUntil.Before(now.Add(hold)) {
+		state.holdUntil = now.Add(hold)
+	}
+}
+
+// HoldLeft returns how long all endpoints that may take a request have asked for no
+// requests: the time until the first of them may get one; zero if one may get it now.
+func (b *Balancer) HoldLeft(now time.Time, request Request) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var shortest time.Duration
+	for _, endpoint := range request.Endpoints {
+		if endpoint.Leaving || request.Avoid[endpoint.ID] {
+			continue
+		}
+		left := b.endpointState(endpoint.ID).holdUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // RecordLoading records that an endpoint is loading weights and refuses
 // requests.
 func (b *Balancer) RecordLoading(id string, now time.Time) {
--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -208,6 +208,11 @@
 	// Failed is set if the endpoint reported that it ran the request and failed.
 	// Another endpoint may succeed.
 	Failed bool
+	// Leaving is set if the endpoint said that it is leaving.
+	Leaving bool
+	// Hold is how long the endpoint wants no requests from this node; zero if it did not
+	// say.
+	Hold time.Duration
 	// Load is the load that the endpoint reported; nil if it reported none.
 	Load *balancer.Load
 	// Weights is the version of the weights that the endpoint reported; zero if
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -41,6 +41,8 @@
 	// OnMisdirected is called when an endpoint answers RunMisdirected, with the
 	// version of the weights that it reported, or zero.
 	OnMisdirected func(endpoint endpointtracker.Endpoint, model string, version int64)
+	// OnLeaving is called for an endpoint that says in an answer that it is leaving.
+	OnLeaving func(endpoint endpointtracker.Endpoint)
 	// Nodes returns the number of nodes that are alive. They share the links of
 	// the stores.
 	Nodes func() int
@@ -69,6 +71,7 @@
 	choice, err := p.Scheduler.Acquire(ctx, scheduler.Request{
 		Service: s.Service, Rank: s.Rank(), Received: s.Received, Objective: s.Route.Objective,
 		Deadline: s.EffectiveDeadline(), Urgent: s.StreamStarted, Tokens: s.tokens(), Pick: s.pick,
+		Hold: s.hold(),
 	})
 	if err != nil {
 		return nil, err
@@ -109,6 +112,13 @@
 	return false
 }
 
+// hold returns how long all endpoints that may run the request have asked for no
+// requests.
+func (s *selection) hold() time.Duration {
+	view, now := s.View(), s.Now()
+	return s.Balancer.HoldLeft(now, balancer.Request{Endpoints: view.Endpoints[s.Service], Avoid: s.excluded(now, view)})
+}
+
 // pick chooses an endpoint that has room, using the current view.
 func (s *selection) pick() (balancer.Choice, bool) {
 	view, now := s.View(), s.Now()
@@ -217,6 +227,13 @@
 	if answer.Load != nil {
 		p.Balancer.UpdateEndpointLoad(id, now, *answer.Load)
 	}
+	if answer.Leaving {
+		p.OnLeaving(p.attempt.Endpoint)
+	}
+	if answer.Hold > 0 {
+		p.Balancer.RecordHold(id, now, answer.Hold)
+		time.AfterFunc(answer.Hold, p.Scheduler.StartWaiting)
+	}
 	switch answer.RunStatus {
 	case forwarder.RunExecuted:
 		p.Balancer.ResetBackoff(id)
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -29,6 +29,10 @@
 // time.
 var ErrBusy = errors.New("all endpoints are busy for longer than the request can wait")
 
+// ErrHeld is returned for a request whose endpoints have all asked for no requests for
+// longer than the request can wait.
+var ErrHeld = errors.New("all endpoints have asked for no requests")
+
 // Request describes a request that needs an endpoint.
 type Request struct {
 	Service string
@@ -43,6 +47,9 @@
 	// Urgent requests start before all others and are never refused for a long
 	// queue, because their callers already have a part of the answer.
 	Urgent bool
+	// Hold is how long all endpoints have asked for no requests; zero if one accepts some
+	// now.
+	Hold time.Duration
 	// Tokens is the endpoint memory that the request needs, in tokens.
 	Tokens int
 	// Pick chooses an endpoint that has room now and counts the request on it. It
@@ -101,6 +108,12 @@
 func (s *Scheduler) startOrQueue(request Request) (*waiter, balancer.Choice, error) {
 	now := s.Now()
 	q := s.serviceQueue(request.Service)
+	if !request.Urgent && request.Hold > maxQueueTime(request) {
+		return nil, balancer.Choice{}, &limiter.Refusal{
+			Cause:      errors.Wrapf(ErrHeld, "the first of them for %s, patience %s", request.Hold.Round(time.Millisecond), maxQueueTime(request)),
+			RetryAfter: request.Hold,
+		}
+	}
 	if request.Urgent || len(q.waiting) == 0 {
 		if choice, ok := request.Pick(); ok {
 			q.startRate.start(now, request.Tokens)
--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -19,7 +19,11 @@
 // Announce sends all peers the version of a model that an endpoint has loaded;
 // version zero means that the endpoint drains for or loads new weights.
 func (p *Peers) Announce(endpoint endpointtracker.Endpoint, model string, version int64) {
-	change := peertracker.Change{Endpoint: balancer.IDHash(endpoint.ID), Model: balancer.IDHash(model), Version: version}
+	p.announce(peertracker.Change{Endpoint: balancer.IDHash(endpoint.ID), Model: balancer.IDHash(model), Version: version})
+}
+
+// announce sends all peers a change, and repeats it in heartbeats.
+func (p *Peers) announce(change peertracker.Change) {
 	p.mu.Lock()
 	p.announced = slices.DeleteFunc(p.announced, func(a announced) bool {
 		return a.change.Endpoint == change.Endpoint && a.change.Model == change.Model
@@ -29,6 +33,21 @@
 	p.Broadcast()
 }
 
+// AnnounceLeaving tells all peers that an endpoint has said to this node that it is
+// leaving.
+func (p *Peers) AnnounceLeaving(endpoint endpointtracker.Endpoint) {
+	p.announce(peertracker.Change{Endpoint: balancer.IDHash(endpoint.ID), Model: leavingMarker, Version: startOf(endpoint)})
+}
+
+// startOf returns the start of an endpoint's process as a number for a change, which
+// tells processes of one id apart; zero if unknown.
+func startOf(endpoint endpointtracker.Endpoint) int64 {
+	if endpoint.StartedAt.IsZero() {
+		return 0
+	}
+	return endpoint.StartedAt.UnixMilli()
+}
+
 // modelVersions returns the target and the retained versions of models, as changes
 // with a marker in place of the endpoint. A heartbeat has room for maxModels; with
 // more models successive heartbeats rotate through them.
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -7,11 +7,18 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/leaser"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 )
 
-// ErrDropped is returned for records that a log no longer retains.
-var ErrDropped = errors.New("log has dropped the requested records")
+// Errors of a KeyedLog.
+var (
+	// ErrDropped is returned for records that a log no longer retains.
+	ErrDropped = errors.New("log has dropped the requested records")
+	// ErrRestored is returned for a position of an era that is over: the log was restored
+	// from an older copy, so its offsets mean other records now.
+	ErrRestored = errors.New("log was restored from a copy")
+)
 
 const (
 	retryBase  = 100 * time.Millisecond
@@ -27,23 +34,36 @@
 	Value  []byte
 	Offset int64
 	// Initial is set by a Feed for records of its first listing, which may be of any
-	// age.
-	Initial bool
+	// age, and Restored for those of its first listing after the log was restored.
+	Initial  bool
+	Restored bool
+}
+
+// Position is a place in a log.
+type Position = leaser.Position
+
+// Batch is the result of one call to a log.
+type Batch struct {
+	Records []Record
+	// Next is the position from which to read on.
+	Next Position
 }
 
 // KeyedLog is a compacted log: it retains at least the newest record of each key.
 type KeyedLog interface {
-	// Newest returns the newest record of each key, and the offset from which to read
-	// on: records that are not in the listing are at or after it.
-	Newest(ctx context.Context) ([]Record, int64, error)
-	// Read returns the records from an offset on and the offset after the last one. It
-	// waits at most wait for the first record. It returns ErrDropped if records from
-	// the offset on were dropped.
-	Read(ctx context.Context, from int64, wait time.Duration) ([]Record, int64, error)
+	// Newest returns the newest record of each key. Records that are not in the listing
+	// are at or after its Next. All records are of one era.
+	Newest(ctx context.Context) (Batch, error)
+	// Read returns the records from a position on. It waits at most wait for the first
+	// record. It returns ErrDropped if records from the position on were dropped, and
+	// ErrRestored if the log is in another era.
+	Read(ctx context.Context, from Position, wait time.Duration) (Batch, error)
 }
 
-// Feed follows a keyed log. It retries with backoff during outages and lists the
-// log again when records were dropped. Its exported fields are set before Run.
+// Feed follows a keyed log. It retries with backoff during outages, and lists the log
+// again when records were dropped or the log was restored from a copy. After that it
+// applies records with lower offsets than before, and older values: Apply must not
+// take back what is in force. Its exported fields are set before Run.
 type Feed struct {
 	Name string
 	Log  KeyedLog
@@ -64,7 +84,7 @@
 
 	offsets      map[string]int64
 	listedBefore bool
-	next         int64
+	next         Position
 	lastFailure  time.Time
 	down         bool
 	tries        int
@@ -80,7 +100,7 @@
 			continue
 		}
 		err := f.read(ctx)
-		if errors.Is(err, ErrDropped) {
+		if errors.IsAny(err, ErrDropped, ErrRestored) {
 			listed = false
 			continue
 		}
@@ -121,38 +141,52 @@
 }
 
 func (f *Feed) list(ctx context.Context) error {
-	records, next, err := f.Log.Newest(ctx)
+	batch, err := f.Log.Newest(ctx)
 	if err != nil {
 		return err
 	}
+	restored := f.listedBefore && batch.Next.Era != f.next.Era
+	if restored {
+		f.restart(batch.Next)
+	}
 	keys := map[string]bool{}
 	initial := !f.listedBefore
 	f.listedBefore = true
-	for _, record := range records {
-		record.Initial = initial
+	for _, record := range batch.Records {
+		record.Initial, record.Restored = initial, restored
 		keys[record.Key] = record.Value != nil
 		f.apply(record)
 	}
 	if f.OnListed != nil {
 		f.OnListed(keys, f.interrupted())
 	}
-	f.next = next
+	f.next = batch.Next
 	return nil
 }
 
+// restart forgets the offsets of an era that is over. Keys that the copy lacks count as
+// missing because of an outage, since they are written again.
+func (f *Feed) restart(next Position) {
+	f.Logger.Warn().Str("event", "log restored").Str("feed", f.Name).Int64("era", next.Era).Int64("end", next.Offset).
+		Int64("previous era", f.next.Era).Int64("previous end", f.next.Offset).Send()
+	clear(f.offsets)
+	f.lastFailure = f.Now()
+}
+
 func (f *Feed) read(ctx context.Context) error {
-	records, next, err := f.Log.Read(ctx, f.next, f.Wait)
+	batch, err := f.Log.Read(ctx, f.next, f.Wait)
 	if err != nil {
 		return err
 	}
-	for _, record := range records {
+	for _, record := range batch.Records {
 		f.apply(record)
 	}
-	f.next = next
+	f.next = batch.Next
 	return nil
 }
 
-// apply calls Apply unless the record is not newer than the last one of its key.
+// apply calls Apply unless the record is not newer than the last one of its key in the
+// current era.
 func (f *Feed) apply(record Record) {
 	if last, ok := f.offsets[record.Key]; ok && record.Offset <= last {
 		return
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -54,6 +54,9 @@
 	// an endpoint would be taken for those of the model.
 	targetMarker   = 0
 	retainedMarker = 1
+	// leavingMarker replaces the model's hash in a change that says that an endpoint is
+	// leaving. The version is then the start of its process.
+	leavingMarker = 2
 	// OperatorStateTimeout bounds the call that fetches a peer's OperatorState.
 	OperatorStateTimeout = 700 * time.Millisecond
 )
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,8 @@
 	// OnWeightsUpdate is called after this node learned from an endpoint itself that it
 	// has newer weights than known so far.
 	OnWeightsUpdate func(endpoint endpointtracker.Endpoint, model string, version int64)
+	// OnLeaving is called after an endpoint said to this node that it is leaving.
+	OnLeaving func(endpoint endpointtracker.Endpoint)
 	// RecordLoading is called when a peer announces that an endpoint drains for or loads
 	// new weights, OnLoaded after the entry or the weights of an endpoint changed.
 	RecordLoading func(id string)
@@ -155,10 +158,15 @@
 	})
 }
 
-// PutEndpoint adds or updates an endpoint from its directory entry.
-func (r *Relayer) PutEndpoint(endpoint endpointtracker.Endpoint) {
+// PutEndpoint adds or updates an endpoint from its directory entry. restored is set for
+// an entry from a directory that was just restored from an older copy.
+func (r *Relayer) PutEndpoint(endpoint endpointtracker.Endpoint, restored bool) {
 	r.do(func() {
-		if !r.table.Put(endpoint) {
+		put := r.table.Put
+		if restored {
+			put = r.table.PutRestored
+		}
+		if !put(endpoint) {
 			return
 		}
 		r.publish()
@@ -168,6 +176,35 @@
 	})
 }
 
+// MarkLeaving records that an endpoint itself said, to this node, that it is leaving. It
+// gets no new requests, whatever its directory entry says.
+func (r *Relayer) MarkLeaving(endpoint endpointtracker.Endpoint) {
+	r.do(func() {
+		if r.table.MarkLeaving(endpoint) {
+			r.publish()
+			r.logLeaving(endpoint, "endpoint")
+			r.OnLeaving(endpoint)
+		}
+	})
+}
+
+// MarkLeavingAt is MarkLeaving for an endpoint of which only the address is known, and
+// perhaps the start of its process; startedAt is zero if it is not.
+func (r *Relayer) MarkLeavingAt(address netip.AddrPort, startedAt time.Time) {
+	for _, endpoints := range r.View().Endpoints {
+		for _, endpoint := range endpoints {
+			if endpoint.Address == address && (startedAt.IsZero() || startedAt.Equal(endpoint.StartedAt)) {
+				r.MarkLeaving(endpoint)
+			}
+		}
+	}
+}
+
+func (r *Relayer) logLeaving(endpoint endpointtracker.Endpoint, source string) {
+	r.Log.Info().Str("event", "endpoint leaving").Str("endpoint", endpoint.ID).Str("service", endpoint.Service).
+		Time("started", endpoint.StartedAt).Str("source", source).Send()
+}
+
 // RemoveEndpoint removes an endpoint whose directory entry is gone. interrupted is
 // set if the directory was recently unreachable; the endpoint then stays for a
 // grace period.
@@ -204,7 +241,8 @@
 	})
 }
 
-// ApplyPeerChanges applies the changes of endpoints' weights that a peer announced.
+// ApplyPeerChanges applies the changes of endpoints that a peer announced: of their
+// weights, and that they are leaving.
 func (r *Relayer) ApplyPeerChanges(changes []peertracker.Change) {
 	r.do(func() {
 		changed := false
@@ -212,6 +250,11 @@
 			endpoint, model, ok := r.findByHash(change)
 			switch {
 			case !ok:
+			case change.Model == leavingMarker:
+				if change.Version == startOf(endpoint) && r.table.MarkLeaving(endpoint) {
+					changed = true
+					r.logLeaving(endpoint, "peer")
+				}
 			case change.Version == 0:
 				r.RecordLoading(endpoint.ID)
 			case r.table.UpdateWeights(endpoint, model, change.Version):
@@ -233,6 +276,9 @@
 			if balancer.IDHash(endpoint.ID) != change.Endpoint {
 				continue
 			}
+			if change.Model == leavingMarker {
+				return endpoint, "", true
+			}
 			for model := range endpoint.Weights {
 				if balancer.IDHash(model) == change.Model {
 					return endpoint, model, true
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -50,12 +50,13 @@
 	node := relayer.New(zerolog.Nop(), time.Now)
 	node.OnLoaded, node.RecordLoading = func(string) {}, func(string) {}
 	node.OnTargetChange, node.OnWeightsUpdate = func() {}, func(endpointtracker.Endpoint, string, int64) {}
+	node.OnLeaving = func(endpointtracker.Endpoint) {}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go node.Run(ctx)
 	node.Configure(catalog(1), "test")
 	for _, endpoint := range endpoints {
-		node.PutEndpoint(endpoint)
+		node.PutEndpoint(endpoint, false)
 	}
 	synctest.Wait()
 	return node
@@ -455,22 +456,23 @@
 }
 
 // Claims implements relayer.ClaimLog.
-func (c *claimLog) Claims(_ context.Context, from int64, wait time.Duration) ([]leaser.Claim, int64, error) {
-	if from < c.first {
-		return nil, c.first, relayer.ErrDropped
+func (c *claimLog) Claims(_ context.Context, from relayer.Position, wait time.Duration) ([]leaser.Claim, relayer.Position, error) {
+	if from.Offset < c.first {
+		return nil, relayer.Position{Offset: c.first}, relayer.ErrDropped
 	}
-	if from == int64(len(c.claims)) {
+	end := relayer.Position{Offset: int64(len(c.claims))}
+	if from == end {
 		time.Sleep(wait)
 	}
-	return append([]leaser.Claim{}, c.claims[from:]...), int64(len(c.claims)), nil
+	return append([]leaser.Claim{}, c.claims[from.Offset:]...), end, nil
 }
 
 // Claim implements relayer.ClaimLog.
-func (c *claimLog) Claim(_ context.Context, at int64, holder string) (int64, error) {
-	if at != int64(len(c.claims)) {
-		return 0, relayer.ErrConflict
+func (c *claimLog) Claim(_ context.Context, at relayer.Position, holder string) (relayer.Position, error) {
+	if at.Offset != int64(len(c.claims)) {
+		return relayer.Position{}, relayer.ErrConflict
 	}
-	c.claims = append(c.claims, leaser.Claim{Offset: at, Holder: holder})
+	c.claims = append(c.claims, leaser.Claim{Offset: at.Offset, Holder: holder})
 	return at, nil
 }
 
@@ -524,10 +526,11 @@
 	node := relayer.New(zerolog.Nop(), time.Now)
 	node.OnLoaded, node.RecordLoading = func(string) {}, func(string) {}
 	node.OnTargetChange, node.OnWeightsUpdate = func() {}, func(endpointtracker.Endpoint, string, int64) {}
+	node.OnLeaving = func(endpointtracker.Endpoint) {}
 	go node.Run(t.Context())
 	node.Configure(catalog(1), "test")
 	for _, id := range []string{"a", "b", "c"} {
-		node.PutEndpoint(engine(id, 1))
+		node.PutEndpoint(engine(id, 1), false)
 	}
 	// The log has dropped the oldest claim.
 	log := &claimLog{claims: []leaser.Claim{{Offset: 0, Holder: "gone"}, {Offset: 1, Holder: "n1"}}, first: 1}
--- a/internal/relayer/rollout.go
+++ b/internal/relayer/rollout.go
@@ -30,6 +30,9 @@
 	reannouncePeriod = 400 * time.Millisecond
 	// claimReadWait is how long one read of the claim log waits for a new claim.
 	claimReadWait = 500 * time.Millisecond
+	// maxClaimRestarts is the number of times that one reading of the claims starts anew
+	// because the log was restored or has dropped claims.
+	maxClaimRestarts = 2
 )
 
 // Outcome is the result of an order to an endpoint.
@@ -53,13 +56,14 @@
 // ClaimLog is the log through which nodes acquire the lease: a claim is appended
 // only if the log ends at the offset that the node expects.
 type ClaimLog interface {
-	// Claims returns the claims from an offset on and the log's end. It waits at most
-	// wait for the first claim. If claims from the offset on were dropped, it returns
-	// ErrDropped and the oldest offset that the log still has.
-	Claims(ctx context.Context, from int64, wait time.Duration) ([]leaser.Claim, int64, error)
-	// Claim appends a claim at an offset and returns that offset. It returns
-	// ErrConflict if the log does not end there.
-	Claim(ctx context.Context, at int64, holder string) (int64, error)
+	// Claims returns the claims from a position on and the log's end. It waits at most
+	// wait for the first claim. If claims from there on were dropped, it returns
+	// ErrDropped and the oldest position that the log still has; if the log is in another
+	// era, ErrRestored and the position of that era's start.
+	Claims(ctx context.Context, from Position, wait time.Duration) ([]leaser.Claim, Position, error)
+	// Claim appends a claim at an offset and returns its position, whose era may differ
+	// from that of at. It returns ErrConflict if the log does not end at the offset.
+	Claim(ctx context.Context, at Position, holder string) (Position, error)
 }
 
 // Endpoints is the client of the endpoints' control calls: Report queries an
@@ -108,6 +112,10 @@
 	r.states = map[string]upgrader.State{}
 	for ctx.Err() == nil {
 		period := idlePeriod
+		if !r.lease.Known() {
+			// The wait for an unknown holder counts from the first reading.
+			r.logOutage(ctx, r.readClaims(ctx, 0))
+		}
 		if r.updateStates() {
 			r.logOutage(ctx, r.step(ctx))
 			period = activePeriod
@@ -180,9 +188,7 @@
 // queries reports and issues the orders that are due.
 func (r *Rollout) step(ctx context.Context) error {
 	if !r.lease.Known() {
-		if err := r.readClaims(ctx, 0); err != nil {
-			return err
-		}
+		return nil
 	}
 	if wait := r.lease.Wait(uptime()); wait > 0 {
 		r.resetStates()
@@ -200,15 +206,22 @@
 }
 
 func (r *Rollout) readClaims(ctx context.Context, wait time.Duration) error {
-	claims, end, err := r.Log.Claims(ctx, r.lease.NextOffset(), wait)
-	if errors.Is(err, ErrDropped) {
-		// Dropped claims are too old to be valid. end is here the oldest offset that the log
-		// still has.
+	claims, end, err := r.Log.Claims(ctx, r.lease.Next(), wait)
+	for range maxClaimRestarts {
+		if !errors.IsAny(err, ErrDropped, ErrRestored) {
+			break
+		}
+		// Dropped claims are too old to be valid. end is here the oldest position that the
+		// log still has.
 		claims, end, err = r.Log.Claims(ctx, end, 0)
 	}
 	if err != nil {
 		return err
 	}
+	if r.lease.Known() && end.Era != r.lease.Next().Era {
+		r.Logger.Warn().Str("event", "lease lost").Int64("era", end.Era).Int64("previous era", r.lease.Next().Era).
+			Msg("log was restored from a copy; the holder of the lease is unknown")
+	}
 	r.lease.Observe(uptime(), claims, end)
 	return nil
 }
@@ -221,7 +234,7 @@
 	if r.lease.Valid(started+minLeaseLeft) || !r.lease.Claimable(started) {
 		return nil
 	}
-	offset, err := r.Log.Claim(ctx, r.lease.NextOffset(), r.Self)
+	position, err := r.Log.Claim(ctx, r.lease.Next(), r.Self)
 	if errors.Is(err, ErrConflict) {
 		r.lease.Conflict()
 		return r.readClaims(ctx, 0)
@@ -229,8 +242,8 @@
 	if err != nil {
 		return err
 	}
-	r.lease.Claimed(started, offset)
-	r.Logger.Info().Str("event", "claim").Int64("token", r.lease.Token()).Send()
+	r.lease.Claimed(started, position)
+	r.Logger.Info().Str("event", "claim").Int64("era", position.Era).Int64("offset", position.Offset).Bool("valid", r.lease.Valid(uptime())).Send()
 	return nil
 }
 
--- a/internal/state/endpointtracker/endpointtracker.go
+++ b/internal/state/endpointtracker/endpointtracker.go
@@ -7,6 +7,9 @@
 // during an outage of the directory are kept for a grace period, since live
 // endpoints register again after the outage.
 //
+// The directory may be restored from an older copy, so entries may come back that are
+// older than those known, also of removed endpoints; see PutRestored.
+//
 // # Usage
 //
 //	table := &endpointtracker.Table{Grace: 2 * time.Second}
@@ -36,6 +39,8 @@
 	// Slots is the number of requests that the endpoint can run at once; zero if
 	// unknown.
 	Slots int
+	// Renewal counts the entries that the process has written so far; zero if unknown.
+	Renewal int64
 	// Leaving endpoints receive no new requests.
 	Leaving bool
 	// Weights maps each model to its loaded version.
@@ -47,8 +52,20 @@
 	return e.ID == other.ID && e.Address == other.Address && e.StartedAt.Equal(other.StartedAt)
 }
 
+// outdatedBy reports whether an entry was written before a known one of the same id: by an
+// earlier process, or earlier by the same process.
+func (e Endpoint) outdatedBy(known Endpoint) bool {
+	if e.SameProcess(known) {
+		return e.Renewal < known.Renewal
+	}
+	return !e.StartedAt.IsZero() && e.StartedAt.Before(known.StartedAt)
+}
+
 type row struct {
 	endpoint Endpoint
+	// saidLeaving is set once the endpoint itself said that it is leaving. Its process
+	// does not return from that, whatever its entry says.
+	saidLeaving bool
 	// removeAt is when an entry that the directory no longer lists is removed;
 	// zero for a listed one.
 	removeAt time.Time
@@ -62,8 +79,20 @@
 	Grace time.Duration
 
 	rows map[string]row
+	// removed holds the last entries of removed endpoints.
+	removed map[string]removedEntry
+}
+
+// removedEntry is the last entry of an endpoint that was removed at a time.
+type removedEntry struct {
+	endpoint Endpoint
+	at       time.Time
 }
 
+// removedTTL is how long the last entry of a removed endpoint is kept. A directory is
+// restored from copies that are some seconds old.
+const removedTTL = 2 * time.Minute
+
 // Put adds or updates an entry. It reports whether that changed the table, which
 // a renewal of the same entry does not.
 func (t *Table) Put(endpoint Endpoint) bool {
@@ -71,13 +100,60 @@
 		t.rows = map[string]row{}
 	}
 	current, ok := t.rows[endpoint.ID]
+	updated := row{endpoint: endpoint}
 	if ok && current.endpoint.SameProcess(endpoint) {
-		endpoint.Weights = mergeVersions(current.endpoint.Weights, endpoint.Weights)
+		updated.endpoint.Weights = mergeVersions(current.endpoint.Weights, endpoint.Weights)
+		updated.saidLeaving = current.saidLeaving
+		updated.endpoint.Leaving = endpoint.Leaving || current.saidLeaving
 	}
-	t.rows[endpoint.ID] = row{endpoint: endpoint}
+	t.rows[endpoint.ID] = updated
+	endpoint = updated.endpoint
 	return !ok || !current.removeAt.IsZero() || !equal(current.endpoint, endpoint)
 }
 
+// PutRestored is Put for an entry from a directory that was just restored from an older
+// copy. An entry that is older than the known one is ignored, and so is one of a removed
+// endpoint, unless its process has renewed it since.
+func (t *Table) PutRestored(endpoint Endpoint) bool {
+	if current, ok := t.rows[endpoint.ID]; ok {
+		return !endpoint.outdatedBy(current.endpoint) && t.Put(endpoint)
+	}
+	if removed, ok := t.removed[endpoint.ID]; ok {
+		sameEntry := endpoint.SameProcess(removed.endpoint) && endpoint.Renewal == removed.endpoint.Renewal
+		if sameEntry || endpoint.outdatedBy(removed.endpoint) {
+			return false
+		}
+	}
+	return t.Put(endpoint)
+}
+
+// MarkLeaving records that an endpoint itself said that it is leaving. It reports whether
+// that changed the table; a word of another process of the same id does not.
+func (t *Table) MarkLeaving(endpoint Endpoint) bool {
+	current, ok := t.rows[endpoint.ID]
+	if !ok || !current.endpoint.SameProcess(endpoint) || current.saidLeaving {
+		return false
+	}
+	changed := !current.endpoint.Leaving
+	current.saidLeaving, current.endpoint.Leaving = true, true
+	t.rows[endpoint.ID] = current
+	return changed
+}
+
+// remove removes an entry and remembers it.
+func (t *Table) remove(id string, now time.Time) {
+	if t.removed == nil {
+		t.removed = map[string]removedEntry{}
+	}
+	for other, entry := range t.removed {
+		if now.Sub(entry.at) >= removedTTL {
+			delete(t.removed, other)
+		}
+	}
+	t.removed[id] = removedEntry{endpoint: t.rows[id].endpoint, at: now}
+	delete(t.rows, id)
+}
+
 // Remove handles the removal of an entry from the directory and reports whether
 // that changed the table. If recentOutage is set, the directory was unavailable
 // recently, and the entry is kept for Grace unless it was leaving; this does not
@@ -88,7 +164,7 @@
 		return false
 	}
 	if !recentOutage || current.endpoint.Leaving {
-		delete(t.rows, id)
+		t.remove(id, now)
 		return true
 	}
 	if current.removeAt.IsZero() {
@@ -116,7 +192,7 @@
 	var removed []string
 	for id, current := range t.rows {
 		if !current.removeAt.IsZero() && !now.Before(current.removeAt) {
-			delete(t.rows, id)
+			t.remove(id, now)
 			removed = append(removed, id)
 		}
 	}
--- a/internal/state/endpointtracker/endpointtracker_test.go
+++ b/internal/state/endpointtracker/endpointtracker_test.go
@@ -95,3 +95,85 @@
 		assertVersion(t, table, 1)
 	})
 }
+
+func assertLeaving(t *testing.T, table *endpointtracker.Table, want bool) {
+	t.Helper()
+	assert.Equal(t, want, table.Snapshot()["s"][0].Leaving)
+}
+
+// renewed returns an entry that its process has written n times.
+func renewed(n int64, leaving bool) endpointtracker.Endpoint {
+	e := endpoint(1)
+	e.Renewal, e.Leaving = n, leaving
+	return e
+}
+
+// TestRestoredDirectory covers a directory that comes back from a copy that is some
+// seconds old.
+func TestRestoredDirectory(t *testing.T) {
+	t.Run("does not take back that an endpoint is leaving", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(renewed(7, true))
+		assert.False(t, table.PutRestored(renewed(5, false)))
+		assertLeaving(t, table, true)
+	})
+	t.Run("does not bring back a removed endpoint", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(renewed(7, false))
+		table.Remove("e1", start, false)
+		assert.False(t, table.PutRestored(renewed(5, false)))
+		assert.False(t, table.PutRestored(renewed(7, false)))
+		assertListed(t, table, 0)
+	})
+	t.Run("an endpoint that was removed and has renewed its entry since is back", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(renewed(7, false))
+		table.Remove("e1", start, false)
+		assert.True(t, table.PutRestored(renewed(8, false)))
+		assertListed(t, table, 1)
+	})
+	t.Run("an endpoint that registers again after the restoration is back", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(renewed(7, false))
+		table.Remove("e1", start, false)
+		table.PutRestored(renewed(7, false))
+		assert.True(t, table.Put(renewed(7, false)))
+		assertListed(t, table, 1)
+	})
+	t.Run("an entry of an earlier process is ignored", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(renewed(1, false))
+		earlier := renewed(90, false)
+		earlier.StartedAt = start.Add(-time.Minute)
+		assert.False(t, table.PutRestored(earlier))
+	})
+	t.Run("a new process is taken", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(renewed(7, true))
+		restarted := renewed(1, false)
+		restarted.StartedAt = start.Add(time.Second)
+		assert.True(t, table.PutRestored(restarted))
+		assertLeaving(t, table, false)
+	})
+}
+
+func TestMarkLeaving(t *testing.T) {
+	t.Run("holds against the endpoint's entry", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(renewed(1, false))
+		assert.True(t, table.MarkLeaving(renewed(1, false)))
+		assert.False(t, table.MarkLeaving(renewed(1, false)), "known already")
+		assert.False(t, table.Put(renewed(2, false)))
+		assertLeaving(t, table, true)
+	})
+	t.Run("does not hold for another process of the same id", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(renewed(1, false))
+		table.MarkLeaving(renewed(1, false))
+		restarted := renewed(1, false)
+		restarted.StartedAt = start.Add(time.Second)
+		table.Put(restarted)
+		assertLeaving(t, table, false)
+		assert.False(t, table.MarkLeaving(renewed(1, false)), "a late word of the earlier process")
+	})
+}
--- a/internal/state/peertracker/peertracker.go
+++ b/internal/state/peertracker/peertracker.go
@@ -39,14 +39,14 @@
 	Suspects []Suspect
 	// Loads is the load that the peer itself puts on endpoints.
 	Loads []Load
-	// Changes are recent changes of endpoints' weights that the peer has detected,
-	// and the target and retained versions of models.
+	// Changes are recent changes of endpoints that the peer has detected, of their weights
+	// or that they are leaving, and the target and retained versions of models.
 	Changes []Change
 }
 
 // Change is a change of an endpoint's weights. Endpoint and Model are hashes of
 // the endpoint's id and the model's name. For a target or retained version of a
-// model, Endpoint is a marker.
+// model, Endpoint is a marker; for an endpoint that is leaving, Model is one.
 type Change struct {
 	Endpoint uint32
 	Model    uint32
