--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -94,7 +94,8 @@
 
 	mu     sync.Mutex
 	states map[string]*endpointState
-	peers  map[string]peer
+	peers  map[string]*peer
+	sums   sums
 	// pickSequence counts the picks; on equal cost the endpoint that was picked
 	// least recently wins.
 	pickSequence uint64
@@ -105,6 +106,7 @@
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.expire(now)
 	best := -1
 	var lowestCost float64
 	var bestWork Work
--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/state/endpointtracker"
-	"github.com/lacewingrelay/lacewingrelay/internal/state/peertracker"
 )
 
 // Work is what an endpoint has to do for a prompt before its first token.
@@ -20,6 +19,8 @@
 }
 
 type endpointState struct {
+	// hash is that of the endpoint's ID.
+	hash    uint32
 	running int
 	tokens  int
 	// prefillTokens counts the prompt tokens that this node's requests still have
@@ -47,7 +48,7 @@
 // count, whichever is scarcer.
 func (b *Balancer) cost(now time.Time, endpoint endpointtracker.Endpoint, capacity int) float64 {
 	state := b.endpointState(endpoint.ID)
-	peerLoad := b.peerLoad(now, endpoint.ID)
+	peerLoad := b.peerLoad(state.hash)
 	running, tokens := peerLoad.Running+state.running, peerLoad.Tokens+state.tokens
 	if now.Sub(state.reportedAt) < reportTTL {
 		running = max(running, state.running+state.reported.Running+state.reported.Waiting-state.runningAtReport)
@@ -69,7 +70,7 @@
 	if now.Before(state.backoffUntil) || now.Before(state.holdUntil) || state.running > 0 && now.Sub(state.lastActivity) > stallTimeout {
 		return false
 	}
-	peerLoad := b.peerLoad(now, endpoint.ID)
+	peerLoad := b.peerLoad(state.hash)
 	running, tokens := peerLoad.Running+state.running, peerLoad.Tokens+state.tokens
 	if request.Urgent || running == 0 {
 		return true
@@ -88,27 +89,13 @@
 	return float64(endpoint.Slots)
 }
 
-// peerLoad sums the load on an endpoint that peers have reported.
-func (b *Balancer) peerLoad(now time.Time, id string) peertracker.Load {
-	sum := peertracker.Load{Endpoint: IDHash(id)}
-	for _, peer := range b.peers {
-		if now.Sub(peer.receivedAt) < peerReportTTL {
-			load := peer.loads[sum.Endpoint]
-			sum.Running += load.Running
-			sum.Tokens += load.Tokens
-			sum.Reading += load.Reading
-		}
-	}
-	return sum
-}
-
 func (b *Balancer) endpointState(id string) *endpointState {
 	if b.states == nil {
 		b.states = map[string]*endpointState{}
 	}
 	state, ok := b.states[id]
 	if !ok {
-		state = &endpointState{}
+		state = &endpointState{hash: IDHash(id)}
 		b.states[id] = state
 	}
 	return state
--- a/internal/coordination/balancer/reports.go
+++ b/internal/coordination/balancer/reports.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 
@@ -16,43 +17,194 @@
 	Slots   int
 }
 
-// peer is a peer's reported load on endpoints, keyed by the hash of the
-// endpoint's ID.
+// Reporter says whose load a peer reports; see package organizer.
+type Reporter int
+
+// The values of Reporter.
+const (
+	// Member is a peer that reports its own load, and that of its own members, to this
+	// node only.
+	Member Reporter = iota
+	// Hub is a peer that reports its own load and that of its members to all hubs.
+	Hub
+	// Home is the peer that reports the load of all nodes, including this one.
+	Home
+)
+
+// peer is a peer's reported load on endpoints, keyed by the hash of the endpoint's ID.
 type peer struct {
+	reporter   Reporter
 	receivedAt time.Time
 	loads      map[uint32]peertracker.Load
 }
 
-// HandleHeartbeat replaces a peer's reported load on endpoints with the loads of
-// its latest heartbeat.
-func (b *Balancer) HandleHeartbeat(node string, now time.Time, loads []peertracker.Load) {
-	byEndpoint := make(map[uint32]peertracker.Load, len(loads))
-	for _, load := range loads {
-		byEndpoint[load.Endpoint] = load
+// sums are the loads of all reporters but the home, those of members among them, and
+// what this node reported last.
+type sums struct {
+	others   map[uint32]peertracker.Load
+	members  map[uint32]peertracker.Load
+	reported map[uint32]peertracker.Load
+}
+
+// add adds a load n times; n is 1 or -1.
+func add(sum map[uint32]peertracker.Load, load peertracker.Load, n int) {
+	total := sum[load.Endpoint]
+	total.Endpoint = load.Endpoint
+	total.Running += n * load.Running
+	total.Tokens += n * load.Tokens
+	total.Reading += n * load.Reading
+	if total.Running == 0 && total.Tokens == 0 && total.Reading == 0 {
+		delete(sum, load.Endpoint)
+		return
 	}
+	sum[load.Endpoint] = total
+}
+
+// HandleReport replaces a peer's reported load on the endpoints of a report.
+func (b *Balancer) HandleReport(node string, reporter Reporter, now time.Time, report peertracker.LoadReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.peers == nil {
-		b.peers = map[string]peer{}
+		b.peers = map[string]*peer{}
+		b.sums.others, b.sums.members = map[uint32]peertracker.Load{}, map[uint32]peertracker.Load{}
+	}
+	p, ok := b.peers[node]
+	if ok && p.reporter != reporter {
+		b.forget(node)
+		ok = false
+	}
+	if !ok {
+		p = &peer{reporter: reporter, loads: map[uint32]peertracker.Load{}}
+		b.peers[node] = p
+	}
+	p.receivedAt = now
+	for endpoint, load := range p.loads {
+		if endpoint >= report.First && endpoint <= report.Last {
+			b.count(p, load, -1)
+			delete(p.loads, endpoint)
+		}
+	}
+	for _, load := range report.Loads {
+		b.count(p, load, 1)
+		p.loads[load.Endpoint] = load
+	}
+}
+
+func (b *Balancer) count(p *peer, load peertracker.Load, n int) {
+	if p.reporter != Home {
+		add(b.sums.others, load, n)
+	}
+	if p.reporter == Member {
+		add(b.sums.members, load, n)
+	}
+}
+
+// Forget drops what a peer has reported.
+func (b *Balancer) Forget(node string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.forget(node)
+}
+
+func (b *Balancer) forget(node string) {
+	p, ok := b.peers[node]
+	if !ok {
+		return
+	}
+	for _, load := range p.loads {
+		b.count(p, load, -1)
+	}
+	delete(b.peers, node)
+}
+
+// expire drops the reports of peers that have not reported for peerReportTTL.
+func (b *Balancer) expire(now time.Time) {
+	for node, p := range b.peers {
+		if now.Sub(p.receivedAt) >= peerReportTTL {
+			b.forget(node)
+		}
+	}
+}
+
+// Report returns the load of this node and its members, ordered by endpoint, to be sent
+// to the home or to other hubs.
+func (b *Balancer) Report(now time.Time) []peertracker.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire(now)
+	b.sums.reported = map[uint32]peertracker.Load{}
+	for _, load := range b.sums.members {
+		add(b.sums.reported, load, 1)
 	}
-	b.peers[node] = peer{receivedAt: now, loads: byEndpoint}
+	b.addOwn(b.sums.reported)
+	return sorted(b.sums.reported)
 }
 
-// Local returns this node's load on at most limit endpoints, the highest
-// first.
-func (b *Balancer) Local(limit int) []peertracker.Load {
+// Total returns the load of all nodes, ordered by endpoint, to be sent to members.
+func (b *Balancer) Total(now time.Time) []peertracker.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var loads []peertracker.Load
-	for id, state := range b.states {
+	b.expire(now)
+	total := map[uint32]peertracker.Load{}
+	for _, load := range b.sums.others {
+		add(total, load, 1)
+	}
+	for _, p := range b.peers {
+		if p.reporter != Home {
+			continue
+		}
+		for endpoint := range p.loads {
+			add(total, b.homeLoad(p, endpoint), 1)
+		}
+	}
+	b.addOwn(total)
+	return sorted(total)
+}
+
+func (b *Balancer) addOwn(sum map[uint32]peertracker.Load) {
+	for _, state := range b.states {
 		if state.running > 0 {
-			loads = append(loads, peertracker.Load{Endpoint: IDHash(id), Running: state.running, Tokens: state.tokens, Reading: state.prefillTokens})
+			add(sum, peertracker.Load{Endpoint: state.hash, Running: state.running, Tokens: state.tokens, Reading: state.prefillTokens}, 1)
 		}
 	}
-	slices.SortFunc(loads, func(a, b peertracker.Load) int {
-		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(b.Running, a.Running), cmp.Compare(a.Endpoint, b.Endpoint))
-	})
-	return loads[:min(limit, len(loads))]
+}
+
+func sorted(loads map[uint32]peertracker.Load) []peertracker.Load {
+	list := make([]peertracker.Load, 0, len(loads))
+	for _, load := range loads {
+		list = append(list, load)
+	}
+	slices.SortFunc(list, func(a, b peertracker.Load) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return list
+}
+
+// peerLoad returns the load on an endpoint that other nodes have reported.
+func (b *Balancer) peerLoad(hash uint32) peertracker.Load {
+	load := b.sums.others[hash]
+	for _, p := range b.peers {
+		if p.reporter == Home {
+			home := b.homeLoad(p, hash)
+			load.Running += home.Running
+			load.Tokens += home.Tokens
+			load.Reading += home.Reading
+		}
+	}
+	return load
+}
+
+// homeLoad returns the load that the home has reported, less what this node has reported
+// to it and counts itself.
+func (b *Balancer) homeLoad(home *peer, hash uint32) peertracker.Load {
+	load, own := home.loads[hash], b.sums.reported[hash]
+	return peertracker.Load{
+		Endpoint: hash, Running: max(load.Running-own.Running, 0),
+		Tokens: max(load.Tokens-own.Tokens, 0), Reading: max(load.Reading-own.Reading, 0),
+	}
+}
+
+// AllEndpoints is the range of a report on all endpoints.
+func AllEndpoints(loads []peertracker.Load) peertracker.LoadReport {
+	return peertracker.LoadReport{First: 0, Last: math.MaxUint32, Loads: loads}
 }
 
 // IDHash returns the hash of an ID: of an endpoint's ID in load reports between
--- a/internal/coordination/locator/links.go
+++ b/internal/coordination/locator/links.go
@@ -65,7 +65,7 @@
 // fetch, and the part has to be prefilled again. So a store with an idle link
 // is preferred. stored reports whether a store holds the part.
 func (l *Locator) source(now time.Time, key Key, tokens int, query Query) (holder netip.AddrPort, stored bool) {
-	store, stored := l.stored(key, tokens, query.Stores)
+	store, stored := l.stored(key, tokens, query)
 	engine, held := l.engine(key, tokens, query)
 	switch {
 	case held && (!stored || !l.linkIdle(now, store, query.Nodes)):
--- a/internal/coordination/locator/locator.go
+++ b/internal/coordination/locator/locator.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -89,21 +90,48 @@
 type inventory struct {
 	parts      map[Key]int
 	usedTokens int
-	// saving maps each part being saved to the time at which the save is
-	// assumed to have failed.
-	saving map[Key]time.Time
+	// reserved is the memory taken by incomplete parts, in tokens.
+	reserved int
+}
+
+// holding is a holder of a part, with the size of the part there.
+type holding struct {
+	holder netip.AddrPort
+	tokens int
+}
+
+// Observer is told of all changes of the directory. It is called with the directory's
+// lock held, must not call back, and must not block.
+type Observer interface {
+	// PartSet is called for a part of a holder; zero tokens mean that it was removed.
+	PartSet(holder netip.AddrPort, key Key, tokens int)
+	// HolderReset is called when all parts of a holder were replaced.
+	HolderReset(holder netip.AddrPort)
+	// HolderForgotten is called when a holder was removed.
+	HolderForgotten(holder netip.AddrPort)
 }
 
 // Locator is the directory of prompt parts. It is safe for concurrent use.
 type Locator struct {
+	// Observer is set before use; nil for none.
+	Observer Observer
+
 	mu          sync.Mutex
 	inventories map[netip.AddrPort]*inventory
-	links       map[netip.AddrPort]*link
+	// holdings lists the holders of each part.
+	holdings map[Key][]holding
+	// saving maps each part being saved to the time at which the save is assumed to have
+	// failed.
+	saving map[Key]time.Time
+	links  map[netip.AddrPort]*link
 }
 
 // New returns an empty directory.
 func New() *Locator {
-	return &Locator{inventories: map[netip.AddrPort]*inventory{}, links: map[netip.AddrPort]*link{}}
+	return &Locator{
+		inventories: map[netip.AddrPort]*inventory{}, holdings: map[Key][]holding{}, saving: map[Key]time.Time{},
+		links: map[netip.AddrPort]*link{},
+	}
 }
 
 // Reset replaces the parts of a holder. reserved is the memory taken by
@@ -111,11 +139,16 @@
 func (l *Locator) Reset(holder netip.AddrPort, parts map[Key]int, reserved int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := &inventory{parts: parts, usedTokens: reserved, saving: map[Key]time.Time{}}
-	for _, tokens := range parts {
+	l.forget(holder)
+	s := &inventory{parts: parts, usedTokens: reserved, reserved: reserved}
+	for key, tokens := range parts {
 		s.usedTokens += roundToBlocks(tokens)
+		l.holdings[key] = append(l.holdings[key], holding{holder: holder, tokens: tokens})
 	}
 	l.inventories[holder] = s
+	if l.Observer != nil {
+		l.Observer.HolderReset(holder)
+	}
 }
 
 // Forget removes a holder. Nothing is fetched from or saved to it until the
@@ -123,7 +156,31 @@
 func (l *Locator) Forget(holder netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.forget(holder) && l.Observer != nil {
+		l.Observer.HolderForgotten(holder)
+	}
+}
+
+// forget removes a holder and reports whether it was known.
+func (l *Locator) forget(holder netip.AddrPort) bool {
+	s, ok := l.inventories[holder]
+	if !ok {
+		return false
+	}
+	for key := range s.parts {
+		l.removeHolding(holder, key)
+	}
 	delete(l.inventories, holder)
+	return true
+}
+
+func (l *Locator) removeHolding(holder netip.AddrPort, key Key) {
+	left := slices.DeleteFunc(l.holdings[key], func(h holding) bool { return h.holder == holder })
+	if len(left) == 0 {
+		delete(l.holdings, key)
+		return
+	}
+	l.holdings[key] = left
 }
 
 // SetPart records that a holder has a complete part; zero tokens mean that the
@@ -136,38 +193,107 @@
 		return
 	}
 	s.usedTokens += roundToBlocks(tokens) - roundToBlocks(s.parts[key])
-	delete(s.saving, key)
+	delete(l.saving, key)
+	l.removeHolding(holder, key)
 	if tokens == 0 {
 		delete(s.parts, key)
-		return
+	} else {
+		s.parts[key] = tokens
+		l.holdings[key] = append(l.holdings[key], holding{holder: holder, tokens: tokens})
+	}
+	if l.Observer != nil {
+		l.Observer.PartSet(holder, key, tokens)
+	}
+}
+
+// Inventory is the content of one holder.
+type Inventory struct {
+	Holder netip.AddrPort
+	Parts  map[Key]int
+	// Reserved is the memory taken by incomplete parts when the holder was last listed, in
+	// tokens.
+	Reserved int
+}
+
+// Inventories returns a copy of the directory. mark is called with the directory's lock
+// held, so that no change comes between the copy and what mark records.
+func (l *Locator) Inventories(mark func()) []Inventory {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	mark()
+	all := make([]Inventory, 0, len(l.inventories))
+	for holder, s := range l.inventories {
+		all = append(all, Inventory{Holder: holder, Parts: maps.Clone(s.parts), Reserved: s.reserved})
 	}
-	s.parts[key] = tokens
+	return all
+}
+
+// Holders returns the known holders.
+func (l *Locator) Holders() []netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.inventories))
 }
 
-// CachedTokens returns how many tokens of the shared parts, all but the last,
-// the engine is assumed to hold, and how many it could fetch. It stops at the
-// first part that is in neither group.
-func (l *Locator) CachedTokens(query Query) (held, fetchable int) {
+// Survey says for each shared part of a prompt, all but the last, where it is. It lets
+// many engines be compared with one look at the directory.
+type Survey struct {
+	parts []surveyedPart
+}
+
+type surveyedPart struct {
+	tokens  int
+	stored  bool
+	engines []netip.AddrPort
+}
+
+// Survey looks up the shared parts of a prompt. The query needs no target.
+func (l *Locator) Survey(query Query) Survey {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var survey Survey
 	for i := 0; i < len(query.Parts)-1; i++ {
-		key, tokens := Key{Salt: query.Salt, Part: query.Parts[i].ID}, query.Parts[i].Tokens
-		if l.holds(query.Target, key, tokens) {
-			held += tokens
-			continue
-		}
-		_, elsewhere := l.engine(key, tokens, query)
-		if !elsewhere {
-			_, elsewhere = l.stored(key, tokens, query.Stores)
+		part := surveyedPart{tokens: query.Parts[i].Tokens}
+		for _, h := range l.holdings[Key{Salt: query.Salt, Part: query.Parts[i].ID}] {
+			switch {
+			case h.tokens < part.tokens || part.tokens == 0:
+			case query.store(h.holder) >= 0:
+				part.stored = true
+			case query.engine(h.holder) >= 0:
+				part.engines = append(part.engines, h.holder)
+			}
 		}
-		if !elsewhere {
-			break
+		survey.parts = append(survey.parts, part)
+	}
+	return survey
+}
+
+// Cached returns how many tokens of the shared parts an engine is assumed to hold, and
+// how many it could fetch. It stops at the first part that is in neither group.
+func (s Survey) Cached(engine netip.AddrPort) (held, fetchable int) {
+	for _, part := range s.parts {
+		switch {
+		case slices.Contains(part.engines, engine):
+			held += part.tokens
+		case part.stored || len(part.engines) > 0:
+			fetchable += part.tokens
+		default:
+			return held, fetchable
 		}
-		fetchable += tokens
 	}
 	return held, fetchable
 }
 
+// store returns the index of a holder among the query's stores, or -1.
+func (q Query) store(holder netip.AddrPort) int {
+	return slices.IndexFunc(q.Stores, func(s Store) bool { return s.Address == holder })
+}
+
+// engine returns the index of a holder among the query's engines, or -1.
+func (q Query) engine(holder netip.AddrPort) int {
+	return slices.IndexFunc(q.Engines, func(e Engine) bool { return e.Address == holder })
+}
+
 // ObsoleteParts returns the parts of a holder whose salt is no longer in use.
 func (l *Locator) ObsoleteParts(holder netip.AddrPort, inUse func(salt string) bool) []Key {
 	l.mu.Lock()
@@ -198,7 +324,7 @@
 		key, tokens := Key{Salt: query.Salt, Part: query.Parts[i].ID}, query.Parts[i].Tokens
 		var stored bool
 		plan.Fetch[i], stored = l.source(now, key, tokens, query)
-		if stored || l.saving(now, key) {
+		if stored || l.isSaving(now, key) {
 			continue
 		}
 		if saveTarget, ok := l.saveTarget(now, key, tokens, query.Stores); ok {
@@ -214,10 +340,10 @@
 	return ok && tokens > 0 && s.parts[key] >= tokens
 }
 
-func (l *Locator) stored(key Key, tokens int, stores []Store) (Store, bool) {
-	for _, store := range stores {
-		if l.holds(store.Address, key, tokens) {
-			return store, true
+func (l *Locator) stored(key Key, tokens int, query Query) (Store, bool) {
+	for _, h := range l.holdings[key] {
+		if i := query.store(h.holder); i >= 0 && tokens > 0 && h.tokens >= tokens {
+			return query.Stores[i], true
 		}
 	}
 	return Store{}, false
@@ -227,28 +353,29 @@
 // failure domain.
 func (l *Locator) engine(key Key, tokens int, query Query) (netip.AddrPort, bool) {
 	var found netip.AddrPort
-	for _, engine := range query.Engines {
-		if engine.Address == query.Target || !l.holds(engine.Address, key, tokens) {
+	for _, h := range l.holdings[key] {
+		if h.holder == query.Target || tokens == 0 || h.tokens < tokens {
+			continue
+		}
+		i := query.engine(h.holder)
+		if i < 0 {
 			continue
 		}
-		found = engine.Address
-		if engine.Domain == query.Domain {
+		found = h.holder
+		if query.Engines[i].Domain == query.Domain {
 			break
 		}
 	}
 	return found, found.IsValid()
 }
 
-func (l *Locator) saving(now time.Time, key Key) bool {
-	for _, s := range l.inventories {
-		if until, ok := s.saving[key]; ok {
-			if now.Before(until) {
-				return true
-			}
-			delete(s.saving, key)
-		}
+func (l *Locator) isSaving(now time.Time, key Key) bool {
+	until, ok := l.saving[key]
+	if ok && !now.Before(until) {
+		delete(l.saving, key)
+		return false
 	}
-	return false
+	return ok
 }
 
 // saveTarget returns the first store in the part's hash order that has room,
@@ -262,7 +389,7 @@
 		if float64(s.usedTokens+roundToBlocks(tokens)) > maxFill*float64(store.Capacity) {
 			continue
 		}
-		s.saving[key] = now.Add(saveTimeout)
+		l.saving[key] = now.Add(saveTimeout)
 		return store, true
 	}
 	return Store{}, false
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -140,19 +140,26 @@
 	if s.Prompt == nil {
 		return nil
 	}
-	query := s.query(view)
+	query, tokens := s.query(view), s.Prompt.Tokens()
+	// The salt and the usable stores depend on the version only.
+	surveys := map[int64]locator.Survey{}
 	return func(endpoint endpointtracker.Endpoint) balancer.Work {
-		cached, fetched := s.Locator.CachedTokens(s.forEndpoint(query, view, endpoint))
-		return balancer.Work{Read: s.Prompt.Tokens() - cached - fetched, Fetch: fetched}
+		version := endpoint.Weights[s.Prompt.Model]
+		survey, ok := surveys[version]
+		if !ok {
+			survey = s.Locator.Survey(s.forEndpoint(query, view, endpoint))
+			surveys[version] = survey
+		}
+		cached, fetched := survey.Cached(endpoint.Address)
+		return balancer.Work{Read: tokens - cached - fetched, Fetch: fetched}
 	}
 }
 
 // query returns a locator query for the prompt's parts. forEndpoint adds the
 // endpoint.
 func (s *selection) query(view View) locator.Query {
-	return locator.Query{
-		Parts: s.Prompt.Parts, Engines: engines(view.Endpoints[s.Service]), Stores: stores(view.Catalog, s.Service),
-	}
+	holders := view.holders(s.Service)
+	return locator.Query{Parts: s.Prompt.Parts, Engines: holders.engines, Stores: holders.stores}
 }
 
 // forEndpoint completes a query for one endpoint. Without stores in the query,
--- a/internal/coordination/placer/view.go
+++ b/internal/coordination/placer/view.go
@@ -19,6 +19,30 @@
 	// OldestRetained holds, for each model, the oldest version whose parts are
 	// kept in stores.
 	OldestRetained map[string]int64
+
+	// byService holds what Prepare has computed.
+	byService map[string]holders
+}
+
+// holders are the engines and stores that hold parts of a service's prompts.
+type holders struct {
+	engines []locator.Engine
+	stores  []locator.Store
+}
+
+// Prepare computes the lists that each placement needs, once for the view.
+func (v *View) Prepare() {
+	v.byService = map[string]holders{}
+	for service := range v.Endpoints {
+		v.byService[service] = v.holders(service)
+	}
+}
+
+func (v *View) holders(service string) holders {
+	if known, ok := v.byService[service]; ok {
+		return known
+	}
+	return holders{engines: engines(v.Endpoints[service]), stores: stores(v.Catalog, service)}
 }
 
 // TargetVersion is a version of a model's weights that the endpoints are to load.
--- a/internal/coordination/retrier/suspects.go
+++ b/internal/coordination/retrier/suspects.go
@@ -1,6 +1,10 @@
 package retrier
 
 import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,7 +30,8 @@
 const crashLimit = 2
 
 type crashRecord struct {
-	byNode map[string]uint8
+	// byNode is keyed by the hash of the observing node's name.
+	byNode map[uint32]uint8
 	last   time.Time
 }
 
@@ -54,28 +59,40 @@
 func (s *Suspects) RecordCrash(now time.Time, fingerprint uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.set(now, fingerprint, s.Node, s.records[fingerprint].byNode[s.Node]+1)
+	self := nodeHash(s.Node)
+	s.set(now, fingerprint, self, s.records[fingerprint].byNode[self]+1)
 }
 
-// Update records the number of crashes that a peer observed while the request
-// was running. A number that is not higher than the recorded one is ignored,
-// since counts only grow.
-func (s *Suspects) Update(now time.Time, node string, suspect peertracker.Suspect) {
+// nodeHash returns the hash by which nodes name an observer to each other.
+func nodeHash(name string) uint32 {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(name))
+	return sum.Sum32()
+}
+
+// Update records the number of crashes that an observer saw while the request was
+// running, as told by a peer. A number that is not higher than the recorded one is
+// ignored, since counts only grow.
+func (s *Suspects) Update(now time.Time, peer string, suspect peertracker.Suspect) {
+	observer := suspect.Observer
+	if observer == 0 {
+		observer = nodeHash(peer)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if node == s.Node || suspect.Crashes <= s.records[suspect.Fingerprint].byNode[node] {
+	if observer == nodeHash(s.Node) || suspect.Crashes <= s.records[suspect.Fingerprint].byNode[observer] {
 		return
 	}
-	s.set(now, suspect.Fingerprint, node, suspect.Crashes)
+	s.set(now, suspect.Fingerprint, observer, suspect.Crashes)
 }
 
-func (s *Suspects) set(now time.Time, fingerprint uint64, node string, count uint8) {
+func (s *Suspects) set(now time.Time, fingerprint uint64, node uint32, count uint8) {
 	if s.records == nil {
 		s.records = map[uint64]crashRecord{}
 	}
 	record, ok := s.records[fingerprint]
 	if !ok {
-		record.byNode = map[string]uint8{}
+		record.byNode = map[uint32]uint8{}
 	}
 	record.byNode[node] = count
 	record.last = now
@@ -114,14 +131,36 @@
 	defer s.mu.Unlock()
 	s.expire(now)
 	var counts []peertracker.Suspect
+	self := nodeHash(s.Node)
 	for fingerprint, record := range s.records {
-		if count := record.byNode[s.Node]; count > 0 && len(counts) < n {
+		if count := record.byNode[self]; count > 0 && len(counts) < n {
 			counts = append(counts, peertracker.Suspect{Fingerprint: fingerprint, Crashes: count})
 		}
 	}
 	return counts
 }
 
+// Known returns at most n of the counts of all observers, those of the latest crashes
+// first, for nodes that this one passes them on to.
+func (s *Suspects) Known(now time.Time, n int) []peertracker.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	fingerprints := slices.SortedFunc(maps.Keys(s.records), func(a, b uint64) int {
+		return cmp.Or(s.records[b].last.Compare(s.records[a].last), cmp.Compare(a, b))
+	})
+	var counts []peertracker.Suspect
+	for _, fingerprint := range fingerprints {
+		for observer, count := range s.records[fingerprint].byNode {
+			counts = append(counts, peertracker.Suspect{Fingerprint: fingerprint, Crashes: count, Observer: observer})
+		}
+		if len(counts) >= n {
+			return counts[:n]
+		}
+	}
+	return counts
+}
+
 func (s *Suspects) expire(now time.Time) {
 	for fingerprint, record := range s.records {
 		if now.Sub(record.last) >= s.Expiry {
--- a/internal/coordination/upgrader/upgrader.go
+++ b/internal/coordination/upgrader/upgrader.go
@@ -21,9 +21,10 @@
 )
 
 const (
-	// maxLoading is the number of endpoints that may be drained or loading at
-	// once; more would slow each other down.
-	maxLoading = 2
+	// loadingShare is the share of the endpoints that may be drained or loading at once,
+	// and minLoading what is allowed with few endpoints; more would slow each other down.
+	loadingShare = 0.2
+	minLoading   = 2
 	// drainTimeout is the maximum time that an endpoint is drained before it
 	// gets its order; it finishes the requests that are still running before it
 	// loads.
@@ -141,7 +142,8 @@
 	return upgrading
 }
 
-// Next returns the next steps of the upgrade to the target versions.
+// Next returns the next steps of the upgrade to the target versions. states holds all
+// endpoints with weights.
 func Next(now time.Duration, states []State, targets map[string]int64) Plan {
 	loading, draining := 0, 0
 	domains := map[string]int{}
@@ -160,6 +162,7 @@
 			waiting = append(waiting, state)
 		}
 	}
+	maxLoading := max(minLoading, int(loadingShare*float64(len(states))))
 	var plan Plan
 	slices.SortFunc(drainingStates, func(a, b State) int {
 		return cmp.Or(cmp.Compare(a.DrainStartedAt, b.DrainStartedAt), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
--- /dev/null
+++ b/internal/protocol/packer/lists.go
@@ -0,0 +1,103 @@
+package packer
+
+import (
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/wire"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/peertracker"
+)
+
+func encodeLoads(report *peertracker.LoadReport) *wire.LoadReport {
+	if report == nil {
+		return nil
+	}
+	encoded := &wire.LoadReport{First: report.First, Last: report.Last}
+	for _, load := range report.Loads {
+		encoded.Endpoints = append(encoded.Endpoints, load.Endpoint)
+		encoded.Running = append(encoded.Running, uint32(load.Running))
+		encoded.Blocks = append(encoded.Blocks, uint32(load.Tokens/blockTokens))
+		encoded.Reading = append(encoded.Reading, uint32(load.Reading/blockTokens))
+	}
+	return encoded
+}
+
+func decodeLoads(encoded *wire.LoadReport) (*peertracker.LoadReport, error) {
+	if encoded == nil {
+		return nil, nil
+	}
+	n := len(encoded.Endpoints)
+	if len(encoded.Running) != n || len(encoded.Blocks) != n || len(encoded.Reading) != n {
+		return nil, errors.Wrapf(ErrMalformed, "lists of loads have %d, %d, %d and %d entries", n, len(encoded.Running), len(encoded.Blocks), len(encoded.Reading))
+	}
+	report := &peertracker.LoadReport{First: encoded.First, Last: encoded.Last, Loads: make([]peertracker.Load, n)}
+	for i := range n {
+		report.Loads[i] = peertracker.Load{
+			Endpoint: encoded.Endpoints[i], Running: int(encoded.Running[i]),
+			Tokens: int(encoded.Blocks[i]) * blockTokens, Reading: int(encoded.Reading[i]) * blockTokens,
+		}
+	}
+	return report, nil
+}
+
+func encodeParts(updates *peertracker.PartUpdates) *wire.PartUpdates {
+	if updates == nil {
+		return nil
+	}
+	encoded := &wire.PartUpdates{Stream: updates.Stream, Number: updates.Number}
+	for _, group := range updates.Groups {
+		encoded.Groups = append(encoded.Groups, EncodePartGroup(group))
+	}
+	for _, holder := range updates.Forgotten {
+		encoded.Forgotten = append(encoded.Forgotten, holder.String())
+	}
+	return encoded
+}
+
+func decodeParts(encoded *wire.PartUpdates) (*peertracker.PartUpdates, error) {
+	if encoded == nil {
+		return nil, nil
+	}
+	updates := &peertracker.PartUpdates{Stream: encoded.Stream, Number: encoded.Number}
+	for _, group := range encoded.Groups {
+		decoded, err := DecodePartGroup(group)
+		if err != nil {
+			return nil, err
+		}
+		updates.Groups = append(updates.Groups, decoded)
+	}
+	for _, text := range encoded.Forgotten {
+		holder, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, errors.Mark(err, ErrMalformed)
+		}
+		updates.Forgotten = append(updates.Forgotten, holder)
+	}
+	return updates, nil
+}
+
+// EncodePartGroup converts a group of parts to its wire type.
+func EncodePartGroup(group peertracker.PartGroup) *wire.PartGroup {
+	encoded := &wire.PartGroup{Holder: group.Holder.String(), Salt: group.Salt, Parts: group.Parts}
+	for _, tokens := range group.Tokens {
+		encoded.Tokens = append(encoded.Tokens, uint32(tokens))
+	}
+	return encoded
+}
+
+// DecodePartGroup converts a group of parts from its wire type. It returns ErrMalformed.
+func DecodePartGroup(encoded *wire.PartGroup) (peertracker.PartGroup, error) {
+	holder, err := netip.ParseAddrPort(encoded.Holder)
+	if err != nil {
+		return peertracker.PartGroup{}, errors.Mark(err, ErrMalformed)
+	}
+	if len(encoded.Parts) != len(encoded.Tokens) {
+		return peertracker.PartGroup{}, errors.Wrapf(ErrMalformed, "group has %d parts and %d sizes", len(encoded.Parts), len(encoded.Tokens))
+	}
+	group := peertracker.PartGroup{Holder: holder, Salt: encoded.Salt, Parts: encoded.Parts}
+	for _, tokens := range encoded.Tokens {
+		group.Tokens = append(group.Tokens, int(tokens))
+	}
+	return group, nil
+}
--- a/internal/protocol/packer/packer.go
+++ b/internal/protocol/packer/packer.go
@@ -133,14 +133,19 @@
 		Sequence:    heartbeat.Sequence,
 		Applied:     heartbeat.Applied,
 		Leaving:     heartbeat.Leaving,
+		Loads:       encodeLoads(heartbeat.Loads),
+		Hub:         heartbeat.Hub,
+		Homed:       heartbeat.Homed,
+		Digest:      heartbeat.Digest,
+		Nodes:       uint32(heartbeat.Nodes),
+		Hubs:        heartbeat.Hubs,
+		Sources:     heartbeat.Sources,
+		LogContact:  heartbeat.LogContact,
+		Parts:       encodeParts(heartbeat.Parts),
 	}
 	for _, suspect := range heartbeat.Suspects {
-		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{Fingerprint: suspect.Fingerprint, Crashes: uint32(suspect.Crashes)})
-	}
-	for _, load := range heartbeat.Loads {
-		encoded.Loads = append(encoded.Loads, &wire.Load{
-			Endpoint: load.Endpoint, Running: uint32(load.Running),
-			Blocks: uint32(load.Tokens / blockTokens), Reading: uint32(load.Reading / blockTokens),
+		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{
+			Fingerprint: suspect.Fingerprint, Crashes: uint32(suspect.Crashes), Observer: suspect.Observer,
 		})
 	}
 	for _, change := range heartbeat.Changes {
@@ -165,15 +170,24 @@
 		Sequence:    encoded.Sequence,
 		Applied:     encoded.Applied,
 		Leaving:     encoded.Leaving,
+		Hub:         encoded.Hub,
+		Homed:       encoded.Homed,
+		Digest:      encoded.Digest,
+		Nodes:       int(encoded.Nodes),
+		Hubs:        encoded.Hubs,
+		Sources:     encoded.Sources,
+		LogContact:  encoded.LogContact,
+	}
+	if heartbeat.Loads, err = decodeLoads(encoded.Loads); err != nil {
+		return peertracker.Heartbeat{}, err
+	}
+	if heartbeat.Parts, err = decodeParts(encoded.Parts); err != nil {
+		return peertracker.Heartbeat{}, err
 	}
 	for _, suspect := range encoded.Suspects {
 		crashes := uint8(min(suspect.Crashes, 255))
-		heartbeat.Suspects = append(heartbeat.Suspects, peertracker.Suspect{Fingerprint: suspect.Fingerprint, Crashes: crashes})
-	}
-	for _, load := range encoded.Loads {
-		heartbeat.Loads = append(heartbeat.Loads, peertracker.Load{
-			Endpoint: load.Endpoint, Running: int(load.Running),
-			Tokens: int(load.Blocks) * blockTokens, Reading: int(load.Reading) * blockTokens,
+		heartbeat.Suspects = append(heartbeat.Suspects, peertracker.Suspect{
+			Fingerprint: suspect.Fingerprint, Crashes: crashes, Observer: suspect.Observer,
 		})
 	}
 	for _, change := range encoded.Changes {
--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -14,6 +14,9 @@
 type announced struct {
 	change  peertracker.Change
 	expires time.Time
+	// downward is set for a change that was heard from a hub, or from the home: it goes to
+	// members only, so that it does not travel in circles.
+	downward bool
 }
 
 // Announce sends all peers the version of a model that an endpoint has loaded;
@@ -24,15 +27,41 @@
 
 // announce sends all peers a change, and repeats it in heartbeats.
 func (p *Peers) announce(change peertracker.Change) {
-	p.mu.Lock()
-	p.announced = slices.DeleteFunc(p.announced, func(a announced) bool {
-		return a.change.Endpoint == change.Endpoint && a.change.Model == change.Model
-	})
-	p.announced = append(p.announced, announced{change: change, expires: p.Now().Add(announcementTTL)})
-	p.mu.Unlock()
+	p.putAnnounced(announced{change: change, expires: p.Now().Add(announcementTTL)})
 	p.Broadcast()
 }
 
+// relay passes on a change that was heard from a peer. A change that is passed on already
+// is only prolonged, as its source repeats it.
+func (p *Peers) relay(change peertracker.Change, from balancer.Reporter) {
+	if p.putAnnounced(announced{change: change, expires: p.Now().Add(relayTTL), downward: from != balancer.Member}) {
+		p.Broadcast()
+	}
+}
+
+// putAnnounced adds a change, in place of an earlier one of the same endpoint and model.
+// It reports whether it is new.
+func (p *Peers) putAnnounced(added announced) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, known := range p.announced {
+		if known.change.Endpoint != added.change.Endpoint || known.change.Model != added.change.Model {
+			continue
+		}
+		same := known.change == added.change
+		if same {
+			added.downward = known.downward && added.downward
+			if known.expires.After(added.expires) {
+				added.expires = known.expires
+			}
+		}
+		p.announced[i] = added
+		return !same
+	}
+	p.announced = append(p.announced, added)
+	return true
+}
+
 // AnnounceLeaving tells all peers that an endpoint has said to this node that it is
 // leaving.
 func (p *Peers) AnnounceLeaving(endpoint endpointtracker.Endpoint) {
@@ -49,21 +78,30 @@
 }
 
 // modelVersions returns the target and the retained versions of models, as changes
-// with a marker in place of the endpoint. A heartbeat has room for maxModels; with
-// more models successive heartbeats rotate through them.
-func (p *Peers) modelVersions() []peertracker.Change {
+// with a marker in place of the endpoint. Retained versions are the lowest of this node
+// and its members; members are told this node's own. A heartbeat has room for maxModels; with more models successive
+// heartbeats rotate through them.
+func (p *Peers) modelVersions(now time.Time, kind kind) []peertracker.Change {
 	view, targets := p.Node.View(), p.Node.NewestTarget()
 	all := maps.Clone(targets)
 	maps.Copy(all, view.OldestRetained)
+	retained := map[uint32]int64{}
+	for model, version := range view.OldestRetained {
+		retained[balancer.IDHash(model)] = version
+	}
+	if kind != toMembers {
+		p.retainedByMembers(now, retained)
+	}
 	models := slices.Sorted(maps.Keys(all))
 	var modelVersions []peertracker.Change
 	for i := range min(maxModels, len(models)) {
 		model := models[(p.rotation*maxModels+i)%len(models)]
+		hash := balancer.IDHash(model)
 		if version, ok := targets[model]; ok {
-			modelVersions = append(modelVersions, peertracker.Change{Endpoint: targetMarker, Model: balancer.IDHash(model), Version: version})
+			modelVersions = append(modelVersions, peertracker.Change{Endpoint: targetMarker, Model: hash, Version: version})
 		}
-		if version, ok := view.OldestRetained[model]; ok {
-			modelVersions = append(modelVersions, peertracker.Change{Endpoint: retainedMarker, Model: balancer.IDHash(model), Version: version})
+		if version, ok := retained[hash]; ok {
+			modelVersions = append(modelVersions, peertracker.Change{Endpoint: retainedMarker, Model: hash, Version: version})
 		}
 	}
 	p.rotation++
@@ -80,15 +118,17 @@
 	}
 }
 
-// heartbeatChanges returns the changes for the next heartbeat: the model versions,
-// then the announced changes, the newest first.
-func (p *Peers) heartbeatChanges(now time.Time) []peertracker.Change {
+// heartbeatChanges returns the changes for the next heartbeat of a kind: the model
+// versions, then the announced changes, the newest first.
+func (p *Peers) heartbeatChanges(now time.Time, kind kind) []peertracker.Change {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.announced = slices.DeleteFunc(p.announced, func(a announced) bool { return !now.Before(a.expires) })
-	changes := p.modelVersions()
-	for i := len(p.announced) - 1; i >= max(0, len(p.announced)-maxChanges); i-- {
-		changes = append(changes, p.announced[i].change)
+	changes := p.modelVersions(now, kind)
+	for _, a := range slices.Backward(p.announced) {
+		if kind == toMembers || !a.downward {
+			changes = append(changes, a.change)
+		}
 	}
 	return changes
 }
@@ -112,8 +152,21 @@
 		case targetMarker:
 			newer = newer || change.Version > own[change.Model]
 		case retainedMarker:
-			m.retained[change.Model] = max(m.retained[change.Model], change.Version)
+			// A hub's value falls when a member that lags behind joins it.
+			m.retained[change.Model] = change.Version
 		}
 	}
 	return newer
 }
+
+// adoptRetained raises this node's retained versions to those of its home. A member
+// without them might fetch parts that are being freed.
+func (p *Peers) adoptRetained(heartbeat peertracker.Heartbeat) {
+	retained := map[uint32]int64{}
+	for _, change := range heartbeat.Changes {
+		if change.Endpoint == retainedMarker {
+			retained[change.Model] = change.Version
+		}
+	}
+	p.Node.RaiseRetained(func(model string) int64 { return retained[balancer.IDHash(model)] })
+}
--- a/internal/relayer/cleaner.go
+++ b/internal/relayer/cleaner.go
@@ -30,15 +30,16 @@
 
 // Cleaner frees stored prompt parts that were computed with versions of weights
 // that are no longer retained, once no node fetches them any more. Each store is
-// assigned to one live node. If nodes disagree on that for a while, both free the
+// assigned to one live hub. If nodes disagree on that for a while, both free the
 // same parts, which does no harm. Its exported fields are set before Run.
 type Cleaner struct {
 	Node    *Relayer
 	Locator *locator.Locator
 	Parts   PartFreer
-	// Self is the name of this node. Alive returns the names of live peers.
-	Self  string
-	Alive func() []string
+	// Self is the name of this node. Hubs returns the names of the live hubs, among which
+	// the stores are divided.
+	Self string
+	Hubs func() []string
 	// Acknowledged reports whether all nodes fetch only parts of this or later
 	// versions of a model.
 	Acknowledged func(model string, version int64) bool
@@ -78,10 +79,10 @@
 }
 
 func (c *Cleaner) freeObsolete(ctx context.Context, view placer.View) {
-	alive := append(c.Alive(), c.Self)
+	hubs := c.Hubs()
 	for _, service := range view.Catalog.Stores() {
 		address := service.Store.Address
-		if ranker.Pick(alive, address.String()) != c.Self {
+		if ranker.Pick(hubs, address.String()) != c.Self {
 			continue
 		}
 		keys := c.Locator.ObsoleteParts(address, c.inUse)
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -47,6 +47,9 @@
 	Records []Record
 	// Next is the position from which to read on.
 	Next Position
+	// Interrupted is set if the records come from a peer that recently had no contact with
+	// the log.
+	Interrupted bool
 }
 
 // KeyedLog is a compacted log: it retains at least the newest record of each key.
@@ -74,6 +77,8 @@
 	// Apply is called for each record that is newer than the last one of its key.
 	// interrupted is set if a call to the log failed within interruptionWindow.
 	Apply func(record Record, interrupted bool)
+	// Replica gets what the feed reads, for peers; nil for none.
+	Replica *Replica
 	// OnListed is called with each full listing: its keys, and whether each has a value;
 	// nil if not needed.
 	OnListed func(keys map[string]bool, interrupted bool)
@@ -82,12 +87,14 @@
 	Logger        zerolog.Logger
 	Now           func() time.Time
 
-	offsets      map[string]int64
-	listedBefore bool
-	next         Position
-	lastFailure  time.Time
-	down         bool
-	tries        int
+	offsets map[string]int64
+	// sourceInterrupted is Batch.Interrupted of the last call.
+	sourceInterrupted bool
+	listedBefore      bool
+	next              Position
+	lastFailure       time.Time
+	down              bool
+	tries             int
 }
 
 // Run follows the log until ctx ends.
@@ -131,13 +138,16 @@
 	}
 	f.down = true
 	f.lastFailure = f.Now()
+	if f.Replica != nil {
+		f.Replica.SetInterrupted(f.lastFailure)
+	}
 	_ = retrier.Sleep(ctx, retrier.Backoff(f.tries, retryBase, retryLimit, retrier.UniformJitter))
 	f.tries++
 	return false
 }
 
 func (f *Feed) interrupted() bool {
-	return !f.lastFailure.IsZero() && f.Now().Sub(f.lastFailure) < interruptionWindow
+	return f.sourceInterrupted || !f.lastFailure.IsZero() && f.Now().Sub(f.lastFailure) < interruptionWindow
 }
 
 func (f *Feed) list(ctx context.Context) error {
@@ -149,6 +159,7 @@
 	if restored {
 		f.restart(batch.Next)
 	}
+	f.share(batch, true)
 	keys := map[string]bool{}
 	initial := !f.listedBefore
 	f.listedBefore = true
@@ -178,6 +189,7 @@
 	if err != nil {
 		return err
 	}
+	f.share(batch, false)
 	for _, record := range batch.Records {
 		f.apply(record)
 	}
@@ -185,6 +197,18 @@
 	return nil
 }
 
+// share passes a batch on to the replica.
+func (f *Feed) share(batch Batch, listing bool) {
+	f.sourceInterrupted = batch.Interrupted
+	if f.Replica == nil {
+		return
+	}
+	f.Replica.Put(batch, listing)
+	if batch.Interrupted {
+		f.Replica.SetInterrupted(f.Now())
+	}
+}
+
 // apply calls Apply unless the record is not newer than the last one of its key in the
 // current era.
 func (f *Feed) apply(record Record) {
--- /dev/null
+++ b/internal/relayer/heartbeats.go
@@ -0,0 +1,123 @@
+package relayer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/organizer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/peertracker"
+)
+
+// kind is the kind of a heartbeat, by its receivers.
+type kind int
+
+const (
+	toHubs kind = iota
+	toHome
+	toMembers
+)
+
+// Estimated sizes in bytes, for dividing a heartbeat into datagrams.
+const (
+	datagramBytes = 1300
+	fixedBytes    = 200
+	suspectBytes  = 19
+	changeBytes   = 18
+	loadBytes     = 11
+)
+
+// newHeartbeats returns the heartbeat of a kind, as one or more datagrams. The first one
+// has all but the loads and changes for which it has no room.
+func (p *Peers) newHeartbeats(now time.Time, kind kind) []peertracker.Heartbeat {
+	base := p.baseHeartbeat(now, kind)
+	changes := p.heartbeatChanges(now, kind)
+	var loads []peertracker.Load
+	if kind == toMembers {
+		loads = p.Balancer.Total(now)
+	} else {
+		loads = p.Balancer.Report(now)
+	}
+	var heartbeats []peertracker.Heartbeat
+	next := uint32(0)
+	for {
+		heartbeat := base
+		heartbeat.Sequence = p.sequence.Add(1)
+		if len(heartbeats) > 0 {
+			heartbeat.Suspects = nil
+		}
+		n := min(len(changes), maxChanges)
+		heartbeat.Changes, changes = changes[:n], changes[n:]
+		room := datagramBytes - fixedBytes - len(heartbeat.Suspects)*suspectBytes - n*changeBytes
+		n = min(len(loads), room/loadBytes)
+		heartbeat.Loads = &peertracker.LoadReport{First: next, Last: math.MaxUint32, Loads: loads[:n]}
+		if loads = loads[n:]; len(loads) > 0 {
+			heartbeat.Loads.Last = loads[0].Endpoint - 1
+			next = loads[0].Endpoint
+		}
+		heartbeats = append(heartbeats, heartbeat)
+		if len(loads)+len(changes) == 0 {
+			return heartbeats
+		}
+		if len(loads) == 0 {
+			// What follows has changes only, and replaces no load.
+			return append(heartbeats, p.changesOnly(base, changes)...)
+		}
+	}
+}
+
+// changesOnly returns datagrams with changes and no loads.
+func (p *Peers) changesOnly(base peertracker.Heartbeat, changes []peertracker.Change) []peertracker.Heartbeat {
+	var heartbeats []peertracker.Heartbeat
+	base.Suspects = nil
+	for chunk := range slices.Chunk(changes, maxChanges) {
+		heartbeat := base
+		heartbeat.Sequence, heartbeat.Changes = p.sequence.Add(1), chunk
+		heartbeats = append(heartbeats, heartbeat)
+	}
+	return heartbeats
+}
+
+// baseHeartbeat returns a heartbeat without sequence number, loads and changes.
+func (p *Peers) baseHeartbeat(now time.Time, kind kind) peertracker.Heartbeat {
+	heartbeat := peertracker.Heartbeat{
+		Name: p.Name, Domain: p.Domain, Address: p.Address, Incarnation: p.Incarnation, Leaving: p.Stopping.Load(),
+		Suspects: p.Suspects.Known(now, maxSuspects), Homed: kind == toHome, Digest: kind == toMembers,
+		LogContact: p.HasLogContact(),
+	}
+	if catalog := p.Node.View().Catalog; catalog != nil {
+		heartbeat.Applied = uint64(catalog.Version)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	heartbeat.Hub = p.role.Hub || kind == toMembers
+	heartbeat.Nodes = p.reportedNodes(now)
+	if kind == toMembers {
+		heartbeat.Nodes = p.liveNodes(now)
+	}
+	if kind == toMembers || kind == toHubs && p.role.Hub {
+		heartbeat.Hubs, heartbeat.Sources = p.hubHashes(now, heartbeat.LogContact)
+	}
+	return heartbeat
+}
+
+// hubHashes returns the hashes of the live hubs of this node's domain, and of those that
+// have contact with the log. A member passes on what its home says.
+func (p *Peers) hubHashes(now time.Time, logContact bool) (hubs, sources []uint32) {
+	if home, ok := p.peers[p.role.Home]; ok && !p.role.Hub {
+		return home.heartbeat.Hubs, home.heartbeat.Sources
+	}
+	self := organizer.Hash(p.Address)
+	hubs = append(hubs, self)
+	if logContact {
+		sources = append(sources, self)
+	}
+	for _, address := range p.organizer.LiveHubs(now) {
+		hash := organizer.Hash(address)
+		hubs = append(hubs, hash)
+		if p.peers[address].heartbeat.LogContact {
+			sources = append(sources, hash)
+		}
+	}
+	return hubs, sources
+}
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -2,29 +2,32 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/organizer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/peertracker"
 )
 
 // peerState is what this node knows of a peer, which is identified by its address.
 type peerState struct {
-	domain string
 	// lastReceived and lastSent are the times of the last heartbeat from and to it.
 	lastReceived time.Time
 	lastSent     time.Time
 	alive        bool
+	// reporter says whose load the last heartbeat reported.
+	reporter balancer.Reporter
 	// heartbeat is the last one received.
 	heartbeat peertracker.Heartbeat
 	// listed is set if the node is in the directory of nodes or a seed.
 	listed bool
-	// retained holds, for each model, the oldest version whose parts the peer fetches,
-	// by the hash of the model's name.
+	// retained holds, for each model, the oldest version whose parts the peer and its
+	// members fetch, by the hash of the model's name.
 	retained map[uint32]int64
 }
 
-// RecordContact records that the log responded or that a heartbeat was received.
+// RecordContact records that the log responded or that a heartbeat of a hub was received.
 func (p *Peers) RecordContact() {
 	now, _ := SinceBoot()
 	p.mu.Lock()
@@ -32,7 +35,15 @@
 	p.lastContact = now
 }
 
-// HasContact reports whether there was contact with the log or a peer within
+// RecordLogContact records that the log responded to this node.
+func (p *Peers) RecordLogContact() {
+	now, _ := SinceBoot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastContact, p.lastLogContact = now, now
+}
+
+// HasContact reports whether there was contact with the log or a hub within
 // contactTimeout. Time during which the host was suspended counts.
 func (p *Peers) HasContact() bool {
 	now, ok := SinceBoot()
@@ -41,10 +52,18 @@
 	return ok && p.lastContact > 0 && now-p.lastContact < contactTimeout
 }
 
-// Acknowledged reports whether each peer has announced that it fetches only
-// parts of this or later versions of a model. Peers from which no heartbeat was
+// HasLogContact reports whether the log has responded to this node recently.
+func (p *Peers) HasLogContact() bool {
+	now, ok := SinceBoot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return ok && p.lastLogContact > 0 && now-p.lastLogContact < logContactTimeout
+}
+
+// Acknowledged reports whether each peer has announced that it, and its members, fetch
+// only parts of this or later versions of a model. Peers from which no heartbeat was
 // received for heartbeatTimeout don't count. It is longer than contactTimeout, so a
-// peer without contact to any node and to the log has stopped fetching from stores by
+// peer without contact to any hub and to the log has stopped fetching from stores by
 // then (see HasContact). A peer that still has some contact, but whose heartbeats don't
 // reach this node, may still fetch older parts.
 func (p *Peers) Acknowledged(model string, version int64) bool {
@@ -59,19 +78,31 @@
 	return true
 }
 
+// retainedByMembers lowers the retained versions of models, by hash, to those of the live
+// members.
+func (p *Peers) retainedByMembers(now time.Time, retained map[uint32]int64) {
+	for _, m := range p.peers {
+		if m.reporter != balancer.Member || now.Sub(m.lastReceived) >= heartbeatTimeout {
+			continue
+		}
+		for hash, version := range retained {
+			retained[hash] = min(version, m.retained[hash])
+		}
+	}
+}
+
 // AddPeer adds a node from the directory or the settings. domain is its failure
-// domain, empty if unknown.
-func (p *Peers) AddPeer(address netip.AddrPort, domain string) {
+// domain, empty if unknown, and cores the size of its host.
+func (p *Peers) AddPeer(address netip.AddrPort, domain string, cores float64) {
 	if address == p.Address || !address.IsValid() {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m := p.peerState(address)
+	p.peerState(address).listed = true
 	if domain != "" {
-		m.domain = domain
+		p.hubOrganizer().List(organizer.Node{Address: address, Domain: domain, Cores: cores})
 	}
-	m.listed = true
 }
 
 func (p *Peers) peerState(address netip.AddrPort) *peerState {
@@ -80,12 +111,131 @@
 	}
 	m, ok := p.peers[address]
 	if !ok {
-		m = &peerState{}
+		m = &peerState{reporter: balancer.Hub}
 		p.peers[address] = m
 	}
 	return m
 }
 
+func (p *Peers) hubOrganizer() *organizer.Organizer {
+	if p.organizer == nil {
+		p.organizer = &organizer.Organizer{
+			Self: organizer.Node{Address: p.Address, Domain: p.Domain, Cores: p.Cores}, Domains: p.Domains,
+		}
+		p.roleChanged = make(chan struct{})
+	}
+	return p.organizer
+}
+
+// updateRole decides anew whether this node is a hub, or which node is its home.
+func (p *Peers) updateRole(now time.Time) {
+	p.mu.Lock()
+	o := p.hubOrganizer()
+	role := o.Role(now)
+	if !role.Hub {
+		role = p.preferSource(now, role)
+	}
+	changed := role.Hub != p.role.Hub || role.Home != p.role.Home
+	left := slices.DeleteFunc(slices.Clone(p.role.Ask), func(address netip.AddrPort) bool { return slices.Contains(role.Ask, address) })
+	if p.role.Hub && !role.Hub {
+		own, others := o.Hubs(now)
+		left = slices.Concat(own, others)
+	}
+	if changed {
+		if former, ok := p.peers[p.role.Home]; ok {
+			p.Balancer.Forget(former.heartbeat.Name)
+		}
+		close(p.roleChanged)
+		p.roleChanged = make(chan struct{})
+		p.Log.Info().Str("event", "role").Bool("hub", role.Hub).Stringer("home", role.Home).Stringer("former", p.role.Home).Int("asked", len(role.Ask)).Send()
+	}
+	p.role = role
+	p.mu.Unlock()
+	if len(left) > 0 {
+		// Those that this node reported to no longer count it.
+		farewell := p.baseHeartbeat(now, toHubs)
+		farewell.Sequence = p.sequence.Add(1)
+		p.send(left, farewell)
+	}
+	if changed && p.OnRole != nil {
+		p.OnRole()
+	}
+}
+
+// preferSource makes a member whose home has no contact with the log ask a hub that has.
+func (p *Peers) preferSource(now time.Time, role organizer.Role) organizer.Role {
+	home, ok := p.peers[role.Home]
+	if !ok || len(home.heartbeat.Sources) == 0 || slices.Contains(home.heartbeat.Sources, organizer.Hash(role.Home)) {
+		return role
+	}
+	for address := range p.peers {
+		if slices.Contains(home.heartbeat.Sources, organizer.Hash(address)) {
+			p.organizer.Avoid(address)
+			return p.organizer.Role(now)
+		}
+	}
+	return role
+}
+
+// Source returns the peer through which this node follows logs, and a channel that is
+// closed when that may have changed. It returns false if the node reads the logs itself:
+// as a hub with contact to them, or because no peer it knows has contact.
+func (p *Peers) Source() (netip.AddrPort, bool, <-chan struct{}) {
+	hasContact, now := p.HasLogContact(), p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hubOrganizer()
+	home, ok := p.peers[p.role.Home]
+	switch {
+	case !p.role.Hub && ok && (len(home.heartbeat.Sources) > 0 || !home.heartbeat.Digest):
+		return p.role.Home, true, p.roleChanged
+	case hasContact:
+		return netip.AddrPort{}, false, p.roleChanged
+	}
+	for address, m := range p.peers {
+		if m.heartbeat.LogContact && m.reporter == balancer.Hub && now.Sub(m.lastReceived) < memberTimeout {
+			return address, true, p.roleChanged
+		}
+	}
+	return netip.AddrPort{}, false, p.roleChanged
+}
+
+// Home returns the address of this node's home; invalid if it has none.
+func (p *Peers) Home() netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.role.Home
+}
+
+// HasRole reports whether this node is a hub or has a home.
+func (p *Peers) HasRole() bool {
+	p.updateRole(p.Now())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.role.Hub || p.role.Home.IsValid()
+}
+
+// IsHub reports whether this node is a hub.
+func (p *Peers) IsHub() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.role.Hub
+}
+
+// Members returns the members that get digests of this node.
+func (p *Peers) Members() []netip.AddrPort {
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var members []netip.AddrPort
+	for address, m := range p.peers {
+		if m.reporter == balancer.Member && now.Sub(m.lastReceived) < memberTimeout {
+			members = append(members, address)
+		}
+	}
+	return members
+}
+
 // Count returns the number of nodes among which shared budgets are divided. It
 // includes this node and all nodes ever seen, so that a node that is cut off does
 // not use more than its share.
@@ -101,13 +251,50 @@
 	return n
 }
 
-// Alive returns the names of the peers that are alive.
-func (p *Peers) Alive() []string {
+// Live returns the number of live nodes, this one included.
+func (p *Peers) Live() int {
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.liveNodes(now)
+}
+
+func (p *Peers) liveNodes(now time.Time) int {
+	if home, ok := p.peers[p.role.Home]; ok && !p.role.Hub {
+		return max(home.heartbeat.Nodes, 1)
+	}
+	n := p.reportedNodes(now)
+	for _, m := range p.peers {
+		if m.reporter == balancer.Hub && m.heartbeat.Hub && now.Sub(m.lastReceived) < heartbeatTimeout {
+			n += max(m.heartbeat.Nodes, 1)
+		}
+	}
+	return n
+}
+
+// reportedNodes returns the number of nodes that this one speaks for.
+func (p *Peers) reportedNodes(now time.Time) int {
+	n := 1
+	for _, m := range p.peers {
+		if m.reporter == balancer.Member && now.Sub(m.lastReceived) < memberTimeout {
+			n += max(m.heartbeat.Nodes, 1)
+		}
+	}
+	return n
+}
+
+// Hubs returns the names of the live hubs, among which work for all nodes is divided,
+// this node included if it is one.
+func (p *Peers) Hubs() []string {
+	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var names []string
+	if p.role.Hub {
+		names = append(names, p.Name)
+	}
 	for _, m := range p.peers {
-		if m.alive {
+		if m.reporter == balancer.Hub && m.heartbeat.Hub && now.Sub(m.lastReceived) < heartbeatTimeout {
 			names = append(names, m.heartbeat.Name)
 		}
 	}
--- a/internal/relayer/part_follower.go
+++ b/internal/relayer/part_follower.go
@@ -76,10 +76,13 @@
 	// Domain is the node's own failure domain. Events of others are read less
 	// often, since bytes between domains cost more.
 	Domain string
-	// Self is the name of this node. Alive returns the names of live peers.
-	Self   string
-	Alive  func() []string
-	Logger zerolog.Logger
+	// Self is the name of this node. Hubs returns the names of the live hubs, of which each
+	// holder gets at most maxFollowers; a node that is no hub follows none.
+	Self string
+	Hubs func() []string
+	// FollowsEngines reports whether engines are followed as well as stores.
+	FollowsEngines func() bool
+	Logger         zerolog.Logger
 
 	mu       sync.Mutex
 	followed map[netip.AddrPort]context.CancelFunc
@@ -100,8 +103,9 @@
 			return f.followStore(ctx, holder, pause)
 		}
 	}
+	followsEngines := f.FollowsEngines()
 	for name, endpoints := range view.Endpoints {
-		if view.Catalog.Services[name].Engine == nil {
+		if view.Catalog.Services[name].Engine == nil || !followsEngines {
 			continue
 		}
 		for _, endpoint := range endpoints {
@@ -111,9 +115,9 @@
 			}
 		}
 	}
-	nodes := append(f.Alive(), f.Self)
+	hubs := f.Hubs()
 	for address := range holders {
-		if !isFollower(nodes, f.Self, address) {
+		if !isFollower(hubs, f.Self, address) {
 			delete(holders, address)
 		}
 	}
@@ -128,6 +132,7 @@
 		if _, ok := holders[address]; !ok {
 			cancel()
 			delete(f.followed, address)
+			f.Locator.Forget(address)
 		}
 	}
 }
@@ -140,18 +145,18 @@
 	return otherDomainPause
 }
 
-// isFollower reports whether the node self is among those that follow a holder.
-func isFollower(nodes []string, self string, holder netip.AddrPort) bool {
-	if len(nodes) <= maxFollowers {
-		return true
+// isFollower reports whether the node self is among the hubs that follow a holder.
+func isFollower(hubs []string, self string, holder netip.AddrPort) bool {
+	if len(hubs) <= maxFollowers {
+		return slices.Contains(hubs, self)
 	}
-	return slices.Index(ranker.Rank(nodes, holder.String()), self) < maxFollowers
+	i := slices.Index(ranker.Rank(hubs, holder.String()), self)
+	return i >= 0 && i < maxFollowers
 }
 
 // run follows one holder until ctx ends. While the holder does not respond, it
 // has no entries in the Locator, so nothing is fetched from it or saved to it.
 func (f *PartFollower) run(ctx context.Context, holder netip.AddrPort, follow func(context.Context, netip.AddrPort) error) {
-	defer f.Locator.Forget(holder)
 	tries := 0
 	for ctx.Err() == nil {
 		started := time.Now()
@@ -179,6 +184,9 @@
 	if err != nil {
 		return err
 	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	f.Locator.Reset(holder, listing.Held, listing.Reserved)
 	f.Logger.Info().Str("event", "store listed").Stringer("place", holder).Int64("epoch", listing.Epoch).Int("parts", len(listing.Held)).Send()
 	return f.followEvents(ctx, holder, position{listing.Epoch, listing.Next}, pause)
@@ -191,6 +199,9 @@
 	if err != nil {
 		return err
 	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	f.Locator.Reset(holder, map[locator.Key]int{}, 0)
 	f.apply(holder, changes)
 	return f.followEvents(ctx, holder, position{changes.Epoch, changes.Next}, pause)
--- /dev/null
+++ b/internal/relayer/part_receiver.go
@@ -0,0 +1,172 @@
+package relayer
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/peertracker"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
+)
+
+const (
+	// directoryTimeout bounds the call that fetches the directory of parts.
+	directoryTimeout = 2 * time.Second
+	// directoryJitter spreads the calls of a home's members after a reset.
+	directoryJitter = 300 * time.Millisecond
+	// maxHeld is the number of datagrams that are kept while the directory is fetched.
+	maxHeld = 64
+)
+
+// PartClient fetches a peer's directory of parts.
+type PartClient interface {
+	Parts(ctx context.Context, peer netip.AddrPort) (messenger.PartDirectory, error)
+}
+
+// PartReceiver keeps a member's directory of parts equal to its home's: it applies the
+// home's numbered changes, and fetches the whole directory at first and after a gap. Its
+// exported fields are set before use.
+type PartReceiver struct {
+	Locator *locator.Locator
+	Client  PartClient
+	Logger  zerolog.Logger
+
+	mu   sync.Mutex
+	home netip.AddrPort
+	// stream and next are those of the next datagram to apply; stream is zero before the
+	// first directory.
+	stream   uint64
+	next     uint64
+	fetching bool
+	held     []peertracker.PartUpdates
+}
+
+// SetHome makes the receiver follow another home; an invalid address means none.
+func (r *PartReceiver) SetHome(ctx context.Context, home netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.home == home {
+		return
+	}
+	r.home, r.stream, r.next, r.held = home, 0, 0, nil
+	if home.IsValid() {
+		r.fetch(ctx)
+	}
+}
+
+// Handle applies changes from a home.
+func (r *PartReceiver) Handle(ctx context.Context, home netip.AddrPort, updates peertracker.PartUpdates) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case home != r.home:
+	case r.fetching:
+		if len(r.held) < maxHeld {
+			r.held = append(r.held, updates)
+		}
+	case updates.Stream == r.stream && updates.Number == r.next:
+		if len(updates.Groups)+len(updates.Forgotten) > 0 {
+			r.apply(updates)
+		}
+	case updates.Stream == r.stream && updates.Number < r.next:
+		// The directory that was fetched has these changes.
+	default:
+		r.held = append(r.held[:0], updates)
+		r.fetch(ctx)
+	}
+}
+
+// apply applies the next datagram of the stream. The caller holds the lock.
+func (r *PartReceiver) apply(updates peertracker.PartUpdates) {
+	for _, holder := range updates.Forgotten {
+		r.Locator.Forget(holder)
+	}
+	for _, group := range updates.Groups {
+		for i, part := range group.Parts {
+			r.Locator.SetPart(group.Holder, locator.Key{Salt: group.Salt, Part: part}, group.Tokens[i])
+		}
+	}
+	r.next = updates.Number + 1
+}
+
+// fetch fetches the whole directory in the background. The caller holds the lock.
+func (r *PartReceiver) fetch(ctx context.Context) {
+	if r.fetching {
+		return
+	}
+	r.fetching = true
+	go func() {
+		for r.fetchOnce(ctx) {
+			if retrier.Sleep(ctx, retryBase+retrier.UniformJitter(directoryJitter)) != nil {
+				return
+			}
+		}
+	}()
+}
+
+// fetchOnce reports whether the directory must be fetched again.
+func (r *PartReceiver) fetchOnce(ctx context.Context) bool {
+	r.mu.Lock()
+	home := r.home
+	r.mu.Unlock()
+	if !home.IsValid() {
+		return r.done(false)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+	directory, err := r.Client.Parts(callCtx, home)
+	if err != nil {
+		r.Logger.Warn().Str("event", "directory of parts").Stringer("home", home).Err(err).Send()
+		return r.done(ctx.Err() == nil)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.home != home {
+		return true
+	}
+	r.replace(directory)
+	r.Logger.Info().Str("event", "directory of parts").Stringer("home", home).Uint64("stream", directory.Stream).
+		Uint64("next", directory.Next).Int("holders", len(directory.Holders)).Int("held", len(r.held)).Send()
+	held := r.held
+	r.held, r.fetching = nil, false
+	for _, updates := range held {
+		if updates.Stream == r.stream && updates.Number == r.next {
+			r.apply(updates)
+		}
+	}
+	return false
+}
+
+func (r *PartReceiver) done(again bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fetching = again
+	return again
+}
+
+// replace replaces the directory. The caller holds the lock.
+func (r *PartReceiver) replace(directory messenger.PartDirectory) {
+	r.stream, r.next = directory.Stream, directory.Next
+	var holders []netip.AddrPort
+	for _, holder := range directory.Holders {
+		parts := map[locator.Key]int{}
+		for _, group := range holder.Groups {
+			for i, part := range group.Parts {
+				parts[locator.Key{Salt: group.Salt, Part: part}] = group.Tokens[i]
+			}
+		}
+		r.Locator.Reset(holder.Holder, parts, holder.Reserved)
+		holders = append(holders, holder.Holder)
+	}
+	for _, known := range r.Locator.Holders() {
+		if !slices.Contains(holders, known) {
+			r.Locator.Forget(known)
+		}
+	}
+}
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -12,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/organizer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/peertracker"
@@ -19,35 +19,39 @@
 )
 
 const (
-	// sameDomainPeriod is the time between heartbeats to peers in the node's own
-	// failure domain, and between ticks of Run. otherDomainPeriod, to peers in other
-	// domains, is longer since bytes between domains cost more.
+	// sameDomainPeriod is the time between heartbeats within a failure domain, and between
+	// ticks of Run. otherDomainPeriod, to hubs of other domains, is longer since bytes
+	// between domains cost more.
 	sameDomainPeriod  = 150 * time.Millisecond
 	otherDomainPeriod = 600 * time.Millisecond
-	// sameDomainFanOut and otherDomainFanOut bound the heartbeats sent per tick of Run.
-	// With more peers due, those that have waited longest come first.
-	sameDomainFanOut  = 6
-	otherDomainFanOut = 6
 	// heartbeatTimeout is the time without heartbeats after which a peer is considered
 	// dead.
-	heartbeatTimeout = 3 * time.Second
-	// silentPeerPeriod is the time between heartbeats to a peer that has timed out or
-	// from which none was ever received.
-	silentPeerPeriod = 2 * time.Second
+	heartbeatTimeout = organizer.HubTimeout
+	// memberTimeout is the silence of a member after which it gets no more digests. With
+	// contactTimeout it is shorter than heartbeatTimeout: a member that its home counts as
+	// dead has stopped fetching from stores.
+	memberTimeout = 1400 * time.Millisecond
+	// contactTimeout is how long a node without contact to a hub and to the log still
+	// fetches parts from stores.
+	contactTimeout = 1500 * time.Millisecond
+	// logContactTimeout is how long after a successful call the log counts as reachable. It
+	// is longer than a call that waits for records.
+	logContactTimeout = 2500 * time.Millisecond
+	// broadcastDelay is how long a broadcast waits for further changes.
+	broadcastDelay = 10 * time.Millisecond
 	// maxSuspects is the maximum number of suspect requests in a heartbeat.
 	maxSuspects = 8
-	// maxLoads, maxModels and maxChanges bound the endpoint loads, the models and the
-	// announced changes in a heartbeat, so that it fits a datagram. announcementTTL is
-	// how long a change is repeated in heartbeats, so that the loss of one does not
-	// matter.
-	maxLoads        = 30
+	// maxModels and maxChanges bound the models and the announced changes in a datagram.
+	// announcementTTL is how long a change is repeated in heartbeats, so that the loss of
+	// one does not matter; relayTTL is the same for a change that was heard from a peer,
+	// which repeats it as well.
 	maxModels       = 8
-	maxChanges      = 8
+	maxChanges      = 24
 	announcementTTL = 700 * time.Millisecond
-	// contactTimeout is how long a node without contact to any peer and to the log
-	// still fetches parts from stores. Acknowledged relies on it being shorter than
-	// heartbeatTimeout.
-	contactTimeout = 1500 * time.Millisecond
+	relayTTL        = 350 * time.Millisecond
+	// fetchDelay is how long a node that hears of newer operators' records waits for them
+	// to arrive from the log.
+	fetchDelay = 400 * time.Millisecond
 	// targetMarker and retainedMarker replace the endpoint's hash in changes that
 	// concern a model as a whole: its newest target version, and the oldest version
 	// whose parts are fetched. IDHash can return these values too: the changes of such
@@ -63,7 +67,7 @@
 
 // Gossip sends heartbeats to peers.
 type Gossip interface {
-	Send(to netip.AddrPort, message packer.Message) error
+	Send(to []netip.AddrPort, message packer.Message) error
 }
 
 // OperatorStateClient fetches a peer's copy of the operators' records.
@@ -72,8 +76,9 @@
 }
 
 // Peers exchanges heartbeats with the other nodes: load, suspect requests, weights
-// and configuration versions. It fetches configurations and target versions that are
-// newer than its own. Its exported fields are set before Run.
+// and configuration versions. Hubs send them to each other and digests to their members;
+// a member sends them to its home only, see package organizer. It fetches configurations
+// and target versions that are newer than its own. Its exported fields are set before Run.
 type Peers struct {
 	Name   string
 	Domain string
@@ -81,6 +86,10 @@
 	// GossipPort of the peer's IP address; the port is the same on all hosts.
 	Address    netip.AddrPort
 	GossipPort uint16
+	// Cores is the share of processors that the host gives this node, and Domains the
+	// number of failure domains.
+	Cores   float64
+	Domains int
 	// Incarnation distinguishes the starts of the process. It normally increases, but
 	// see accept.
 	Incarnation uint64
@@ -89,22 +98,34 @@
 	Node        *Relayer
 	Balancer    *balancer.Balancer
 	Suspects    *retrier.Suspects
+	// HandleParts is called with changes of the directory of parts from the home.
+	HandleParts func(home netip.AddrPort, updates peertracker.PartUpdates)
 	// ApplyOperatorState applies the operators' records fetched from a peer.
 	ApplyOperatorState func(state messenger.OperatorState)
-	Log                zerolog.Logger
-	Now                func() time.Time
+	// OnRole is called after this node became a hub or a member, or got another home.
+	OnRole func()
+	Log    zerolog.Logger
+	Now    func() time.Time
 	// Stopping is set once the node shuts down.
 	Stopping *atomic.Bool
 
 	mu        sync.Mutex
-	peers     map[netip.AddrPort]*peerState
-	announced []announced
+	organizer *organizer.Organizer
+	role      organizer.Role
+	// roleChanged is closed and replaced when role changes.
+	roleChanged chan struct{}
+	peers       map[netip.AddrPort]*peerState
+	announced   []announced
 	// rotation counts heartbeats, to rotate through the models.
 	rotation int
-	// lastContact is when RecordContact was last called, as a time since boot.
-	lastContact time.Duration
-	sequence    atomic.Uint64
-	fetching    atomic.Bool
+	// lastContact and lastLogContact are when RecordContact and RecordLogContact were last
+	// called, as times since boot.
+	lastContact    time.Duration
+	lastLogContact time.Duration
+	// broadcasting is set while a broadcast is due.
+	broadcasting bool
+	sequence     atomic.Uint64
+	fetching     atomic.Bool
 	// sendFailing is set if the last heartbeat could not be sent, no matter to which peer.
 	sendFailing atomic.Bool
 }
@@ -123,83 +144,128 @@
 	}
 }
 
-// Broadcast sends a heartbeat to all peers immediately.
-func (p *Peers) Broadcast() { p.heartbeat(true) }
+// Broadcast sends a heartbeat to all peers that this node reports to, as soon as changes
+// that follow at once are in it.
+func (p *Peers) Broadcast() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.broadcasting {
+		return
+	}
+	p.broadcasting = true
+	time.AfterFunc(broadcastDelay, func() {
+		p.mu.Lock()
+		p.broadcasting = false
+		p.mu.Unlock()
+		p.heartbeat(true)
+	})
+}
+
+// due are the peers that get a heartbeat now, by the kind of heartbeat.
+type due struct {
+	hubs    []netip.AddrPort
+	homes   []netip.AddrPort
+	members []netip.AddrPort
+}
 
+// heartbeat sends the heartbeats that are due, or all if all is set.
 func (p *Peers) heartbeat(all bool) {
 	now := p.Now()
-	sameDomain, otherDomains := p.due(now, all)
-	if len(sameDomain)+len(otherDomains) == 0 {
-		return
+	p.updateRole(now)
+	due := p.due(now, all)
+	for _, target := range []struct {
+		to   []netip.AddrPort
+		kind kind
+	}{{due.hubs, toHubs}, {due.homes, toHome}, {due.members, toMembers}} {
+		if len(target.to) == 0 {
+			continue
+		}
+		for _, heartbeat := range p.newHeartbeats(now, target.kind) {
+			p.send(target.to, heartbeat)
+		}
 	}
-	heartbeat := p.newHeartbeat(now)
-	p.send(slices.Concat(sameDomain, otherDomains), heartbeat)
 }
 
-// due returns the peers that get a heartbeat now, by failure domain: the node's own
-// and others. It marks them as sent to, and peers that have timed out as dead.
-func (p *Peers) due(now time.Time, all bool) (sameDomain, otherDomains []netip.AddrPort) {
+// due returns the peers that get a heartbeat now, marks them as sent to, and peers that
+// have timed out as dead.
+func (p *Peers) due(now time.Time, all bool) due {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, m := range p.peers {
-		period := otherDomainPeriod
-		if m.domain == p.Domain {
-			period = sameDomainPeriod
-		}
-		timedOut := now.Sub(m.lastReceived) > heartbeatTimeout
-		if timedOut {
-			period = silentPeerPeriod
-		}
-		if timedOut && m.alive {
-			m.alive = false
-			p.Log.Warn().Str("event", "peer lost").Str("peer", m.heartbeat.Name).Stringer("address", address).Time("heard", m.lastReceived).Send()
-		}
+	p.markDead(now)
+	var due due
+	take := func(address netip.AddrPort, period time.Duration) bool {
+		m := p.peerState(address)
 		// Ticks are not exact. A heartbeat that is due half a tick later is sent now, since
 		// the next tick would be too late.
 		if !all && now.Sub(m.lastSent) < period-sameDomainPeriod/2 {
-			continue
-		}
-		if m.domain == p.Domain {
-			sameDomain = append(sameDomain, address)
-		} else {
-			otherDomains = append(otherDomains, address)
+			return false
 		}
+		m.lastSent = now
+		return true
 	}
-	if !all {
-		sameDomain, otherDomains = p.longestWaiting(sameDomain, sameDomainFanOut), p.longestWaiting(otherDomains, otherDomainFanOut)
+	if p.role.Hub || len(p.role.Ask) == 0 {
+		own, others := p.organizer.Hubs(now)
+		for _, address := range own {
+			if take(address, sameDomainPeriod) {
+				due.hubs = append(due.hubs, address)
+			}
+		}
+		for _, address := range others {
+			if take(address, otherDomainPeriod) {
+				due.hubs = append(due.hubs, address)
+			}
+		}
+		due.hubs = append(due.hubs, p.organizer.Probes(now)...)
+		due.hubs = append(due.hubs, p.silentSeeds(now)...)
+	} else {
+		due.homes = p.role.Ask
 	}
-	for _, address := range slices.Concat(sameDomain, otherDomains) {
-		p.peers[address].lastSent = now
+	for address, m := range p.peers {
+		if m.reporter == balancer.Member && now.Sub(m.lastReceived) < memberTimeout {
+			due.members = append(due.members, address)
+		}
 	}
-	return sameDomain, otherDomains
+	return due
 }
 
-// longestWaiting returns the n peers whose last heartbeat from this node is oldest.
-func (p *Peers) longestWaiting(addresses []netip.AddrPort, n int) []netip.AddrPort {
-	slices.SortFunc(addresses, func(a, b netip.AddrPort) int {
-		return cmp.Or(p.peers[a].lastSent.Compare(p.peers[b].lastSent), a.Compare(b))
-	})
-	return addresses[:min(n, len(addresses))]
-}
+// seedPeriod is the time between heartbeats to a seed that was never heard.
+const seedPeriod = 2 * time.Second
 
-func (p *Peers) newHeartbeat(now time.Time) peertracker.Heartbeat {
-	heartbeat := peertracker.Heartbeat{
-		Name: p.Name, Domain: p.Domain, Address: p.Address, Incarnation: p.Incarnation,
-		Sequence: p.sequence.Add(1), Leaving: p.Stopping.Load(),
-		Suspects: p.Suspects.Local(now, maxSuspects), Loads: p.Balancer.Local(maxLoads), Changes: p.heartbeatChanges(now),
+// silentSeeds returns the peers whose domain is not known, since they are neither in the
+// directory nor were heard.
+func (p *Peers) silentSeeds(now time.Time) []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for address, m := range p.peers {
+		if m.listed && m.lastReceived.IsZero() && now.Sub(m.lastSent) >= seedPeriod && !p.organizer.Knows(address) {
+			m.lastSent = now
+			seeds = append(seeds, address)
+		}
 	}
-	if catalog := p.Node.View().Catalog; catalog != nil {
-		heartbeat.Applied = uint64(catalog.Version)
+	return seeds
+}
+
+// markDead records peers that have timed out.
+func (p *Peers) markDead(now time.Time) {
+	for address, m := range p.peers {
+		if !m.alive || now.Sub(m.lastReceived) <= heartbeatTimeout {
+			continue
+		}
+		m.alive = false
+		// Only hubs hear from other hubs, and only a home from its members.
+		if m.reporter == balancer.Member || p.role.Hub && m.heartbeat.Hub || address == p.role.Home {
+			p.Log.Warn().Str("event", "peer lost").Str("peer", m.heartbeat.Name).Stringer("address", address).Time("heard", m.lastReceived).Send()
+		}
 	}
-	return heartbeat
 }
 
 func (p *Peers) send(to []netip.AddrPort, heartbeat peertracker.Heartbeat) {
-	for _, address := range to {
-		err := p.Gossip.Send(netip.AddrPortFrom(address.Addr(), p.GossipPort), packer.Message{Sender: heartbeat})
-		if sendFailing := err != nil; p.sendFailing.Swap(sendFailing) != sendFailing {
-			p.Log.Warn().Str("event", "heartbeats").Bool("sent", !sendFailing).Stringer("address", address).AnErr("error", err).Send()
-		}
+	targets := make([]netip.AddrPort, len(to))
+	for i, address := range to {
+		targets[i] = netip.AddrPortFrom(address.Addr(), p.GossipPort)
+	}
+	err := p.Gossip.Send(targets, packer.Message{Sender: heartbeat})
+	if sendFailing := err != nil; p.sendFailing.Swap(sendFailing) != sendFailing {
+		p.Log.Warn().Str("event", "heartbeats").Bool("sent", !sendFailing).Int("peers", len(to)).AnErr("error", err).Send()
 	}
 }
 
@@ -212,17 +278,87 @@
 	for _, suspect := range heartbeat.Suspects {
 		p.Suspects.Update(now, heartbeat.Name, suspect)
 	}
-	p.Balancer.HandleHeartbeat(heartbeat.Name, now, heartbeat.Loads)
-	p.RecordContact()
+	reporter, ok := p.reporter(heartbeat)
+	if !ok {
+		return
+	}
+	if heartbeat.Loads != nil {
+		p.Balancer.HandleReport(heartbeat.Name, reporter, now, *heartbeat.Loads)
+	}
+	if heartbeat.Parts != nil && reporter == balancer.Home {
+		p.HandleParts(heartbeat.Address, *heartbeat.Parts)
+	}
 	newer := p.applyModelChanges(heartbeat)
+	if reporter == balancer.Home {
+		p.adoptRetained(heartbeat)
+	}
 	if len(heartbeat.Changes) > 0 {
-		p.Node.ApplyPeerChanges(heartbeat.Changes)
+		p.Node.ApplyPeerChanges(heartbeat.Changes, func(change peertracker.Change) { p.relay(change, reporter) })
+	}
+	if reporter != balancer.Member {
+		p.RecordContact()
+	}
+	switch reporter {
+	case balancer.Hub:
+		p.answerProbe(heartbeat, now)
+	case balancer.Member:
+		p.welcome(heartbeat.Address, now)
 	}
 	if (newer || p.isBehind(int64(heartbeat.Applied))) && p.fetching.CompareAndSwap(false, true) {
 		go p.fetchOperatorState(heartbeat)
 	}
 }
 
+// welcome sends a new member a digest at once.
+func (p *Peers) welcome(member netip.AddrPort, now time.Time) {
+	p.mu.Lock()
+	m := p.peerState(member)
+	isNew := now.Sub(m.lastSent) >= memberTimeout
+	m.lastSent = now
+	p.mu.Unlock()
+	if !isNew {
+		return
+	}
+	for _, digest := range p.newHeartbeats(now, toMembers) {
+		p.send([]netip.AddrPort{member}, digest)
+	}
+}
+
+// answerProbe answers a hub that this node sends no heartbeats to, since it is no hub. The
+// hub may have just started and know no other node.
+func (p *Peers) answerProbe(heartbeat peertracker.Heartbeat, now time.Time) {
+	p.mu.Lock()
+	m := p.peerState(heartbeat.Address)
+	answer := heartbeat.Hub && !p.role.Hub && !slices.Contains(p.role.Ask, heartbeat.Address) && now.Sub(m.lastSent) >= seedPeriod
+	if answer {
+		m.lastSent = now
+	}
+	p.mu.Unlock()
+	if !answer {
+		return
+	}
+	reply := p.baseHeartbeat(now, toHubs)
+	reply.Sequence, reply.Changes = p.sequence.Add(1), p.heartbeatChanges(now, toHubs)
+	reply.Changes = reply.Changes[:min(len(reply.Changes), maxChanges)]
+	p.send([]netip.AddrPort{heartbeat.Address}, reply)
+}
+
+// reporter returns whose load a heartbeat reports. It returns false for a digest of a
+// node that is not this node's home.
+func (p *Peers) reporter(heartbeat peertracker.Heartbeat) (balancer.Reporter, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case heartbeat.Digest:
+		return balancer.Home, p.role.Home == heartbeat.Address
+	case heartbeat.Homed:
+		return balancer.Member, true
+	default:
+		return balancer.Hub, true
+	}
+}
+
+// accept records a heartbeat unless it is outdated.
 func (p *Peers) accept(heartbeat peertracker.Heartbeat, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -234,22 +370,47 @@
 	if outdated || sameProcess && m.heartbeat.Sequence >= heartbeat.Sequence {
 		return false
 	}
+	if !heartbeat.Homed && !heartbeat.Hub {
+		// The peer reports to another hub now.
+		p.Balancer.Forget(m.heartbeat.Name)
+	}
 	if !m.alive {
-		p.Log.Info().Str("event", "peer heard").Str("peer", heartbeat.Name).Stringer("address", heartbeat.Address).Str("domain", heartbeat.Domain).Send()
+		p.Log.Info().Str("event", "peer heard").Str("peer", heartbeat.Name).Stringer("address", heartbeat.Address).
+			Str("domain", heartbeat.Domain).Bool("hub", heartbeat.Hub).Bool("member", heartbeat.Homed).Send()
+	}
+	p.hear(heartbeat, now)
+	m.alive, m.lastReceived, m.heartbeat = true, now, heartbeat
+	m.reporter = balancer.Hub
+	if heartbeat.Homed {
+		m.reporter = balancer.Member
 	}
-	m.alive, m.lastReceived, m.domain, m.heartbeat = true, now, heartbeat.Domain, heartbeat
 	return true
 }
 
+// hear tells the organizer of a heartbeat.
+func (p *Peers) hear(heartbeat peertracker.Heartbeat, now time.Time) {
+	o := p.hubOrganizer()
+	o.Hear(now, heartbeat.Address, heartbeat.Domain, organizer.Sign{Hub: heartbeat.Hub, Leaving: heartbeat.Leaving})
+	if len(heartbeat.Hubs) > 0 {
+		o.Vouch(now, heartbeat.Domain, heartbeat.Hubs)
+	}
+}
+
 func (p *Peers) isBehind(version int64) bool {
 	catalog := p.Node.View().Catalog
 	return version > 0 && (catalog == nil || catalog.Version < version)
 }
 
 // fetchOperatorState fetches and applies the operators' records of a peer that has
-// newer ones.
+// newer ones, if they do not arrive from the log at the same time.
 func (p *Peers) fetchOperatorState(heartbeat peertracker.Heartbeat) {
 	defer p.fetching.Store(false)
+	if p.Node.Ready() {
+		time.Sleep(fetchDelay)
+		if !p.applyModelChanges(heartbeat) && !p.isBehind(int64(heartbeat.Applied)) {
+			return
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), OperatorStateTimeout)
 	defer cancel()
 	var current int64
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -242,8 +242,9 @@
 }
 
 // ApplyPeerChanges applies the changes of endpoints that a peer announced: of their
-// weights, and that they are leaving.
-func (r *Relayer) ApplyPeerChanges(changes []peertracker.Change) {
+// weights, and that they are leaving. relay is called for each change that was news, and
+// for each endpoint that drains or loads.
+func (r *Relayer) ApplyPeerChanges(changes []peertracker.Change, relay func(change peertracker.Change)) {
 	r.do(func() {
 		changed := false
 		for _, change := range changes {
@@ -253,13 +254,18 @@
 			case change.Model == leavingMarker:
 				if change.Version == startOf(endpoint) && r.table.MarkLeaving(endpoint) {
 					changed = true
+					relay(change)
 					r.logLeaving(endpoint, "peer")
 				}
 			case change.Version == 0:
-				r.RecordLoading(endpoint.ID)
+				if r.lacksTarget(endpoint) {
+					r.RecordLoading(endpoint.ID)
+					relay(change)
+				}
 			case r.table.UpdateWeights(endpoint, model, change.Version):
 				r.OnLoaded(endpoint.ID)
 				changed = true
+				relay(change)
 				r.Log.Info().Str("event", "endpoint weights").Str("endpoint", endpoint.ID).Str("model", model).Int64("version", change.Version).Str("source", "peer").Send()
 			}
 		}
@@ -269,6 +275,17 @@
 	})
 }
 
+// lacksTarget reports whether an endpoint has a model whose target version is newer than
+// the loaded one. If not, a peer's word that it loads has been overtaken.
+func (r *Relayer) lacksTarget(endpoint endpointtracker.Endpoint) bool {
+	for model, loaded := range endpoint.Weights {
+		if known := r.targetVersions[model]; len(known) > 0 && known[len(known)-1].Version > loaded {
+			return true
+		}
+	}
+	return false
+}
+
 // findByHash returns the endpoint and the model that a peer's change refers to by hash.
 func (r *Relayer) findByHash(change peertracker.Change) (endpointtracker.Endpoint, string, bool) {
 	for _, endpoints := range r.View().Endpoints {
@@ -289,6 +306,25 @@
 	return endpointtracker.Endpoint{}, "", false
 }
 
+// RaiseRetained raises the retained version of each model to the one that a peer has
+// reached, if that is higher.
+func (r *Relayer) RaiseRetained(reached func(model string) int64) {
+	view := r.View()
+	raised := false
+	for model, version := range view.OldestRetained {
+		raised = raised || reached(model) > version
+	}
+	if !raised {
+		return
+	}
+	r.do(func() {
+		for model, version := range r.retained {
+			r.retained[model] = max(version, reached(model))
+		}
+		r.publish()
+	})
+}
+
 // updateRetained raises the retained version of each model to the one that more
 // than half of the endpoints have reached. Parts of older versions are no longer
 // fetched, so that stores can free their memory. The retained version never
@@ -326,6 +362,7 @@
 	view := placer.View{Catalog: r.catalog, Endpoints: r.table.Snapshot(), TargetVersions: maps.Clone(r.targetVersions)}
 	r.updateRetained(view.Endpoints)
 	view.OldestRetained = maps.Clone(r.retained)
+	view.Prepare()
 	r.view.Store(&view)
 	if r.OnChange != nil {
 		r.OnChange(view)
--- a/internal/relayer/rollout.go
+++ b/internal/relayer/rollout.go
@@ -80,6 +80,8 @@
 	Node      *Relayer
 	Log       ClaimLog
 	Endpoints Endpoints
+	// Active reports whether this node may claim the lease.
+	Active func() bool
 	// Self identifies this node in claims; it must be unique.
 	Self string
 	// AnnounceLoading is called for each endpoint that is to get no new requests because
@@ -112,6 +114,10 @@
 	r.states = map[string]upgrader.State{}
 	for ctx.Err() == nil {
 		period := idlePeriod
+		if !r.Active() {
+			_ = retrier.Sleep(ctx, period)
+			continue
+		}
 		if !r.lease.Known() {
 			// The wait for an unknown holder counts from the first reading.
 			r.logOutage(ctx, r.readClaims(ctx, 0))
@@ -250,7 +256,9 @@
 func (r *Rollout) stateList() []upgrader.State {
 	states := make([]upgrader.State, 0, len(r.states))
 	for _, state := range r.states {
-		states = append(states, state)
+		if len(state.Endpoint.Weights) > 0 {
+			states = append(states, state)
+		}
 	}
 	return states
 }
--- /dev/null
+++ b/internal/relayer/shared_log.go
@@ -0,0 +1,131 @@
+package relayer
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+)
+
+const (
+	// peerWait is how long a read at a peer waits for new records. A silent peer is noticed
+	// by its heartbeats, and the read is then cancelled.
+	peerWait = 4 * time.Second
+	// directPause is the minimum time between calls to the log of a node that should follow
+	// it through a peer, but has none that has contact with the log; directJitter spreads
+	// these calls.
+	directPause  = 1200 * time.Millisecond
+	directJitter = 600 * time.Millisecond
+)
+
+// PeerLog reads a log through a peer.
+type PeerLog interface {
+	Newest(ctx context.Context, peer netip.AddrPort, topic string) (Batch, error)
+	Read(ctx context.Context, peer netip.AddrPort, topic string, from Position, wait time.Duration) (Batch, error)
+}
+
+// SharedLog is a log that this node reads itself or follows through a peer, as Source
+// says. It implements KeyedLog. Its exported fields are set before use.
+type SharedLog struct {
+	Topic  string
+	Direct KeyedLog
+	Peer   PeerLog
+	// Source returns the peer to follow the log through, if any, and a channel that is
+	// closed when that may have changed.
+	Source func() (netip.AddrPort, bool, <-chan struct{})
+	// IsHub reports whether this node should have contact with the log itself.
+	IsHub func() bool
+	// RecordLogContact is called after each successful call to the log.
+	RecordLogContact func()
+
+	mu         sync.Mutex
+	lastDirect time.Time
+}
+
+// Newest implements KeyedLog.
+func (s *SharedLog) Newest(ctx context.Context) (Batch, error) {
+	if peer, ok, changed := s.source(); ok {
+		ctx, cancel := cancelOn(ctx, changed)
+		defer cancel()
+		return s.Peer.Newest(ctx, peer, s.Topic)
+	}
+	if err := s.awaitTurn(ctx); err != nil {
+		return Batch{}, err
+	}
+	return s.recordDirect(s.Direct.Newest(ctx))
+}
+
+// Read implements KeyedLog. A read at a peer ends without records when the source
+// changes.
+func (s *SharedLog) Read(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
+	if peer, ok, changed := s.source(); ok {
+		peerCtx, cancel := cancelOn(ctx, changed)
+		defer cancel()
+		wait := peerWait
+		if s.IsHub() {
+			wait = directPause
+		}
+		batch, err := s.Peer.Read(peerCtx, peer, s.Topic, from, wait)
+		if err != nil && ctx.Err() == nil && peerCtx.Err() != nil {
+			return Batch{Next: from}, nil
+		}
+		return batch, err
+	}
+	if err := s.awaitTurn(ctx); err != nil {
+		return Batch{}, err
+	}
+	return s.recordDirect(s.Direct.Read(ctx, from, wait))
+}
+
+// source returns the peer to use for the next call. A hub that has lost contact with the
+// log tries it itself now and then.
+func (s *SharedLog) source() (netip.AddrPort, bool, <-chan struct{}) {
+	peer, ok, changed := s.Source()
+	if !ok || !s.IsHub() {
+		return peer, ok, changed
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return peer, time.Since(s.lastDirect) < directPause, changed
+}
+
+// awaitTurn keeps a node that is no hub from calling the log often.
+func (s *SharedLog) awaitTurn(ctx context.Context) error {
+	s.mu.Lock()
+	pause := time.Duration(0)
+	if !s.IsHub() {
+		pause = time.Until(s.lastDirect.Add(directPause + retrier.UniformJitter(directJitter)))
+	}
+	s.mu.Unlock()
+	if pause > 0 {
+		if err := retrier.Sleep(ctx, pause); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastDirect = time.Now()
+	return nil
+}
+
+func (s *SharedLog) recordDirect(batch Batch, err error) (Batch, error) {
+	if err == nil {
+		s.RecordLogContact()
+	}
+	return batch, err
+}
+
+// cancelOn returns a context that ends when changed is closed.
+func cancelOn(ctx context.Context, changed <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -138,7 +138,7 @@
 		if withForwarded {
 			message.Digests = forwardedHeartbeats(snapshot.Peers, target)
 		}
-		if err := n.gossip.Send(target, message); err != nil {
+		if err := n.gossip.Send([]netip.AddrPort{target}, message); err != nil {
 			n.Log.Debug().Err(err).Stringer("peer", target).Msg("failed to send heartbeat")
 		}
 	}
--- a/internal/state/peertracker/peertracker.go
+++ b/internal/state/peertracker/peertracker.go
@@ -37,11 +37,55 @@
 	Leaving bool
 	// Suspects are requests that were running when an endpoint crashed.
 	Suspects []Suspect
-	// Loads is the load that the peer itself puts on endpoints.
-	Loads []Load
+	// Loads is the load that the sender reports; nil if the heartbeat says nothing about
+	// loads. This and all fields below but Changes are set by relay nodes only.
+	Loads *LoadReport
 	// Changes are recent changes of endpoints that the peer has detected, of their weights
 	// or that they are leaving, and the target and retained versions of models.
 	Changes []Change
+	// Hub is set by a node that acts as a hub of its domain. Homed is set by a node that
+	// asks the receiver to be its home, and Digest by a home in what it sends its members.
+	Hub    bool
+	Homed  bool
+	Digest bool
+	// Nodes is the number of live nodes that the sender speaks for, itself included.
+	Nodes int
+	// Hubs are hashes of the addresses of the live hubs of the sender's domain, and Sources
+	// are those of them that have contact with the log.
+	Hubs    []uint32
+	Sources []uint32
+	// LogContact is set by a node that reads the log itself and has contact with it.
+	LogContact bool
+	// Parts are changes of the directory of prompt parts; nil for none.
+	Parts *PartUpdates
+}
+
+// LoadReport replaces what its sender has reported before of the endpoints whose hashes
+// are between First and Last.
+type LoadReport struct {
+	First uint32
+	Last  uint32
+	// Loads is ordered by the hash of the endpoint.
+	Loads []Load
+}
+
+// PartUpdates are changes of the directory of prompt parts. The datagrams of one stream
+// are numbered, so that a gap is noticed.
+type PartUpdates struct {
+	Stream uint64
+	Number uint64
+	Groups []PartGroup
+	// Forgotten are holders that do not respond.
+	Forgotten []netip.AddrPort
+}
+
+// PartGroup holds parts of one holder and cache salt, with their sizes in tokens. Zero
+// tokens mean that the part was removed.
+type PartGroup struct {
+	Holder netip.AddrPort
+	Salt   string
+	Parts  []string
+	Tokens []int
 }
 
 // Change is a change of an endpoint's weights. Endpoint and Model are hashes of
@@ -54,7 +98,7 @@
 	Version int64
 }
 
-// Load is the load that one peer's requests put on an endpoint.
+// Load is the load that requests put on an endpoint.
 type Load struct {
 	// Endpoint is a hash of the endpoint's id.
 	Endpoint uint32
@@ -71,6 +115,9 @@
 type Suspect struct {
 	Fingerprint uint64
 	Crashes     uint8
+	// Observer is a hash of the name of the node that saw the crashes; zero for the sender
+	// of the heartbeat.
+	Observer uint32
 }
 
 // Peer is the latest heartbeat of a peer and the local time of its receipt.
--- a/internal/transport/gossiper/gossiper.go
+++ b/internal/transport/gossiper/gossiper.go
@@ -127,13 +127,24 @@
 	return gnet.None
 }
 
-// Send sends a message to a peer. It does not wait for the peer to receive the
-// datagram, and a datagram lost on the way is not an error.
-func (g *Gossiper) Send(to netip.AddrPort, message packer.Message) error {
+// Send sends a message to peers. It does not wait for them to receive the datagram, and
+// a datagram lost on the way is not an error. It returns the first error, after it has
+// sent the message to all others.
+func (g *Gossiper) Send(to []netip.AddrPort, message packer.Message) error {
 	datagram, err := g.Packer.Pack(message)
 	if err != nil {
 		return err
 	}
+	var failed error
+	for _, peer := range to {
+		if err := g.write(peer, datagram); err != nil && failed == nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
+func (g *Gossiper) write(to netip.AddrPort, datagram []byte) error {
 	conn, err := g.conn(to)
 	if err != nil {
 		return err
--- a/internal/transport/messenger/relay.go
+++ b/internal/transport/messenger/relay.go
@@ -4,10 +4,13 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/wire"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/peertracker"
 )
 
 // OperatorState is the part of the operators' records that relay nodes
@@ -21,11 +24,65 @@
 	Weights map[string]int64
 }
 
+// TopicPosition is a place in a keyed log, in an era of it.
+type TopicPosition struct {
+	Era    int64
+	Offset int64
+}
+
+// TopicRecord is a record of a keyed log; a nil value means that the key was deleted.
+type TopicRecord struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// TopicBatch is the result of one reading of a keyed log.
+type TopicBatch struct {
+	Records []TopicRecord
+	Next    TopicPosition
+	// Interrupted is set if the peer recently had no contact with the log.
+	Interrupted bool
+}
+
+// Errors of reading a keyed log at a peer.
+var (
+	// ErrTopicUnavailable means that the peer does not know the state of the log.
+	ErrTopicUnavailable = errors.New("peer does not know the state of the log")
+	// ErrTopicDropped means that the peer has no complete changes from the position on.
+	ErrTopicDropped = errors.New("peer has dropped changes from the position on")
+	// ErrTopicRestored means that the log is in a later era than the position.
+	ErrTopicRestored = errors.New("log is in a later era")
+)
+
+// PartDirectory is a copy of the directory of prompt parts.
+type PartDirectory struct {
+	// Stream and Next are those of the first datagram with changes that are not in the copy.
+	Stream uint64
+	Next   uint64
+	// Holders lists all holders, also those without parts.
+	Holders []PartHolder
+}
+
+// PartHolder is the content of one holder. Reserved is the memory taken by incomplete
+// parts, in tokens.
+type PartHolder struct {
+	Holder   netip.AddrPort
+	Reserved int
+	Groups   []peertracker.PartGroup
+}
+
 // RelayNode is what a relay node must implement to serve its peers.
 type RelayNode interface {
 	// OperatorState returns the newest configuration and target versions that
 	// the node has. Data is left out if Version is not above knownVersion.
 	OperatorState(knownVersion int64) OperatorState
+	// Newest returns the newest record of each key of a log, and ReadTopic the records from
+	// a position on, for which it waits. They return the errors above.
+	Newest(ctx context.Context, topic string) (TopicBatch, error)
+	ReadTopic(ctx context.Context, topic string, from TopicPosition, wait time.Duration) (TopicBatch, error)
+	// Parts returns the directory of prompt parts.
+	Parts() PartDirectory
 }
 
 // NewRelayHandler returns the HTTP handler of a relay node's peer service.
@@ -59,3 +116,116 @@
 	}
 	return state, nil
 }
+
+// Topic implements wire.Relay.
+func (s *relayServer) Topic(ctx context.Context, request *wire.TopicRequest) (*wire.TopicReply, error) {
+	var batch TopicBatch
+	var err error
+	if request.List {
+		batch, err = s.node.Newest(ctx, request.Topic)
+	} else {
+		from := TopicPosition{Era: request.Era, Offset: request.Offset}
+		wait := min(max(time.Duration(request.WaitMs)*time.Millisecond, 0), maxTopicWait)
+		batch, err = s.node.ReadTopic(ctx, request.Topic, from, wait)
+	}
+	switch {
+	case err == nil:
+		return encodeTopicBatch(batch), nil
+	case errors.Is(err, ErrTopicDropped):
+		return &wire.TopicReply{Result: wire.TopicResult_TOPIC_RESULT_DROPPED}, nil
+	case errors.Is(err, ErrTopicRestored):
+		return &wire.TopicReply{Result: wire.TopicResult_TOPIC_RESULT_RESTORED}, nil
+	default:
+		return &wire.TopicReply{Result: wire.TopicResult_TOPIC_RESULT_UNAVAILABLE}, nil
+	}
+}
+
+// maxTopicWait bounds how long a peer's read waits for records.
+const maxTopicWait = 30 * time.Second
+
+func encodeTopicBatch(batch TopicBatch) *wire.TopicReply {
+	reply := &wire.TopicReply{
+		Result: wire.TopicResult_TOPIC_RESULT_OK, Era: batch.Next.Era, Next: batch.Next.Offset, Interrupted: batch.Interrupted,
+	}
+	for _, record := range batch.Records {
+		reply.Records = append(reply.Records, &wire.TopicRecord{
+			Key: record.Key, Value: record.Value, Offset: record.Offset, Deleted: record.Value == nil,
+		})
+	}
+	return reply
+}
+
+// Newest reads the newest record of each key of a log at a peer.
+func (c *Client) Newest(ctx context.Context, peer netip.AddrPort, topic string) (TopicBatch, error) {
+	return c.topic(ctx, peer, &wire.TopicRequest{Topic: topic, List: true})
+}
+
+// ReadTopic reads the records of a log from a position on at a peer, which waits at most
+// wait for the first one.
+func (c *Client) ReadTopic(ctx context.Context, peer netip.AddrPort, topic string, from TopicPosition, wait time.Duration) (TopicBatch, error) {
+	return c.topic(ctx, peer, &wire.TopicRequest{Topic: topic, Era: from.Era, Offset: from.Offset, WaitMs: wait.Milliseconds()})
+}
+
+func (c *Client) topic(ctx context.Context, peer netip.AddrPort, request *wire.TopicRequest) (TopicBatch, error) {
+	reply, err := wire.NewRelayProtobufClient("http://"+peer.String(), c.http).Topic(ctx, request)
+	if err != nil {
+		return TopicBatch{}, errors.Wrapf(err, "read %s at %s", request.Topic, peer)
+	}
+	switch reply.Result {
+	case wire.TopicResult_TOPIC_RESULT_OK:
+	case wire.TopicResult_TOPIC_RESULT_DROPPED:
+		return TopicBatch{}, ErrTopicDropped
+	case wire.TopicResult_TOPIC_RESULT_RESTORED:
+		return TopicBatch{}, ErrTopicRestored
+	default:
+		return TopicBatch{}, errors.Wrapf(ErrTopicUnavailable, "%s at %s", request.Topic, peer)
+	}
+	batch := TopicBatch{Next: TopicPosition{Era: reply.Era, Offset: reply.Next}, Interrupted: reply.Interrupted}
+	for _, record := range reply.Records {
+		decoded := TopicRecord{Key: record.Key, Offset: record.Offset}
+		if !record.Deleted {
+			decoded.Value = append([]byte{}, record.Value...)
+		}
+		batch.Records = append(batch.Records, decoded)
+	}
+	return batch, nil
+}
+
+// Parts implements wire.Relay.
+func (s *relayServer) Parts(context.Context, *wire.PartsRequest) (*wire.PartsReply, error) {
+	directory := s.node.Parts()
+	reply := &wire.PartsReply{Stream: directory.Stream, Next: directory.Next}
+	for _, holder := range directory.Holders {
+		encoded := &wire.PartHolder{Holder: holder.Holder.String(), Reserved: int64(holder.Reserved)}
+		for _, group := range holder.Groups {
+			encoded.Groups = append(encoded.Groups, packer.EncodePartGroup(group))
+		}
+		reply.Holders = append(reply.Holders, encoded)
+	}
+	return reply, nil
+}
+
+// Parts fetches a peer's directory of prompt parts.
+func (c *Client) Parts(ctx context.Context, peer netip.AddrPort) (PartDirectory, error) {
+	reply, err := wire.NewRelayProtobufClient("http://"+peer.String(), c.http).Parts(ctx, &wire.PartsRequest{})
+	if err != nil {
+		return PartDirectory{}, errors.Wrapf(err, "fetch the directory of parts from %s", peer)
+	}
+	directory := PartDirectory{Stream: reply.Stream, Next: reply.Next}
+	for _, holder := range reply.Holders {
+		address, err := netip.ParseAddrPort(holder.Holder)
+		if err != nil {
+			return PartDirectory{}, errors.Wrapf(err, "directory of parts from %s: holder", peer)
+		}
+		decoded := PartHolder{Holder: address, Reserved: int(holder.Reserved)}
+		for _, group := range holder.Groups {
+			parts, err := packer.DecodePartGroup(group)
+			if err != nil {
+				return PartDirectory{}, errors.Wrapf(err, "directory of parts from %s", peer)
+			}
+			decoded.Groups = append(decoded.Groups, parts)
+		}
+		directory.Holders = append(directory.Holders, decoded)
+	}
+	return directory, nil
+}
