--- a/internal/transport/gossiper/gossiper.go
+++ b/internal/transport/gossiper/gossiper.go
@@ -47,6 +47,10 @@
 	Packer  packer.Packer
 	// Receive is called on an event loop and must not block.
 	Receive func(message packer.Message)
+	// OnPanic is called with the value and the sender of a message on which Receive
+	// panicked. The message is dropped, and the node goes on. If OnPanic is nil, the panic
+	// ends the process.
+	OnPanic func(value any, sender string)
 
 	gnet.BuiltinEventEngine
 	sentBytes, receivedBytes, refusedDatagrams atomic.Uint64
@@ -123,10 +127,22 @@
 		g.refusedDatagrams.Add(1)
 		return gnet.None
 	}
-	g.Receive(message)
+	g.receive(message)
 	return gnet.None
 }
 
+func (g *Gossiper) receive(message packer.Message) {
+	if g.OnPanic != nil {
+		defer func() {
+			if value := recover(); value != nil {
+				g.refusedDatagrams.Add(1)
+				g.OnPanic(value, message.Sender.Name)
+			}
+		}()
+	}
+	g.Receive(message)
+}
+
 // Send sends a message to peers. It does not wait for them to receive the datagram, and
 // a datagram lost on the way is not an error. It returns the first error, after it has
 // sent the message to all others.
