Members take the directory's changes from their home

Cause: datagrams with changes of the directory of parts bore no mark of a digest: members dropped their changes, and forgot the home's loads and numbers with each. Ruled out: stores out of reach (listed, no dependency lost), gaps (no directory was fetched anew). Change: such datagrams are digests, and leave what is known of their sender as it is. Test: TestPartsAtSize, red before (185 of 195 nodes saw one live node, none got changes).

--- a/internal/relayer/part_publisher.go
+++ b/internal/relayer/part_publisher.go
@@ -198,7 +198,7 @@
 	}
 	heartbeat := peertracker.Heartbeat{
 		Name: p.Name, Domain: p.Domain, Address: p.Address, Incarnation: p.Incarnation, Sequence: p.sequence.Add(1),
-		Leaving: p.Stopping.Load(), Parts: &updates,
+		Leaving: p.Stopping.Load(), Hub: true, Digest: true, Parts: &updates,
 	}
 	p.send(members, heartbeat)
 }
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -379,8 +379,13 @@
 			Str("domain", heartbeat.Domain).Bool("hub", heartbeat.Hub).Bool("member", heartbeat.Homed).Send()
 	}
 	p.hear(heartbeat, now)
-	m.alive, m.lastReceived, m.heartbeat = true, now, heartbeat
-	m.reporter = balancer.Hub
+	m.alive, m.lastReceived = true, now
+	if heartbeat.Parts != nil && sameProcess {
+		// It says nothing else of its sender.
+		m.heartbeat.Sequence = heartbeat.Sequence
+		return true
+	}
+	m.heartbeat, m.reporter = heartbeat, balancer.Hub
 	if heartbeat.Homed {
 		m.reporter = balancer.Member
 	}
--- a/internal/relayer/size_test.go
+++ b/internal/relayer/size_test.go
@@ -54,6 +54,7 @@
 	received atomic.Int64
 	lost     atomic.Int64
 	tooLarge atomic.Int64
+	parts    atomic.Int64
 	bytes    atomic.Int64
 }
 
@@ -115,7 +116,7 @@
 			Name: n.name, Domain: domain, Address: address, GossipPort: 7000, Cores: cores, Domains: domains, Incarnation: 1,
 			Gossip: n, Client: &standinStateClient{}, Node: n.node, Balancer: n.balancer,
 			Suspects:           &retrier.Suspects{Node: n.name, Expiry: time.Hour},
-			HandleParts:        func(netip.AddrPort, peertracker.PartUpdates) {},
+			HandleParts:        func(netip.AddrPort, peertracker.PartUpdates) { n.parts.Add(1) },
 			ApplyOperatorState: func(messenger.OperatorState) {},
 			Log:                zerolog.New(nil).Hook(lossCounter{&n.lost}), Now: time.Now, Stopping: &atomic.Bool{},
 		}
@@ -276,6 +277,36 @@
 	})
 }
 
+// TestPartsAtSize shows that changes of the directory of parts reach all members from their
+// hubs, and that these datagrams leave what is known of loads and nodes as it is.
+func TestPartsAtSize(t *testing.T) {
+	runFleet(t, "parts", 195, 5, func(t *testing.T, f *fleet) {
+		target := engine("e", 1)
+		f.wait(membershipBound)
+		for _, n := range f.nodes {
+			_, ok := n.balancer.Pick(time.Now(), balancer.Request{Endpoints: []endpointtracker.Endpoint{target}, Urgent: true, Tokens: 16})
+			require.True(t, ok)
+		}
+		f.wait(1500 * time.Millisecond)
+		for _, hub := range f.hubs() {
+			hub.peers.SendParts(hub.peers.Members(), peertracker.PartUpdates{Stream: 1})
+		}
+		f.wait(2 * linkDelay)
+		f.assertLive(t, f.nodes, 195)
+		for _, n := range f.nodes {
+			want := int64(1)
+			if n.peers.IsHub() {
+				want = 0
+			}
+			assert.Equal(t, want, n.parts.Load(), n.name)
+			total := n.balancer.Total(time.Now())
+			if assert.Len(t, total, 1, n.name) {
+				assert.Equal(t, 195, total[0].Running, n.name)
+			}
+		}
+	})
+}
+
 // TestLoadAtSize shows that each node knows the load of all nodes on an endpoint, and that
 // what one node learns of an endpoint reaches all.
 func TestLoadAtSize(t *testing.T) {
