Compare a sample of endpoints where hundreds of nodes choose

Cause: reports of load are some hundred milliseconds old; with 195 nodes that all compare 93 engines, all choose the same one until the next report. New connections: 36,117 for 26,647 requests untouched, since each node uses all engines. Ruled out: noise on the costs (same spread, no reuse of connections); fixed subsets without a way out (refusals while others are free). Change: above ten nodes a node compares three random engines of a subset of eight in its domain and two of the other domains; if none accepts, all. Test: TestHundredsOfNodes, red before (the busiest engine got a domain's picks, a node used all engines of its domain).

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -89,8 +89,11 @@
 // Balancer tracks the load of all endpoints. Its fields are set before use, and
 // it is safe for concurrent use.
 type Balancer struct {
-	// Domain is the node's own failure domain.
+	// Domain is the node's own failure domain, and Name the node's name.
 	Domain string
+	Name   string
+	// Nodes returns the number of live nodes; nil if there are few.
+	Nodes func() int
 
 	mu     sync.Mutex
 	states map[string]*endpointState
@@ -101,39 +104,30 @@
 	pickSequence uint64
 }
 
+// candidate is an endpoint that may be picked.
+type candidate struct {
+	index int
+	cost  float64
+	work  Work
+}
+
 // Pick chooses the endpoint with the lowest cost and counts the request on it
 // until Done. It returns false when no endpoint accepts the request.
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	best := -1
-	var lowestCost float64
-	var bestWork Work
-	for i, endpoint := range request.Endpoints {
-		if endpoint.Leaving || request.Avoid[endpoint.ID] || !b.accepts(now, endpoint, request) {
-			continue
-		}
-		cost := b.cost(now, endpoint, request.Capacity)
-		var work Work
-		if request.Work != nil {
-			work = request.Work(endpoint)
-			cost += work.cost()
-		}
-		if request.Stale != nil && request.Stale(endpoint) {
-			cost += staleWeightsCost
-		}
-		if request.Tried[endpoint.ID] {
-			cost += triedCost
-		}
-		if best < 0 || cost < lowestCost || cost == lowestCost && b.endpointState(endpoint.ID).pickSequence < b.endpointState(request.Endpoints[best].ID).pickSequence {
-			best, lowestCost, bestWork = i, cost, work
-		}
+	best, ok := candidate{}, false
+	if indices, sampled := b.sample(request.Endpoints); sampled {
+		best, ok = b.cheapest(now, request, indices)
 	}
-	if best < 0 {
+	if !ok {
+		best, ok = b.cheapest(now, request, all(len(request.Endpoints)))
+	}
+	if !ok {
 		return Choice{}, false
 	}
-	chosen := request.Endpoints[best]
+	chosen := request.Endpoints[best.index]
 	state := b.endpointState(chosen.ID)
 	b.pickSequence++
 	state.pickSequence = b.pickSequence
@@ -142,8 +136,48 @@
 	}
 	state.running++
 	state.tokens += request.Tokens
-	state.prefillTokens += bestWork.Read
-	return Choice{Endpoint: chosen, Cost: lowestCost, Work: bestWork, tokens: request.Tokens, prefillTokens: bestWork.Read}, true
+	state.prefillTokens += best.work.Read
+	return Choice{Endpoint: chosen, Cost: best.cost, Work: best.work, tokens: request.Tokens, prefillTokens: best.work.Read}, true
+}
+
+func all(n int) []int {
+	indices := make([]int, n)
+	for i := range indices {
+		indices[i] = i
+	}
+	return indices
+}
+
+// cheapest returns the endpoint with the lowest cost among those that accept the request.
+// On equal cost the one that was picked least recently wins.
+func (b *Balancer) cheapest(now time.Time, request Request, indices []int) (candidate, bool) {
+	best, found := candidate{}, false
+	for _, i := range indices {
+		endpoint := request.Endpoints[i]
+		if endpoint.Leaving || request.Avoid[endpoint.ID] || !b.accepts(now, endpoint, request) {
+			continue
+		}
+		c := candidate{index: i, cost: b.cost(now, endpoint, request.Capacity)}
+		if request.Work != nil {
+			c.work = request.Work(endpoint)
+			c.cost += c.work.cost()
+		}
+		if request.Stale != nil && request.Stale(endpoint) {
+			c.cost += staleWeightsCost
+		}
+		if request.Tried[endpoint.ID] {
+			c.cost += triedCost
+		}
+		if !found || c.cost < best.cost || c.cost == best.cost && b.pickedBefore(endpoint, request.Endpoints[best.index]) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// pickedBefore reports whether an endpoint was picked less recently than another.
+func (b *Balancer) pickedBefore(endpoint, other endpointtracker.Endpoint) bool {
+	return b.endpointState(endpoint.ID).pickSequence < b.endpointState(other.ID).pickSequence
 }
 
 // Choice is a chosen endpoint together with the request counted on it.
--- a/internal/coordination/balancer/balancer_test.go
+++ b/internal/coordination/balancer/balancer_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -248,6 +249,52 @@
 	})
 }
 
+// TestHundredsOfNodes replays a second of requests at many nodes that all see the same
+// report of load, as it is while none arrives: no engine may get many more requests than
+// the mean, and a node must use few engines, so that it can reuse connections.
+func TestHundredsOfNodes(t *testing.T) {
+	const nodes, engines, requests = 195, 95, 5
+	var all []endpointtracker.Endpoint
+	for i := range engines {
+		all = append(all, endpoint(fmt.Sprint("e", i), fmt.Sprint("d", i%5), 64))
+	}
+	replay := func(live int) (busiest, mostUsed int) {
+		picked := map[string]int{}
+		for n := range nodes {
+			b := &balancer.Balancer{Domain: fmt.Sprint("d", n%5), Name: fmt.Sprint("n", n), Nodes: func() int { return live }}
+			used := map[string]bool{}
+			for range requests * 8 {
+				choice, ok := b.Pick(now, balancer.Request{Endpoints: all, Tokens: 1_000, Capacity: 80_000})
+				require.True(t, ok)
+				b.Done(choice)
+				assert.Equal(t, b.Domain, choice.Endpoint.Domain, "the own domain has room")
+				used[choice.Endpoint.ID] = true
+			}
+			choice, ok := b.Pick(now, balancer.Request{Endpoints: all, Tokens: 1_000, Capacity: 80_000})
+			require.True(t, ok)
+			picked[choice.Endpoint.ID]++
+			mostUsed = max(mostUsed, len(used))
+		}
+		for _, n := range picked {
+			busiest = max(busiest, n)
+		}
+		return busiest, mostUsed
+	}
+	busiest, mostUsed := replay(nodes)
+	assert.LessOrEqual(t, busiest, 4*nodes/engines+4)
+	assert.LessOrEqual(t, mostUsed, 8)
+	t.Run("all engines are used when those of the sample are full", func(t *testing.T) {
+		b := &balancer.Balancer{Domain: "d0", Name: "n0", Nodes: func() int { return nodes }}
+		used := map[string]bool{}
+		for range engines * 64 {
+			choice, ok := b.Pick(now, balancer.Request{Endpoints: all})
+			require.True(t, ok)
+			used[choice.Endpoint.ID] = true
+		}
+		assert.Len(t, used, engines)
+	})
+}
+
 func TestPlainServices(t *testing.T) {
 	request := balancer.Request{Endpoints: []endpointtracker.Endpoint{endpoint("a", "d1", 2)}}
 	b := &balancer.Balancer{Domain: "d1"}
--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -19,10 +19,12 @@
 }
 
 type endpointState struct {
-	// hash is that of the endpoint's ID.
-	hash    uint32
-	running int
-	tokens  int
+	// hash is that of the endpoint's ID, and affinity its score for this node; zero before
+	// it was computed.
+	hash     uint32
+	affinity uint64
+	running  int
+	tokens   int
 	// prefillTokens counts the prompt tokens that this node's requests still have
 	// to prefill on the endpoint.
 	prefillTokens int
