--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -200,6 +200,19 @@
 	return netip.AddrPort{}, false, p.roleChanged
 }
 
+// CaughtUp reports whether this node has heard a peer and knows of no newer configuration
+// than its own.
+func (p *Peers) CaughtUp() bool {
+	p.mu.Lock()
+	heard, newest := false, uint64(0)
+	for _, m := range p.peers {
+		heard = heard || !m.lastReceived.IsZero()
+		newest = max(newest, m.heartbeat.Applied)
+	}
+	p.mu.Unlock()
+	return heard && !p.isBehind(int64(newest))
+}
+
 // Home returns the address of this node's home; invalid if it has none.
 func (p *Peers) Home() netip.AddrPort {
 	p.mu.Lock()
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -52,6 +52,9 @@
 	// fetchDelay is how long a node that hears of newer operators' records waits for them
 	// to arrive from the log.
 	fetchDelay = 400 * time.Millisecond
+	// startPeriod is the time after the start in which newer records are fetched at once,
+	// since the node is not ready before.
+	startPeriod = time.Second
 	// targetMarker and retainedMarker replace the endpoint's hash in changes that
 	// concern a model as a whole: its newest target version, and the oldest version
 	// whose parts are fetched. IDHash can return these values too: the changes of such
@@ -144,6 +147,9 @@
 	}
 }
 
+// started returns when this process started.
+func (p *Peers) started() time.Time { return time.Unix(0, int64(p.Incarnation)) }
+
 // Broadcast sends a heartbeat to all peers that this node reports to, as soon as changes
 // that follow at once are in it.
 func (p *Peers) Broadcast() {
@@ -410,7 +416,7 @@
 // newer ones, if they do not arrive from the log at the same time.
 func (p *Peers) fetchOperatorState(heartbeat peertracker.Heartbeat) {
 	defer p.fetching.Store(false)
-	if p.Node.Ready() {
+	if p.Node.Ready() && p.Now().Sub(p.started()) > startPeriod {
 		time.Sleep(fetchDelay)
 		if !p.applyModelChanges(heartbeat) && !p.isBehind(int64(heartbeat.Applied)) {
 			return
