Nodes tell each other which endpoints fail them

Ruled out: health checks (priced, and may lie); the word of one node (it may be cut off itself); immediate broadcasts (each of 195 nodes would send one for each dark engine).

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -41,6 +41,10 @@
 	// OnMisdirected is called when an endpoint answers RunMisdirected, with the
 	// version of the weights that it reported, or zero.
 	OnMisdirected func(endpoint endpointtracker.Endpoint, model string, version int64)
+	// OnFailing is called for an endpoint that fails this node, and OnRecovered for one that
+	// responds again.
+	OnFailing   func(endpoint endpointtracker.Endpoint)
+	OnRecovered func(endpoint endpointtracker.Endpoint)
 	// OnLeaving is called for an endpoint that says in an answer that it is leaving.
 	OnLeaving func(endpoint endpointtracker.Endpoint)
 	// Nodes returns the number of nodes that are alive. They share the links of
@@ -243,7 +247,9 @@
 	}
 	switch answer.RunStatus {
 	case forwarder.RunExecuted:
-		p.Balancer.ResetBackoff(id)
+		if p.Balancer.ResetBackoff(id) {
+			p.OnRecovered(p.attempt.Endpoint)
+		}
 	case forwarder.RunRefused:
 		p.Balancer.RecordRefusal(id, now)
 	case forwarder.RunMisdirected:
@@ -269,6 +275,7 @@
 func (p *placement) OnFailure(err error) {
 	if errors.IsAny(err, forwarder.ErrNotSent, forwarder.ErrStalled) {
 		p.Balancer.RecordFailure(p.attempt.Endpoint.ID, p.Now())
+		p.OnFailing(p.attempt.Endpoint)
 	}
 }
 
