Leave an endpoint that is silent for all: reports of silence, and attempts that move on

Ruled out: a shorter stall timeout (slow but sound engines would be left); reports on the word of one node. Change: nodes report endpoints that have a request of theirs and sent nothing for 0.7 s; a node that hears from such an endpoint says so, and all go on with it. An attempt that may run again leaves an endpoint after a second of silence if several nodes report it.

--- a/internal/coordination/balancer/reports.go
+++ b/internal/coordination/balancer/reports.go
@@ -274,14 +274,6 @@
 	b.backoff(id, now.Add(backoff))
 }
 
-// RecordActivity records that an endpoint sent data.
-func (b *Balancer) RecordActivity(id string, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	state := b.endpointState(id)
-	state.lastActivity, state.lastHeard = now, now
-}
-
 func (b *Balancer) backoff(id string, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/coordination/balancer/verdict_test.go
+++ b/internal/coordination/balancer/verdict_test.go
@@ -51,15 +51,46 @@
 		b := &balancer.Balancer{Domain: "d1"}
 		b.RecordPeerFailure("near", 1, now)
 		b.RecordPeerFailure("near", 2, now)
-		b.RecordPeerRecovery("near")
+		b.RecordPeerRecovery("near", now)
 		assertAvoided(t, b, now, false)
 	})
 	t.Run("but not while it fails this node itself", func(t *testing.T) {
 		b := &balancer.Balancer{Domain: "d1"}
 		b.RecordFailure("near", now)
-		b.RecordPeerRecovery("near")
+		b.RecordPeerRecovery("near", now)
 		assertAvoided(t, b, now, true)
 	})
+	t.Run("a slow endpoint that another node hears from is not avoided", func(t *testing.T) {
+		b := &balancer.Balancer{Domain: "d1"}
+		b.RecordPeerRecovery("near", now)
+		b.RecordPeerFailure("near", 1, now)
+		b.RecordPeerFailure("near", 2, now)
+		assertAvoided(t, b, now, false)
+	})
+	t.Run("a node that hears from a reported endpoint says so, not too often", func(t *testing.T) {
+		b := &balancer.Balancer{Domain: "d1"}
+		assert.False(t, b.RecordActivity("near", now))
+		b.RecordPeerFailure("near", 1, now)
+		assert.True(t, b.RecordActivity("near", now))
+		assert.False(t, b.RecordActivity("near", now.Add(100*time.Millisecond)))
+	})
+	t.Run("an endpoint with a request that sends nothing is silent", func(t *testing.T) {
+		b := &balancer.Balancer{Domain: "d1"}
+		assertPicks(t, b, prompt(), "near")
+		assert.Empty(t, b.Silent(now.Add(600*time.Millisecond)))
+		assert.Equal(t, []uint32{balancer.IDHash("near")}, b.Silent(now.Add(800*time.Millisecond)))
+	})
+	t.Run("a silent endpoint is unresponsive only if others say so too", func(t *testing.T) {
+		b := &balancer.Balancer{Domain: "d1"}
+		assertPicks(t, b, prompt(), "near")
+		later := now.Add(1500 * time.Millisecond)
+		assert.False(t, b.Unresponsive("near", later))
+		b.RecordPeerFailure("near", 1, later)
+		b.RecordPeerFailure("near", 2, later)
+		assert.True(t, b.Unresponsive("near", later))
+		b.RecordActivity("near", later)
+		assert.False(t, b.Unresponsive("near", later))
+	})
 	t.Run("others are to be told that it responds if they may avoid it", func(t *testing.T) {
 		b := &balancer.Balancer{Domain: "d1"}
 		assert.False(t, b.ResetBackoff("near"))
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -234,7 +234,7 @@
 // Balancer.
 func (p *placement) OnAnswer(answer forwarder.Answer) {
 	id, now := p.attempt.Endpoint.ID, p.Now()
-	p.Balancer.RecordActivity(id, now)
+	p.recordActivity()
 	if answer.Load != nil {
 		p.Balancer.UpdateEndpointLoad(id, now, *answer.Load)
 	}
@@ -263,12 +263,23 @@
 
 // OnEvent implements forwarder.Placement.
 func (p *placement) OnEvent(first bool) {
-	p.Balancer.RecordActivity(p.attempt.Endpoint.ID, p.Now())
+	p.recordActivity()
 	if first {
 		p.Balancer.RecordPrefillDone(&p.choice)
 	}
 }
 
+func (p *placement) recordActivity() {
+	if p.Balancer.RecordActivity(p.attempt.Endpoint.ID, p.Now()) {
+		p.OnRecovered(p.attempt.Endpoint)
+	}
+}
+
+// Unresponsive implements forwarder.Placement.
+func (p *placement) Unresponsive() bool {
+	return p.Balancer.Unresponsive(p.attempt.Endpoint.ID, p.Now())
+}
+
 // OnFailure implements forwarder.Placement. ErrBroken is not counted as a
 // failure of the endpoint, which may work for other requests: the request is
 // suspected instead, see retrier.Suspects.
--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -137,12 +137,15 @@
 }
 
 // heartbeatChanges returns the changes for the next heartbeat of a kind: the model
-// versions, then the announced changes, the newest first.
+// versions, the endpoints that are silent, then the announced changes, the newest first.
 func (p *Peers) heartbeatChanges(now time.Time, kind kind) []peertracker.Change {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.announced = slices.DeleteFunc(p.announced, func(a announced) bool { return !now.Before(a.expires) })
 	changes := p.modelVersions(now, kind)
+	for _, hash := range p.Balancer.Silent(now) {
+		changes = append(changes, peertracker.Change{Endpoint: hash, Model: failingMarker, Version: int64(balancer.IDHash(p.Name))})
+	}
 	for _, a := range slices.Backward(p.announced) {
 		if kind == toMembers || !a.downward {
 			changes = append(changes, a.change)
