Members follow hubs that are fed by other hubs, and call the log seldom when none is

Ruled out: no calls of members at all (an isolated member could not learn of anything). Change: a hub that follows the log through a hub of another domain counts as a source for its members; a member without any source calls each 3 to 6 s.

--- a/internal/relayer/heartbeats.go
+++ b/internal/relayer/heartbeats.go
@@ -88,6 +88,7 @@
 	if catalog := p.Node.View().Catalog; catalog != nil {
 		heartbeat.Applied = uint64(catalog.Version)
 	}
+	isSource := p.isSource()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	heartbeat.Hub = p.role.Hub || kind == toMembers
@@ -96,26 +97,26 @@
 		heartbeat.Nodes = p.liveNodes(now)
 	}
 	if kind == toMembers || kind == toHubs && p.role.Hub {
-		heartbeat.Hubs, heartbeat.Sources = p.hubHashes(now, heartbeat.LogContact)
+		heartbeat.Hubs, heartbeat.Sources = p.hubHashes(now, isSource)
 	}
 	return heartbeat
 }
 
-// hubHashes returns the hashes of the live hubs of this node's domain, and of those that
-// have contact with the log. A member passes on what its home says.
-func (p *Peers) hubHashes(now time.Time, logContact bool) (hubs, sources []uint32) {
+// hubHashes returns the hashes of the live hubs of this node's domain, and of those through
+// which members can follow the log. A member passes on what its home says.
+func (p *Peers) hubHashes(now time.Time, isSource bool) (hubs, sources []uint32) {
 	if home, ok := p.peers[p.role.Home]; ok && !p.role.Hub {
 		return home.heartbeat.Hubs, home.heartbeat.Sources
 	}
 	self := organizer.Hash(p.Address)
 	hubs = append(hubs, self)
-	if logContact {
+	if isSource {
 		sources = append(sources, self)
 	}
 	for _, address := range p.organizer.LiveHubs(now) {
 		hash := organizer.Hash(address)
 		hubs = append(hubs, hash)
-		if p.peers[address].heartbeat.LogContact {
+		if slices.Contains(p.peers[address].heartbeat.Sources, hash) {
 			sources = append(sources, hash)
 		}
 	}
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -60,6 +60,24 @@
 	return ok && p.lastLogContact > 0 && now-p.lastLogContact < logContactTimeout
 }
 
+// RecordFed records that a peer with contact to the log responded to a read of it.
+func (p *Peers) RecordFed() {
+	now, _ := SinceBoot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastFed = now
+}
+
+// isSource reports whether members can follow the log through this node: it has contact
+// with the log, or follows it through a hub that has.
+func (p *Peers) isSource() bool {
+	now, ok := SinceBoot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	latest := max(p.lastLogContact, p.lastFed)
+	return ok && latest > 0 && now-latest < logContactTimeout
+}
+
 // Acknowledged reports whether each peer has announced that it, and its members, fetch
 // only parts of this or later versions of a model. Peers from which no heartbeat was
 // received for heartbeatTimeout don't count. It is longer than contactTimeout, so a
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -129,6 +129,8 @@
 	// called, as times since boot.
 	lastContact    time.Duration
 	lastLogContact time.Duration
+	// lastFed is when RecordFed was last called.
+	lastFed time.Duration
 	// broadcasting is set while a broadcast is due.
 	broadcasting bool
 	sequence     atomic.Uint64
--- a/internal/relayer/shared_log.go
+++ b/internal/relayer/shared_log.go
@@ -13,11 +13,14 @@
 	// peerWait is how long a read at a peer waits for new records. A silent peer is noticed
 	// by its heartbeats, and the read is then cancelled.
 	peerWait = 4 * time.Second
-	// directPause is the minimum time between calls to the log of a node that should follow
-	// it through a peer, but has none that has contact with the log; directJitter spreads
-	// these calls.
-	directPause  = 1200 * time.Millisecond
-	directJitter = 600 * time.Millisecond
+	// hubPause is the time between calls to the log of a hub that has lost contact with it and
+	// follows it through a peer.
+	hubPause = 1200 * time.Millisecond
+	// directPause is the minimum time between calls to the log of a member whose hubs have no
+	// contact with it; directJitter spreads these calls. Mostly the log is out of reach for
+	// all then, and hundreds of members must not call it again and again.
+	directPause  = 3 * time.Second
+	directJitter = 3 * time.Second
 )
 
 // PeerLog reads a log through a peer.
@@ -37,8 +40,10 @@
 	Source func() (netip.AddrPort, bool, <-chan struct{})
 	// IsHub reports whether this node should have contact with the log itself.
 	IsHub func() bool
-	// RecordLogContact is called after each successful call to the log.
+	// RecordLogContact is called after each successful call to the log, and RecordFed after
+	// each to a peer.
 	RecordLogContact func()
+	RecordFed        func()
 
 	mu         sync.Mutex
 	lastDirect time.Time
@@ -49,7 +54,7 @@
 	if peer, ok, changed := s.source(); ok {
 		ctx, cancel := cancelOn(ctx, changed)
 		defer cancel()
-		return s.Peer.Newest(ctx, peer, s.Topic)
+		return s.recordFed(s.Peer.Newest(ctx, peer, s.Topic))
 	}
 	if err := s.awaitTurn(ctx); err != nil {
 		return Batch{}, err
@@ -65,13 +70,13 @@
 		defer cancel()
 		wait := peerWait
 		if s.IsHub() {
-			wait = directPause
+			wait = hubPause
 		}
 		batch, err := s.Peer.Read(peerCtx, peer, s.Topic, from, wait)
 		if err != nil && ctx.Err() == nil && peerCtx.Err() != nil {
 			return Batch{Next: from}, nil
 		}
-		return batch, err
+		return s.recordFed(batch, err)
 	}
 	if err := s.awaitTurn(ctx); err != nil {
 		return Batch{}, err
@@ -88,7 +93,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return peer, time.Since(s.lastDirect) < directPause, changed
+	return peer, time.Since(s.lastDirect) < hubPause, changed
 }
 
 // awaitTurn keeps a node that is no hub from calling the log often.
@@ -110,6 +115,13 @@
 	return nil
 }
 
+func (s *SharedLog) recordFed(batch Batch, err error) (Batch, error) {
+	if err == nil {
+		s.RecordFed()
+	}
+	return batch, err
+}
+
 func (s *SharedLog) recordDirect(batch Batch, err error) (Batch, error) {
 	if err == nil {
 		s.RecordLogContact()
