Revert the reports of failing endpoints

Conclusion: engines that read cold prompts are silent for longer than dark ones need to be told from them; another sign is needed.

--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -41,9 +41,6 @@
 	// lastActivity is when the endpoint last sent data or, if later, when it got
 	// a request while this node had none running on it.
 	lastActivity time.Time
-	// lastHeard is when the endpoint last sent data.
-	lastHeard time.Time
-	verdict   verdict
 	// pickSequence is the balancer's pickSequence at the last pick of the endpoint.
 	pickSequence uint64
 }
--- a/internal/coordination/balancer/reports.go
+++ b/internal/coordination/balancer/reports.go
@@ -274,14 +274,25 @@
 	b.backoff(id, now.Add(backoff))
 }
 
-func (b *Balancer) backoff(id string, until time.Time) {
+// ResetBackoff ends an endpoint's backoff and resets its failure count.
+func (b *Balancer) ResetBackoff(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.endpointState(id).extendBackoff(until)
+	state := b.endpointState(id)
+	state.backoffUntil, state.failures = time.Time{}, 0
 }
 
-func (s *endpointState) extendBackoff(until time.Time) {
-	if s.backoffUntil.Before(until) {
-		s.backoffUntil = until
+// RecordActivity records that an endpoint sent data.
+func (b *Balancer) RecordActivity(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.endpointState(id).lastActivity = now
+}
+
+func (b *Balancer) backoff(id string, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if state := b.endpointState(id); state.backoffUntil.Before(until) {
+		state.backoffUntil = until
 	}
 }
--- a/internal/coordination/dispatcher/placements.go
+++ b/internal/coordination/dispatcher/placements.go
@@ -53,9 +53,6 @@
 	}
 }
 
-// Unresponsive implements forwarder.Placement. Stalls are detected by the Sender.
-func (p *promptPlacement) Unresponsive() bool { return false }
-
 // OnComplete implements forwarder.Placement.
 func (p *promptPlacement) OnComplete() {
 	p.run.Hints.MarkCached(p.endpoint.Name, p.chain)
@@ -89,9 +86,6 @@
 // reports show which endpoints fail.
 func (p *callPlacement) OnFailure(error) {}
 
-// Unresponsive implements forwarder.Placement. Stalls are detected by the Sender.
-func (p *callPlacement) Unresponsive() bool { return false }
-
 // OnComplete implements forwarder.Placement.
 func (p *callPlacement) OnComplete() {}
 
--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -31,40 +31,6 @@
 	})
 }
 
-const (
-	// watchDelay is how long an attempt runs before its endpoint is watched, and
-	// watchPeriod the time between looks.
-	watchDelay  = time.Second
-	watchPeriod = 250 * time.Millisecond
-)
-
-// watchEndpoint cancels an attempt whose endpoint turns out to be unresponsive, if the
-// request may still run elsewhere. Callers leave at about the same time at which the
-// stall timer ends an attempt, so that would be too late. It returns a function that ends
-// the watch.
-func (r *run) watchEndpoint(placement Placement, cancel context.CancelCauseFunc) (stop func()) {
-	if r.Route.RetryPolicy == cataloger.RetryIfNotRun || r.executed+1 >= r.Route.Attempts {
-		return func() {}
-	}
-	done := make(chan struct{})
-	timer := time.AfterFunc(watchDelay, func() {
-		ticker := time.NewTicker(watchPeriod)
-		defer ticker.Stop()
-		for !placement.Unresponsive() {
-			select {
-			case <-ticker.C:
-			case <-done:
-				return
-			}
-		}
-		cancel(ErrStalled)
-	})
-	return func() {
-		timer.Stop()
-		close(done)
-	}
-}
-
 // handleFailure classifies the error of an attempt, records it and returns it
 // with the matching sentinel. An interrupted answer that was not cancelled is
 // recorded in Suspects as a crash.
--- a/internal/coordination/forwarder/attempt.go
+++ b/internal/coordination/forwarder/attempt.go
@@ -19,7 +19,6 @@
 	defer cancel(nil)
 	stallTimer := r.startStallTimer(cancel)
 	defer stallTimer.Stop()
-	defer r.watchEndpoint(r.placement, cancel)()
 	answer, err := r.Sender.Send(ctx, attempt)
 	if err != nil {
 		return r.handleFailure(ctx, attempt, err)
--- a/internal/coordination/forwarder/placement.go
+++ b/internal/coordination/forwarder/placement.go
@@ -38,8 +38,6 @@
 	// OnFailure is called for an error that is the endpoint's fault, marked
 	// ErrNotSent, ErrStalled or ErrBroken.
 	OnFailure(err error)
-	// Unresponsive reports whether the endpoint sends nothing, to this node and to others.
-	Unresponsive() bool
 	// OnComplete is called when the endpoint's answer is complete.
 	OnComplete()
 	// Release stops counting the attempt on its endpoint.
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -41,10 +41,6 @@
 	// OnMisdirected is called when an endpoint answers RunMisdirected, with the
 	// version of the weights that it reported, or zero.
 	OnMisdirected func(endpoint endpointtracker.Endpoint, model string, version int64)
-	// OnFailing is called for an endpoint that fails this node, and OnRecovered for one that
-	// responds again.
-	OnFailing   func(endpoint endpointtracker.Endpoint)
-	OnRecovered func(endpoint endpointtracker.Endpoint)
 	// OnLeaving is called for an endpoint that says in an answer that it is leaving.
 	OnLeaving func(endpoint endpointtracker.Endpoint)
 	// Nodes returns the number of nodes that are alive. They share the links of
@@ -234,7 +230,7 @@
 // Balancer.
 func (p *placement) OnAnswer(answer forwarder.Answer) {
 	id, now := p.attempt.Endpoint.ID, p.Now()
-	p.recordActivity()
+	p.Balancer.RecordActivity(id, now)
 	if answer.Load != nil {
 		p.Balancer.UpdateEndpointLoad(id, now, *answer.Load)
 	}
@@ -247,9 +243,7 @@
 	}
 	switch answer.RunStatus {
 	case forwarder.RunExecuted:
-		if p.Balancer.ResetBackoff(id) {
-			p.OnRecovered(p.attempt.Endpoint)
-		}
+		p.Balancer.ResetBackoff(id)
 	case forwarder.RunRefused:
 		p.Balancer.RecordRefusal(id, now)
 	case forwarder.RunMisdirected:
@@ -263,30 +257,18 @@
 
 // OnEvent implements forwarder.Placement.
 func (p *placement) OnEvent(first bool) {
-	p.recordActivity()
+	p.Balancer.RecordActivity(p.attempt.Endpoint.ID, p.Now())
 	if first {
 		p.Balancer.RecordPrefillDone(&p.choice)
 	}
 }
 
-func (p *placement) recordActivity() {
-	if p.Balancer.RecordActivity(p.attempt.Endpoint.ID, p.Now()) {
-		p.OnRecovered(p.attempt.Endpoint)
-	}
-}
-
-// Unresponsive implements forwarder.Placement.
-func (p *placement) Unresponsive() bool {
-	return p.Balancer.Unresponsive(p.attempt.Endpoint.ID, p.Now())
-}
-
 // OnFailure implements forwarder.Placement. ErrBroken is not counted as a
 // failure of the endpoint, which may work for other requests: the request is
 // suspected instead, see retrier.Suspects.
 func (p *placement) OnFailure(err error) {
 	if errors.IsAny(err, forwarder.ErrNotSent, forwarder.ErrStalled) {
 		p.Balancer.RecordFailure(p.attempt.Endpoint.ID, p.Now())
-		p.OnFailing(p.attempt.Endpoint)
 	}
 }
 
--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -34,8 +34,7 @@
 // relay passes on a change that was heard from a peer. A change that is passed on already
 // is only prolonged, as its source repeats it.
 func (p *Peers) relay(change peertracker.Change, from balancer.Reporter) {
-	isNew := p.putAnnounced(announced{change: change, expires: p.Now().Add(relayTTL), downward: from != balancer.Member})
-	if isNew && change.Model != failingMarker {
+	if p.putAnnounced(announced{change: change, expires: p.Now().Add(relayTTL), downward: from != balancer.Member}) {
 		p.Broadcast()
 	}
 }
@@ -69,23 +68,6 @@
 	p.announce(peertracker.Change{Endpoint: balancer.IDHash(endpoint.ID), Model: leavingMarker, Version: startOf(endpoint)})
 }
 
-// AnnounceFailing tells all peers that an endpoint fails this node. Many nodes may say so
-// at once, so it goes with the regular heartbeats.
-func (p *Peers) AnnounceFailing(endpoint endpointtracker.Endpoint) {
-	p.putAnnounced(announced{
-		change:  peertracker.Change{Endpoint: balancer.IDHash(endpoint.ID), Model: failingMarker, Version: int64(balancer.IDHash(p.Name))},
-		expires: p.Now().Add(announcementTTL),
-	})
-}
-
-// AnnounceRecovered tells all peers that an endpoint responds again.
-func (p *Peers) AnnounceRecovered(endpoint endpointtracker.Endpoint) {
-	p.putAnnounced(announced{
-		change:  peertracker.Change{Endpoint: balancer.IDHash(endpoint.ID), Model: failingMarker},
-		expires: p.Now().Add(announcementTTL),
-	})
-}
-
 // startOf returns the start of an endpoint's process as a number for a change, which
 // tells processes of one id apart; zero if unknown.
 func startOf(endpoint endpointtracker.Endpoint) int64 {
@@ -137,15 +119,12 @@
 }
 
 // heartbeatChanges returns the changes for the next heartbeat of a kind: the model
-// versions, the endpoints that are silent, then the announced changes, the newest first.
+// versions, then the announced changes, the newest first.
 func (p *Peers) heartbeatChanges(now time.Time, kind kind) []peertracker.Change {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.announced = slices.DeleteFunc(p.announced, func(a announced) bool { return !now.Before(a.expires) })
 	changes := p.modelVersions(now, kind)
-	for _, hash := range p.Balancer.Silent(now) {
-		changes = append(changes, peertracker.Change{Endpoint: hash, Model: failingMarker, Version: int64(balancer.IDHash(p.Name))})
-	}
 	for _, a := range slices.Backward(p.announced) {
 		if kind == toMembers || !a.downward {
 			changes = append(changes, a.change)
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -64,10 +64,6 @@
 	// leavingMarker replaces the model's hash in a change that says that an endpoint is
 	// leaving. The version is then the start of its process.
 	leavingMarker = 2
-	// failingMarker replaces the model's hash in a change that says that an endpoint fails a
-	// node. The version is then a hash of the node's name, or zero if the endpoint responds
-	// again.
-	failingMarker = 3
 	// OperatorStateTimeout bounds the call that fetches a peer's OperatorState.
 	OperatorStateTimeout = 700 * time.Millisecond
 )
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -54,9 +54,6 @@
 	OnWeightsUpdate func(endpoint endpointtracker.Endpoint, model string, version int64)
 	// OnLeaving is called after an endpoint said to this node that it is leaving.
 	OnLeaving func(endpoint endpointtracker.Endpoint)
-	// RecordPeerFailure is called when a peer reports that an endpoint fails it, or that it
-	// responds again; reporter is then zero.
-	RecordPeerFailure func(id string, reporter uint32)
 	// RecordLoading is called when a peer announces that an endpoint drains for or loads
 	// new weights, OnLoaded after the entry or the weights of an endpoint changed.
 	RecordLoading func(id string)
@@ -260,9 +257,6 @@
 					relay(change)
 					r.logLeaving(endpoint, "peer")
 				}
-			case change.Model == failingMarker:
-				r.RecordPeerFailure(endpoint.ID, uint32(change.Version))
-				relay(change)
 			case change.Version == 0:
 				if r.lacksTarget(endpoint) {
 					r.RecordLoading(endpoint.ID)
@@ -299,7 +293,7 @@
 			if balancer.IDHash(endpoint.ID) != change.Endpoint {
 				continue
 			}
-			if change.Model == leavingMarker || change.Model == failingMarker {
+			if change.Model == leavingMarker {
 				return endpoint, "", true
 			}
 			for model := range endpoint.Weights {
--- a/internal/state/peertracker/peertracker.go
+++ b/internal/state/peertracker/peertracker.go
@@ -40,9 +40,8 @@
 	// Loads is the load that the sender reports; nil if the heartbeat says nothing about
 	// loads. This and all fields below but Changes are set by relay nodes only.
 	Loads *LoadReport
-	// Changes are recent changes of endpoints that the peer has detected, of their
-	// weights, or that they are leaving or failing, and the target and retained versions of
-	// models.
+	// Changes are recent changes of endpoints that the peer has detected, of their weights
+	// or that they are leaving, and the target and retained versions of models.
 	Changes []Change
 	// Hub is set by a node that acts as a hub of its domain. Homed is set by a node that
 	// asks the receiver to be its home, and Digest by a home in what it sends its members.
@@ -91,7 +90,7 @@
 
 // Change is a change of an endpoint's weights. Endpoint and Model are hashes of
 // the endpoint's id and the model's name. For a target or retained version of a
-// model, Endpoint is a marker; for an endpoint that is leaving or failing, Model is one.
+// model, Endpoint is a marker; for an endpoint that is leaving, Model is one.
 type Change struct {
 	Endpoint uint32
 	Model    uint32
