--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -180,7 +180,8 @@
 	}
 }
 
-// preferSource makes a member whose home has no contact with the log ask a hub that has.
+// preferSource makes a member through whose home the log can't be followed take a hub
+// through which it can.
 func (p *Peers) preferSource(now time.Time, role organizer.Role) organizer.Role {
 	home, ok := p.peers[role.Home]
 	if !ok || len(home.heartbeat.Sources) == 0 || slices.Contains(home.heartbeat.Sources, organizer.Hash(role.Home)) {
@@ -188,7 +189,7 @@
 	}
 	for address := range p.peers {
 		if slices.Contains(home.heartbeat.Sources, organizer.Hash(address)) {
-			p.organizer.Avoid(address)
+			p.organizer.Prefer(address)
 			return p.organizer.Role(now)
 		}
 	}
--- a/internal/state/peertracker/peertracker.go
+++ b/internal/state/peertracker/peertracker.go
@@ -51,7 +51,7 @@
 	// Nodes is the number of live nodes that the sender speaks for, itself included.
 	Nodes int
 	// Hubs are hashes of the addresses of the live hubs of the sender's domain, and Sources
-	// are those of them that have contact with the log.
+	// are those of them through which members can follow the log.
 	Hubs    []uint32
 	Sources []uint32
 	// LogContact is set by a node that reads the log itself and has contact with it.
