A heartbeat that made a node fetch records is not counted twice

Cause: found in the last read: fetchOperatorState looked again, after its delay, whether the peer knows more, with the function that also stored the peer's retained versions. It overwrote newer ones by older: parts that a lagging node still fetches could have been freed for a moment. Ruled out: keeping the highest value (a hub's falls rightly when a lagging member joins). Change: storing and asking are two functions. Test: TestAcknowledged, red before.

--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -133,14 +133,8 @@
 	return changes
 }
 
-// applyModelChanges stores the retained versions that a peer announced, and reports
-// whether the peer knows a newer target version than this node.
-func (p *Peers) applyModelChanges(heartbeat peertracker.Heartbeat) bool {
-	own := map[uint32]int64{}
-	for model, version := range p.Node.NewestTarget() {
-		own[balancer.IDHash(model)] = version
-	}
-	newer := false
+// storeRetained stores the retained versions that a peer announced.
+func (p *Peers) storeRetained(heartbeat peertracker.Heartbeat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.peerState(heartbeat.Address)
@@ -148,15 +142,22 @@
 		m.retained = map[uint32]int64{}
 	}
 	for _, change := range heartbeat.Changes {
-		switch change.Endpoint {
-		case targetMarker:
-			newer = newer || change.Version > own[change.Model]
-		case retainedMarker:
+		if change.Endpoint == retainedMarker {
 			// A hub's value falls when a member that lags behind joins it.
 			m.retained[change.Model] = change.Version
 		}
 	}
-	return newer
+}
+
+// hasNewerTarget reports whether a peer knows a newer target version than this node.
+func (p *Peers) hasNewerTarget(heartbeat peertracker.Heartbeat) bool {
+	own := map[uint32]int64{}
+	for model, version := range p.Node.NewestTarget() {
+		own[balancer.IDHash(model)] = version
+	}
+	return slices.ContainsFunc(heartbeat.Changes, func(change peertracker.Change) bool {
+		return change.Endpoint == targetMarker && change.Version > own[change.Model]
+	})
 }
 
 // adoptRetained raises this node's retained versions to those of its home. A member
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -31,7 +31,7 @@
 	if heartbeat.Parts != nil && reporter == balancer.Home {
 		p.HandleParts(heartbeat.Address, *heartbeat.Parts)
 	}
-	newer := p.applyModelChanges(heartbeat)
+	p.storeRetained(heartbeat)
 	if reporter == balancer.Home {
 		p.adoptRetained(heartbeat)
 	}
@@ -47,7 +47,7 @@
 	case balancer.Member:
 		p.welcome(heartbeat.Address, now)
 	}
-	if (newer || p.isBehind(int64(heartbeat.Applied))) && p.fetching.CompareAndSwap(false, true) {
+	if p.knowsNewer(heartbeat) && p.fetching.CompareAndSwap(false, true) {
 		go p.fetchOperatorState(heartbeat)
 	}
 }
@@ -149,13 +149,18 @@
 	return version > 0 && (catalog == nil || catalog.Version < version)
 }
 
+// knowsNewer reports whether a peer has newer operators' records than this node.
+func (p *Peers) knowsNewer(heartbeat peertracker.Heartbeat) bool {
+	return p.hasNewerTarget(heartbeat) || p.isBehind(int64(heartbeat.Applied))
+}
+
 // fetchOperatorState fetches and applies the operators' records of a peer that has
 // newer ones, if they do not arrive from the log at the same time.
 func (p *Peers) fetchOperatorState(heartbeat peertracker.Heartbeat) {
 	defer p.fetching.Store(false)
 	if p.Node.Ready() && p.Now().Sub(p.started()) > startPeriod {
 		time.Sleep(fetchDelay)
-		if !p.applyModelChanges(heartbeat) && !p.isBehind(int64(heartbeat.Applied)) {
+		if !p.knowsNewer(heartbeat) {
 			return
 		}
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -404,6 +404,16 @@
 			assert.True(t, peers.Acknowledged("m", 2))
 		})
 	})
+	t.Run("an earlier heartbeat that made the node fetch records does not count again", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			peers := newPeers(t, newNode(t), &standinStateClient{})
+			newer := peertracker.Change{Model: balancer.IDHash("m"), Version: 4}
+			peers.HandleHeartbeat(heartbeat(1, retained(2), newer))
+			peers.HandleHeartbeat(heartbeat(2, retained(1)))
+			time.Sleep(time.Second)
+			assert.False(t, peers.Acknowledged("m", 2))
+		})
+	})
 	t.Run("a silent peer counts until its timeout", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			peers := newPeers(t, newNode(t), &standinStateClient{})
