Relayer: one condition for a live member and a live hub

Cause: the condition of a live member stood in due, Members and reportedNodes, and that of a live hub in liveNodes and Hubs. The loop at the end of due was that of Members. The usage comment of organizer called List with an argument it no longer has.

Change: peerState.isLiveMember and isLiveHub, and Peers.members for due and Members. Behaviour is the same.

Tests of relayer and organizer pass unchanged.

--- a/internal/coordination/organizer/organizer.go
+++ b/internal/coordination/organizer/organizer.go
@@ -14,7 +14,7 @@
 // # Usage
 //
 //	o := &organizer.Organizer{Self: node, Domains: 3}
-//	o.List(now, other)
+//	o.List(other)
 //	o.Hear(now, address, domain, organizer.Sign{Hub: true})
 //	role := o.Role(now)
 package organizer
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -27,6 +27,14 @@
 	retained map[uint32]int64
 }
 
+func (m *peerState) isLiveMember(now time.Time) bool {
+	return m.reporter == balancer.Member && now.Sub(m.lastReceived) < memberTimeout
+}
+
+func (m *peerState) isLiveHub(now time.Time) bool {
+	return m.reporter == balancer.Hub && m.heartbeat.Hub && now.Sub(m.lastReceived) < heartbeatTimeout
+}
+
 // RecordContact records that the log responded or that a heartbeat of a hub was received.
 func (p *Peers) RecordContact() {
 	now, _ := SinceBoot()
@@ -259,9 +267,13 @@
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.members(now)
+}
+
+func (p *Peers) members(now time.Time) []netip.AddrPort {
 	var members []netip.AddrPort
 	for address, m := range p.peers {
-		if m.reporter == balancer.Member && now.Sub(m.lastReceived) < memberTimeout {
+		if m.isLiveMember(now) {
 			members = append(members, address)
 		}
 	}
@@ -297,7 +309,7 @@
 	}
 	n := p.reportedNodes(now)
 	for _, m := range p.peers {
-		if m.reporter == balancer.Hub && m.heartbeat.Hub && now.Sub(m.lastReceived) < heartbeatTimeout {
+		if m.isLiveHub(now) {
 			n += max(m.heartbeat.Nodes, 1)
 		}
 	}
@@ -308,7 +320,7 @@
 func (p *Peers) reportedNodes(now time.Time) int {
 	n := 1
 	for _, m := range p.peers {
-		if m.reporter == balancer.Member && now.Sub(m.lastReceived) < memberTimeout {
+		if m.isLiveMember(now) {
 			n += max(m.heartbeat.Nodes, 1)
 		}
 	}
@@ -326,7 +338,7 @@
 		names = append(names, p.Name)
 	}
 	for _, m := range p.peers {
-		if m.reporter == balancer.Hub && m.heartbeat.Hub && now.Sub(m.lastReceived) < heartbeatTimeout {
+		if m.isLiveHub(now) {
 			names = append(names, m.heartbeat.Name)
 		}
 	}
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -227,11 +227,7 @@
 	} else {
 		due.homes = p.role.Ask
 	}
-	for address, m := range p.peers {
-		if m.reporter == balancer.Member && now.Sub(m.lastReceived) < memberTimeout {
-			due.members = append(due.members, address)
-		}
-	}
+	due.members = p.members(now)
 	return due
 }
 
