Log the age of replaced weights and suspensions of the host

An `attempt` line named the version that a request was placed on, but not the target that replaced it, nor for how long, so it could not tell whether the age was measured wrongly, not known, or right at the placement and exceeded while the request waited at its engine. Attempts on replaced weights now say `replacedby` and `replacedfor`. A host that was suspended, which stops the monotonic clock but not the boot-time clock, says `host suspended` with the duration.

No decision changes. The two fields are written for attempts on replaced weights only, so a line grows by some 40 bytes in the seconds after a version is named.

--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -167,6 +167,11 @@
 	// prefill and fetch.
 	Read  int
 	Fetch int
+	// ReplacedBy is the oldest target version of the prompt's model that the endpoint
+	// lacks; zero if it has the newest one. ReplacedFor is how long that has been the
+	// target; zero if unknown.
+	ReplacedBy  int64
+	ReplacedFor time.Duration
 }
 
 // RunStatus is the execution status of an attempt: whether the endpoint ran it.
--- a/internal/coordination/forwarder/recording.go
+++ b/internal/coordination/forwarder/recording.go
@@ -26,10 +26,15 @@
 	if r.Meter != nil {
 		r.Meter.Attempt(r.Service, outcome)
 	}
-	return r.Log.Info().Str("event", "attempt").Str("request", r.ID).Str("outcome", outcome).
+	reason := attempt.PlacementReason
+	line := r.Log.Info().Str("event", "attempt").Str("request", r.ID).Str("outcome", outcome).
 		Str("endpoint", attempt.Endpoint.ID).Int("send", r.attempts).Int64("weights", attempt.Weights).
-		Dur("left", attempt.TimeLeft).Float64("cost", attempt.PlacementReason.Cost).Int("read", attempt.PlacementReason.Read).
-		Int("fetch", attempt.PlacementReason.Fetch).Dur("waited", r.queueTime).Dur("elapsed", r.Now().Sub(r.Received))
+		Dur("left", attempt.TimeLeft).Float64("cost", reason.Cost).Int("read", reason.Read).
+		Int("fetch", reason.Fetch).Dur("waited", r.queueTime).Dur("elapsed", r.Now().Sub(r.Received))
+	if reason.ReplacedBy > 0 {
+		line.Int64("replacedby", reason.ReplacedBy).Dur("replacedfor", reason.ReplacedFor)
+	}
+	return line
 }
 
 // outcome returns the name of an exchange's result in logs and metrics.
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -90,6 +90,12 @@
 		return attempt
 	}
 	attempt.Weights = endpoint.Weights[s.Prompt.Model]
+	if target, ok := view.replacedBy(endpoint, s.Prompt.Model); ok {
+		attempt.PlacementReason.ReplacedBy = target.Version
+		if !target.Since.IsZero() {
+			attempt.PlacementReason.ReplacedFor = now.Sub(target.Since)
+		}
+	}
 	attempt.Salt = s.salt(attempt.Weights)
 	query := s.forEndpoint(s.query(view), view, endpoint)
 	query.Nodes = s.Nodes()
--- a/internal/coordination/placer/view.go
+++ b/internal/coordination/placer/view.go
@@ -95,6 +95,16 @@
 	return excludedByWeights
 }
 
+// replacedBy returns the oldest target version of a model that an endpoint lacks.
+func (v View) replacedBy(endpoint endpointtracker.Endpoint, model string) (TargetVersion, bool) {
+	for _, target := range v.TargetVersions[model] {
+		if endpoint.Weights[model] < target.Version {
+			return target, true
+		}
+	}
+	return TargetVersion{}, false
+}
+
 // capacity returns the memory of one endpoint of a service, in tokens; zero for a
 // service without an engine.
 func capacity(catalog *cataloger.Catalog, service string) int {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -38,6 +38,8 @@
 	// expired during an outage of the directory. Live endpoints register again
 	// within two seconds.
 	expiredEntryGrace = 2 * time.Second
+	// minSuspension is the shortest suspension of the host that is logged.
+	minSuspension = 100 * time.Millisecond
 )
 
 // Relayer is a node's control state. Its exported fields must be set before Run;
@@ -58,6 +60,9 @@
 	// new weights, OnLoaded after the entry or the weights of an endpoint changed.
 	RecordLoading func(id string)
 	OnLoaded      func(id string)
+	// Uptime returns the time since the host was booted, including the time for which it
+	// was suspended, or false if that is unknown. New sets it to SinceBoot.
+	Uptime func() (time.Duration, bool)
 
 	inbox   chan func()
 	view    atomic.Pointer[placer.View]
@@ -68,12 +73,15 @@
 	// retained holds, for each model, the oldest version whose prompt parts are still
 	// fetched from stores.
 	retained map[string]int64
+	// checkedAt and checkedUptime are the clocks at the last check for a suspension.
+	checkedAt     time.Time
+	checkedUptime time.Duration
 }
 
 // New returns a node that has no configuration yet.
 func New(log zerolog.Logger, now func() time.Time) *Relayer {
 	return &Relayer{
-		Log: log, Now: now,
+		Log: log, Now: now, Uptime: SinceBoot,
 		inbox:          make(chan func(), inboxSize),
 		table:          endpointtracker.Table{Grace: expiredEntryGrace},
 		targetVersions: map[string][]placer.TargetVersion{},
@@ -92,6 +100,7 @@
 		case change := <-r.inbox:
 			change()
 		case <-ticker.C:
+			r.logSuspension()
 			r.sweep()
 		}
 	}
@@ -346,6 +355,19 @@
 	}
 }
 
+// logSuspension logs that the host was suspended since the last check: the boot-time
+// clock ran on, and the monotonic clock did not.
+func (r *Relayer) logSuspension() {
+	uptime, _ := r.Uptime()
+	now := time.Now()
+	if !r.checkedAt.IsZero() {
+		if suspended := uptime - r.checkedUptime - now.Sub(r.checkedAt); suspended >= minSuspension {
+			r.Log.Warn().Str("event", "host suspended").Dur("suspended", suspended).Send()
+		}
+	}
+	r.checkedAt, r.checkedUptime = now, uptime
+}
+
 func (r *Relayer) sweep() {
 	removed := r.table.RemoveExpired(r.Now())
 	if len(removed) == 0 {
