TestSuspendedHostUsesReplacedWeights, which fails

The limit is 8 s.

Tests of the relayer get a stand-in for the host's clock; those of before are not changed otherwise.

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -43,10 +43,32 @@
 	return cataloger.New(version, nil, services, nil, cataloger.Limits{})
 }
 
+// host is the clock of the host of a node: the fake time of its test, and how long the host
+// was suspended.
+type host struct {
+	booted    time.Time
+	suspended atomic.Int64
+}
+
+func newHost() *host { return &host{booted: time.Now()} }
+
+func (h *host) suspend(d time.Duration) { h.suspended.Add(int64(d)) }
+
+func (h *host) uptime() (time.Duration, bool) {
+	return time.Since(h.booted) + time.Duration(h.suspended.Load()), true
+}
+
 // newNode returns a running node with engines.
 func newNode(t *testing.T, endpoints ...endpointtracker.Endpoint) *relayer.Relayer {
+	t.Helper()
+	return newNodeOn(t, newHost(), endpoints...)
+}
+
+// newNodeOn is newNode on a given host.
+func newNodeOn(t *testing.T, host *host, endpoints ...endpointtracker.Endpoint) *relayer.Relayer {
 	t.Helper()
 	node := relayer.New(zerolog.Nop(), time.Now)
+	node.Uptime = host.uptime
 	node.OnLoaded, node.RecordLoading = func(string) {}, func(string) {}
 	node.OnTargetChange, node.OnWeightsUpdate = func() {}, func(endpointtracker.Endpoint, string, int64) {}
 	node.OnLeaving = func(endpointtracker.Endpoint) {}
--- /dev/null
+++ b/internal/relayer/replaced_weights_test.go
@@ -0,0 +1,54 @@
+package relayer_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/placer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/scheduler"
+	"github.com/lacewingrelay/lacewingrelay/internal/relayer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
+)
+
+// placePrompt places a prompt of model m by a node's view.
+func placePrompt(t *testing.T, node *relayer.Relayer) error {
+	t.Helper()
+	p := &placer.Placer{
+		View: node.View, Balancer: &balancer.Balancer{}, Locator: locator.New(), Scheduler: &scheduler.Scheduler{Now: time.Now},
+		Nodes: func() int { return 1 }, HasContact: func() bool { return true }, MaxStaleness: 8 * time.Second, Now: time.Now,
+	}
+	placement, err := p.Place(t.Context(), &forwarder.Exchange{
+		ID: "id", Service: "llm", Received: time.Now(), Deadline: time.Now().Add(15 * time.Second),
+		Route:  cataloger.Route{Name: "r", Stream: true, Objective: time.Second},
+		Prompt: &forwarder.Prompt{Model: "m", Parts: []locator.Part{{ID: "a", Tokens: 10}}},
+	}, forwarder.Progress{})
+	if err == nil {
+		placement.Release()
+	}
+	return err
+}
+
+// TestSuspendedHostUsesReplacedWeights covers a host that is suspended after a version was named:
+// the monotonic clock stops meanwhile, and the age of the target must not.
+func TestSuspendedHostUsesReplacedWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		host := newHost()
+		node := newNodeOn(t, host, engine("a", 1))
+		node.SetTargetVersion("m", 2, true)
+		synctest.Wait()
+		time.Sleep(3 * time.Second)
+		require.NoError(t, placePrompt(t, node))
+		host.suspend(5 * time.Second)
+		time.Sleep(time.Second)
+		err := placePrompt(t, node)
+		assert.True(t, errors.Is(err, forwarder.ErrUnavailable), "%v", err)
+	})
+}
