Count the age of target versions also while the host is suspended

A node that was suspended for five seconds placed prompts on replaced weights up to 13 s after the naming, where it should stop after 8 s. The same clock measured how long an expired entry of an endpoint is kept.

Ruled out by reading: the lease, the contact with the log and the orders use the boot-time clock already; holds, retry budgets, freed parts and dead peers only err on the safe side if time was not counted. A request's own deadline still misses the suspension; its caller has left by then, as callers leave after two seconds or some more without an answer.

Before: TestSuspendedHostUsesReplacedWeights failed (a prompt was placed 9 s after the naming). After: it passes, and so do TestReplacedWeights and the tests of the relayer.

Why it works: the relayer's times come from the boot-time clock, and a view carries the clock of its times, so the age of a target can't be taken with another one. Requests keep the monotonic clock, since contexts and timers use it.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -92,9 +92,7 @@
 	attempt.Weights = endpoint.Weights[s.Prompt.Model]
 	if target, ok := view.replacedBy(endpoint, s.Prompt.Model); ok {
 		attempt.PlacementReason.ReplacedBy = target.Version
-		if !target.Since.IsZero() {
-			attempt.PlacementReason.ReplacedFor = now.Sub(target.Since)
-		}
+		attempt.PlacementReason.ReplacedFor, _ = view.age(target)
 	}
 	attempt.Salt = s.salt(attempt.Weights)
 	query := s.forEndpoint(s.query(view), view, endpoint)
@@ -109,7 +107,7 @@
 // when it has room.
 func (s *selection) hasEligibleEndpoint() bool {
 	view := s.View()
-	excluded := s.excluded(s.Now(), view)
+	excluded := s.excluded(view)
 	for _, endpoint := range view.Endpoints[s.Service] {
 		if !endpoint.Leaving && !excluded[endpoint.ID] {
 			return true
@@ -122,7 +120,7 @@
 // requests.
 func (s *selection) hold() time.Duration {
 	view, now := s.View(), s.Now()
-	return s.Balancer.HoldLeft(now, balancer.Request{Endpoints: view.Endpoints[s.Service], Avoid: s.excluded(now, view)})
+	return s.Balancer.HoldLeft(now, balancer.Request{Endpoints: view.Endpoints[s.Service], Avoid: s.excluded(view)})
 }
 
 // pick chooses an endpoint that has room, using the current view.
@@ -136,7 +134,7 @@
 		Work:      s.work(view),
 		Stale:     s.hasReplacedWeights(view),
 		Tried:     s.Tried,
-		Avoid:     s.excluded(now, view),
+		Avoid:     s.excluded(view),
 	})
 }
 
@@ -182,11 +180,11 @@
 }
 
 // excluded returns the IDs of the endpoints that must not receive the request.
-func (s *selection) excluded(now time.Time, view View) map[string]bool {
+func (s *selection) excluded(view View) map[string]bool {
 	if s.Prompt == nil {
 		return s.Progress.Misdirected
 	}
-	excluded := view.excludedByWeights(now, s.Service, s.Prompt.Model, s.MaxStaleness)
+	excluded := view.excludedByWeights(s.Service, s.Prompt.Model, s.MaxStaleness)
 	if len(excluded) == 0 {
 		return s.Progress.Misdirected
 	}
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -29,6 +29,7 @@
 		Catalog:        cataloger.New(1, nil, services, nil, cataloger.Limits{}),
 		Endpoints:      map[string][]endpointtracker.Endpoint{},
 		TargetVersions: map[string][]placer.TargetVersion{"m": targets},
+		Now:            time.Now,
 	}
 	for i, version := range loaded {
 		v.Endpoints[service] = append(v.Endpoints[service], endpointtracker.Endpoint{
--- a/internal/coordination/placer/view.go
+++ b/internal/coordination/placer/view.go
@@ -19,6 +19,10 @@
 	// OldestRetained holds, for each model, the oldest version whose parts are
 	// kept in stores.
 	OldestRetained map[string]int64
+	// Now is the clock of the view's times. It may differ from that of requests, since it
+	// counts the time for which the host was suspended. It is set if any target version
+	// has a time.
+	Now func() time.Time
 
 	// byService holds what Prepare has computed.
 	byService map[string]holders
@@ -48,10 +52,18 @@
 // TargetVersion is a version of a model's weights that the endpoints are to load.
 type TargetVersion struct {
 	Version int64
-	// Since is when the version became the target; zero if unknown.
+	// Since is when the version became the target, by View.Now; zero if unknown.
 	Since time.Time
 }
 
+// age returns how long a version has been the target; false if that is unknown.
+func (v View) age(target TargetVersion) (time.Duration, bool) {
+	if target.Since.IsZero() {
+		return 0, false
+	}
+	return v.Now().Sub(target.Since), true
+}
+
 // NewestTarget returns the newest target version of a model; zero for none.
 func (v View) NewestTarget(model string) int64 {
 	targets := v.TargetVersions[model]
@@ -75,7 +87,7 @@
 // excludedByWeights returns the endpoints of a service whose weights for a
 // model are too old to start requests on: a newer version became the target at
 // least limit ago, or at an unknown time and another endpoint has it already.
-func (v View) excludedByWeights(now time.Time, service, model string, limit time.Duration) map[string]bool {
+func (v View) excludedByWeights(service, model string, limit time.Duration) map[string]bool {
 	var newestLoaded int64
 	for _, endpoint := range v.Endpoints[service] {
 		if !endpoint.Leaving {
@@ -85,8 +97,8 @@
 	excludedByWeights := map[string]bool{}
 	for _, endpoint := range v.Endpoints[service] {
 		for _, target := range v.TargetVersions[model] {
-			unknown := target.Since.IsZero()
-			expired := unknown && newestLoaded >= target.Version || !unknown && now.Sub(target.Since) >= limit
+			age, known := v.age(target)
+			expired := !known && newestLoaded >= target.Version || known && age >= limit
 			if endpoint.Weights[model] < target.Version && expired {
 				excludedByWeights[endpoint.ID] = true
 			}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -46,6 +46,7 @@
 // only OnChange may be nil.
 type Relayer struct {
 	Log zerolog.Logger
+	// Now is the clock of the control state if Uptime does not know the time.
 	Now func() time.Time
 	// OnChange is called on the control goroutine after a new view is published.
 	OnChange func(view placer.View)
@@ -157,7 +158,7 @@
 		}
 		target := placer.TargetVersion{Version: version}
 		if fresh {
-			target.Since = r.Now()
+			target.Since = r.now()
 		}
 		// Published views share the slice, so append to a copy.
 		r.targetVersions[model] = append(slices.Clone(known), target)
@@ -219,7 +220,7 @@
 // grace period.
 func (r *Relayer) RemoveEndpoint(id string, interrupted bool) {
 	r.do(func() {
-		if r.table.Remove(id, r.Now(), interrupted) {
+		if r.table.Remove(id, r.now(), interrupted) {
 			r.publish()
 			r.Log.Info().Str("event", "endpoint gone").Str("endpoint", id).Bool("interrupted", interrupted).Send()
 		}
@@ -230,7 +231,7 @@
 // listing of the directory. interrupted is as in RemoveEndpoint.
 func (r *Relayer) RemoveUnlistedEndpoints(listed map[string]bool, interrupted bool) {
 	r.do(func() {
-		if r.table.RemoveUnlisted(listed, r.Now(), interrupted) {
+		if r.table.RemoveUnlisted(listed, r.now(), interrupted) {
 			r.publish()
 			r.Log.Info().Str("event", "endpoints gone").Int("listed", len(listed)).Bool("interrupted", interrupted).Send()
 		}
@@ -355,6 +356,15 @@
 	}
 }
 
+// now returns the time by the clock of the control state. It counts the time for which the
+// host was suspended, and adjustments of the wall clock do not affect it.
+func (r *Relayer) now() time.Time {
+	if uptime, ok := r.Uptime(); ok {
+		return time.Time{}.Add(uptime)
+	}
+	return r.Now()
+}
+
 // logSuspension logs that the host was suspended since the last check: the boot-time
 // clock ran on, and the monotonic clock did not.
 func (r *Relayer) logSuspension() {
@@ -369,7 +379,7 @@
 }
 
 func (r *Relayer) sweep() {
-	removed := r.table.RemoveExpired(r.Now())
+	removed := r.table.RemoveExpired(r.now())
 	if len(removed) == 0 {
 		return
 	}
@@ -381,7 +391,7 @@
 	if r.catalog == nil {
 		return
 	}
-	view := placer.View{Catalog: r.catalog, Endpoints: r.table.Snapshot(), TargetVersions: maps.Clone(r.targetVersions)}
+	view := placer.View{Catalog: r.catalog, Endpoints: r.table.Snapshot(), TargetVersions: maps.Clone(r.targetVersions), Now: r.now}
 	r.updateRetained(view.Endpoints)
 	view.OldestRetained = maps.Clone(r.retained)
 	view.Prepare()
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -50,7 +50,7 @@
 	suspended atomic.Int64
 }
 
-func newHost() *host { return &host{booted: time.Now()} }
+func newHost() *host { return &host{booted: time.Now().Add(-time.Hour)} }
 
 func (h *host) suspend(d time.Duration) { h.suspended.Add(int64(d)) }
 
