Cancel attempts that have not begun when replaced weights expire

Cause, of hypothesis 4: the limit was checked when a request was placed. It then waited at its engine, for memory, for parts, or because the engine was slow, and began with its first token, whenever that was; only the stall timeout ended it, which grows with the route's targets (2.4 s and more) and knows nothing of weights.

Ruled out: a shorter limit for placing alone, since no share of the limit bounds what an engine does; and a deadline for the endpoint, since it would also end streams that began in time.

New: TestBeginTimeout and three cases of TestReplacedWeights.

Neither the endpoint nor the request is blamed.

--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -31,6 +31,17 @@
 	})
 }
 
+// startBeginTimer returns a timer that cancels an attempt whose answer does not begin in
+// time.
+func startBeginTimer(cancel context.CancelCauseFunc, attempt Attempt) *time.Timer {
+	if attempt.BeginTimeout == 0 {
+		timer := time.NewTimer(0)
+		timer.Stop()
+		return timer
+	}
+	return time.AfterFunc(attempt.BeginTimeout, func() { cancel(ErrNotBegun) })
+}
+
 // handleFailure classifies the error of an attempt, records it and returns it
 // with the matching sentinel. An interrupted answer that was not cancelled is
 // recorded in Suspects as a crash.
@@ -50,6 +61,8 @@
 		r.Sender.CloseIdle(attempt.Endpoint)
 		err = errors.Mark(err, ErrStalled)
 		r.placement.OnFailure(err)
+	case errors.Is(cause, ErrNotBegun):
+		err = errors.Mark(err, ErrNotBegun)
 	case cause != nil:
 		err = r.markCancelled(ctx, err)
 	case errors.Is(err, ErrStalled):
--- a/internal/coordination/forwarder/attempt.go
+++ b/internal/coordination/forwarder/attempt.go
@@ -19,6 +19,8 @@
 	defer cancel(nil)
 	stallTimer := r.startStallTimer(cancel)
 	defer stallTimer.Stop()
+	r.beginTimer = startBeginTimer(cancel, attempt)
+	defer r.beginTimer.Stop()
 	answer, err := r.Sender.Send(ctx, attempt)
 	if err != nil {
 		return r.handleFailure(ctx, attempt, err)
--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -34,6 +34,9 @@
 	ErrBroken = errors.New("answer broke off")
 	// ErrStalled marks an attempt that made no progress within the stall timeout.
 	ErrStalled = errors.New("endpoint made no progress")
+	// ErrNotBegun marks an attempt that was cancelled because no event arrived within
+	// Attempt.BeginTimeout.
+	ErrNotBegun = errors.New("answer did not begin in time")
 	// ErrRefused marks the failure of a request if the last endpoint that was
 	// tried refused to run it. It is the cause of a *limiter.Refusal if no earlier
 	// attempt may have run.
@@ -143,6 +146,10 @@
 	// Weights is the version of the weights that the endpoint must have; zero for
 	// any.
 	Weights int64
+	// BeginTimeout is the time within which the first event must arrive; zero for no
+	// limit. It is set if newer weights are the target, so that answers must not begin on
+	// these much longer.
+	BeginTimeout time.Duration
 	// Salt is the cache salt. It separates cached parts by model, weights and,
 	// for isolated teams, team.
 	Salt string
--- a/internal/coordination/forwarder/forwarder.go
+++ b/internal/coordination/forwarder/forwarder.go
@@ -54,8 +54,9 @@
 	*Exchange
 	Progress
 	sink Sink
-	// placement is that of the current attempt.
-	placement Placement
+	// placement and beginTimer are those of the current attempt.
+	placement  Placement
+	beginTimer *time.Timer
 	// queueTime is the total time spent waiting for endpoints. firstEvent is when
 	// the first event arrived.
 	queueTime  time.Duration
--- a/internal/coordination/forwarder/forwarder_test.go
+++ b/internal/coordination/forwarder/forwarder_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,6 +82,31 @@
 	}
 }
 
+// streamAfter sends an event after each pause and then ends normally.
+func streamAfter(pauses ...time.Duration) response {
+	return func(ctx context.Context, _ forwarder.Attempt) (forwarder.Answer, error) {
+		return forwarder.Answer{Status: 200, Header: http.Header{}, EventStream: &pausingEvents{ctx: ctx, pauses: pauses}}, nil
+	}
+}
+
+type pausingEvents struct {
+	ctx    context.Context
+	pauses []time.Duration
+	sent   int
+}
+
+// Next implements forwarder.EventStream.
+func (e *pausingEvents) Next() (forwarder.Event, error) {
+	if e.sent == len(e.pauses) {
+		return forwarder.Event{}, io.EOF
+	}
+	if err := retrier.Sleep(e.ctx, e.pauses[e.sent]); err != nil {
+		return forwarder.Event{}, errors.Mark(err, forwarder.ErrBroken)
+	}
+	e.sent++
+	return forwarder.Event{ID: strconv.Itoa(e.sent), Data: []byte("x")}, nil
+}
+
 type standinEvents struct {
 	ids []string
 	err error
@@ -316,6 +342,74 @@
 	})
 }
 
+// beginsWithin makes answers of all attempts begin within d.
+type beginsWithin struct {
+	forwarder.Placer
+	d time.Duration
+}
+
+type limitedPlacement struct {
+	forwarder.Placement
+	d time.Duration
+}
+
+// Place implements forwarder.Placer.
+func (p beginsWithin) Place(ctx context.Context, exchange *forwarder.Exchange, progress forwarder.Progress) (forwarder.Placement, error) {
+	placement, err := p.Placer.Place(ctx, exchange, progress)
+	return limitedPlacement{placement, p.d}, err
+}
+
+// Attempt implements forwarder.Placement.
+func (p limitedPlacement) Attempt() forwarder.Attempt {
+	attempt := p.Placement.Attempt()
+	attempt.BeginTimeout = p.d
+	return attempt
+}
+
+func TestBeginTimeout(t *testing.T) {
+	run := func(name string, policy cataloger.RetryPolicy, responses []response, check func(t *testing.T, e *standinSender, c *standinSink, err error, took time.Duration)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, c := &standinSender{responses: responses}, &standinSink{}
+				x := newForwarder(e)
+				x.Placer = beginsWithin{x.Placer, time.Second}
+				started := time.Now()
+				err := x.Run(t.Context(), exchange(policy), c)
+				check(t, e, c, err, time.Since(started))
+			})
+		})
+	}
+	run("an attempt that does not begin is repeated elsewhere", cataloger.RetryResumable, []response{neverAnswers, stream(io.EOF, "1")},
+		func(t *testing.T, e *standinSender, c *standinSink, err error, took time.Duration) {
+			require.NoError(t, err)
+			assertSends(t, e, 2)
+			assert.NotEqual(t, e.attempts[0].Endpoint.ID, e.attempts[1].Endpoint.ID)
+			assert.Equal(t, time.Second, took)
+		})
+	run("a request that may run once only fails", cataloger.RetryIfNotRun, []response{neverAnswers},
+		func(t *testing.T, e *standinSender, _ *standinSink, err error, took time.Duration) {
+			assertFails(t, err, forwarder.ErrNotBegun)
+			assertSends(t, e, 1)
+			assert.Equal(t, time.Second, took)
+		})
+	run("a head without an event is no begin", cataloger.RetryResumable, []response{streamAfter(2 * time.Second), stream(io.EOF, "1")},
+		func(t *testing.T, e *standinSender, _ *standinSink, err error, _ time.Duration) {
+			require.NoError(t, err)
+			assertSends(t, e, 2)
+		})
+	run("a stream that has begun goes on", cataloger.RetryResumable, []response{streamAfter(0, 2*time.Second)},
+		func(t *testing.T, e *standinSender, c *standinSink, err error, _ time.Duration) {
+			require.NoError(t, err)
+			assertSends(t, e, 1)
+			assert.Equal(t, []string{"1", "2"}, c.events)
+		})
+	run("the endpoint and the request are not blamed", cataloger.RetryIfNotRun, []response{neverAnswers},
+		func(t *testing.T, e *standinSender, _ *standinSink, err error, _ time.Duration) {
+			assert.Empty(t, e.closedIdle)
+			assert.False(t, errors.IsAny(err, forwarder.ErrStalled, forwarder.ErrPoison), "%v", err)
+		})
+}
+
 func TestTermination(t *testing.T) {
 	t.Run("at the route's timeout", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/forwarder/relay.go
+++ b/internal/coordination/forwarder/relay.go
@@ -24,6 +24,7 @@
 			return r.handleFailure(ctx, attempt, err)
 		}
 		stallTimer.Reset(r.stallTimeout())
+		r.beginTimer.Stop()
 		r.placement.OnEvent(events == 0)
 		r.recordFirstEvent()
 		if err := r.event(answer, event); err != nil {
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -52,7 +52,11 @@
 	// MaxStaleness is how long requests may still start on old weights after new
 	// ones became the target.
 	MaxStaleness time.Duration
-	Now          func() time.Time
+	// BeginLimit is how long answers may still begin on old weights after new ones became
+	// the target; zero for no limit. It is longer than MaxStaleness, since a request waits
+	// at its endpoint.
+	BeginLimit time.Duration
+	Now        func() time.Time
 }
 
 // selection is the endpoint selection for one attempt.
@@ -91,8 +95,11 @@
 	}
 	attempt.Weights = endpoint.Weights[s.Prompt.Model]
 	if target, ok := view.replacedBy(endpoint, s.Prompt.Model); ok {
-		attempt.PlacementReason.ReplacedBy = target.Version
-		attempt.PlacementReason.ReplacedFor, _ = view.age(target)
+		age, known := view.age(target)
+		attempt.PlacementReason.ReplacedBy, attempt.PlacementReason.ReplacedFor = target.Version, age
+		if known {
+			attempt.BeginTimeout = max(s.BeginLimit-age, 0)
+		}
 	}
 	attempt.Salt = s.salt(attempt.Weights)
 	query := s.forEndpoint(s.query(view), view, endpoint)
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -47,7 +47,7 @@
 		Scheduler:     &scheduler.Scheduler{Now: time.Now},
 		OnMisdirected: func(endpointtracker.Endpoint, string, int64) {},
 		Nodes:         func() int { return 1 }, HasContact: func() bool { return true },
-		MaxStaleness: 8 * time.Second, Now: time.Now,
+		MaxStaleness: 8 * time.Second, BeginLimit: 9 * time.Second, Now: time.Now,
 	}
 }
 
@@ -74,6 +74,13 @@
 	assert.Equal(t, endpoint, attempt.Endpoint.ID)
 }
 
+func assertBeginTimeout(t *testing.T, view placer.View, want time.Duration) {
+	t.Helper()
+	attempt, err := place(t, newPlacer(view), cataloger.Team{}, forwarder.Progress{})
+	require.NoError(t, err)
+	assert.Equal(t, want, attempt.BeginTimeout)
+}
+
 func assertUnavailable(t *testing.T, view placer.View) {
 	t.Helper()
 	_, err := place(t, newPlacer(view), cataloger.Team{}, forwarder.Progress{})
@@ -134,6 +141,15 @@
 	run("a target set at an unknown time excludes old weights even if no endpoint has a newer target yet", func(t *testing.T) {
 		assertPlaced(t, testView([]placer.TargetVersion{{Version: 2}, {Version: 3, Since: time.Now()}}, 1, 1, 2), "e3")
 	})
+	run("answers must begin before the limit on old weights", func(t *testing.T) {
+		assertBeginTimeout(t, testView(targetsSetAgo(7*time.Second), 1), 2*time.Second)
+	})
+	run("the oldest version that an endpoint lacks counts for the limit", func(t *testing.T) {
+		assertBeginTimeout(t, testView(targetsSetAgo(7*time.Second, time.Second), 2), 8*time.Second)
+	})
+	run("answers may begin at any time on the newest weights", func(t *testing.T) {
+		assertBeginTimeout(t, testView(targetsSetAgo(7*time.Second), 2), 0)
+	})
 	run("target set at an unknown time excludes old weights only if another endpoint has it", func(t *testing.T) {
 		unknown := []placer.TargetVersion{{Version: 2}}
 		assertPlaced(t, testView(unknown, 1, 1, 1), "e1")
