Bound the use of weights that were replaced at an unknown time

Ruled out: taking the start of the node for the time of the naming, since that adds the 8 s of a known time to an unknown age; the time of the log's records, which have none; and clocks of other hosts, which may be wrong.

Why it works: a node counts as in contact only from the platform's contact time on, 3 s after its start on most sites.

TestReplacedWeights gave no time at which the node had learned of a target; its two cases with an unknown time now give one within the limit and expect the same as before, and a third case is beyond it. What a node does until then is checked as strictly as it was.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -52,6 +52,9 @@
 	// MaxStaleness is how long requests may still start on old weights after new
 	// ones became the target.
 	MaxStaleness time.Duration
+	// MaxUnknownStaleness is the same if new weights became the target at an unknown time,
+	// after this node learned of them.
+	MaxUnknownStaleness time.Duration
 	// BeginLimit is how long answers may still begin on old weights after new ones became
 	// the target; zero for no limit. It is longer than MaxStaleness, since a request waits
 	// at its endpoint.
@@ -191,7 +194,7 @@
 	if s.Prompt == nil {
 		return s.Progress.Misdirected
 	}
-	excluded := view.excludedByWeights(s.Service, s.Prompt.Model, s.MaxStaleness)
+	excluded := view.excludedByWeights(s.Service, s.Prompt.Model, staleness{known: s.MaxStaleness, unknown: s.MaxUnknownStaleness})
 	if len(excluded) == 0 {
 		return s.Progress.Misdirected
 	}
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -47,7 +47,7 @@
 		Scheduler:     &scheduler.Scheduler{Now: time.Now},
 		OnMisdirected: func(endpointtracker.Endpoint, string, int64) {},
 		Nodes:         func() int { return 1 }, HasContact: func() bool { return true },
-		MaxStaleness: 8 * time.Second, BeginLimit: 9 * time.Second, Now: time.Now,
+		MaxStaleness: 8 * time.Second, MaxUnknownStaleness: 2 * time.Second, BeginLimit: 9 * time.Second, Now: time.Now,
 	}
 }
 
@@ -139,7 +139,10 @@
 		assertPlaced(t, testView(targetsSetAgo(9*time.Second, time.Second), 1, 1, 2), "e3")
 	})
 	run("a target set at an unknown time excludes old weights even if no endpoint has a newer target yet", func(t *testing.T) {
-		assertPlaced(t, testView([]placer.TargetVersion{{Version: 2}, {Version: 3, Since: time.Now()}}, 1, 1, 2), "e3")
+		assertPlaced(t, testView([]placer.TargetVersion{{Version: 2, Learned: time.Now()}, {Version: 3, Since: time.Now()}}, 1, 1, 2), "e3")
+	})
+	run("target set at an unknown time excludes old weights once it has been known for the limit", func(t *testing.T) {
+		assertUnavailable(t, testView([]placer.TargetVersion{{Version: 2, Learned: time.Now().Add(-3 * time.Second)}}, 1, 1, 1))
 	})
 	run("answers must begin before the limit on old weights", func(t *testing.T) {
 		assertBeginTimeout(t, testView(targetsSetAgo(7*time.Second), 1), 2*time.Second)
@@ -150,8 +153,8 @@
 	run("answers may begin at any time on the newest weights", func(t *testing.T) {
 		assertBeginTimeout(t, testView(targetsSetAgo(7*time.Second), 2), 0)
 	})
-	run("target set at an unknown time excludes old weights only if another endpoint has it", func(t *testing.T) {
-		unknown := []placer.TargetVersion{{Version: 2}}
+	run("target set at an unknown time excludes old weights at first only if another endpoint has it", func(t *testing.T) {
+		unknown := []placer.TargetVersion{{Version: 2, Learned: time.Now().Add(-time.Second)}}
 		assertPlaced(t, testView(unknown, 1, 1, 1), "e1")
 		assertPlaced(t, testView(unknown, 1, 1, 2), "e3")
 	})
--- a/internal/coordination/placer/view.go
+++ b/internal/coordination/placer/view.go
@@ -52,8 +52,10 @@
 // TargetVersion is a version of a model's weights that the endpoints are to load.
 type TargetVersion struct {
 	Version int64
-	// Since is when the version became the target, by View.Now; zero if unknown.
-	Since time.Time
+	// Since is when the version became the target, by View.Now; zero if unknown. Learned
+	// is when this node learned of it.
+	Since   time.Time
+	Learned time.Time
 }
 
 // age returns how long a version has been the target; false if that is unknown.
@@ -84,10 +86,16 @@
 	return ids
 }
 
-// excludedByWeights returns the endpoints of a service whose weights for a
-// model are too old to start requests on: a newer version became the target at
-// least limit ago, or at an unknown time and another endpoint has it already.
-func (v View) excludedByWeights(service, model string, limit time.Duration) map[string]bool {
+// staleness is how long requests may still start on old weights after new ones became
+// the target, and after this node learned of new ones that became it at an unknown time.
+type staleness struct {
+	known   time.Duration
+	unknown time.Duration
+}
+
+// excludedByWeights returns the endpoints of a service whose weights for a model are too
+// old to start requests on, see expired.
+func (v View) excludedByWeights(service, model string, limit staleness) map[string]bool {
 	var newestLoaded int64
 	for _, endpoint := range v.Endpoints[service] {
 		if !endpoint.Leaving {
@@ -95,11 +103,12 @@
 		}
 	}
 	excludedByWeights := map[string]bool{}
-	for _, endpoint := range v.Endpoints[service] {
-		for _, target := range v.TargetVersions[model] {
-			age, known := v.age(target)
-			expired := !known && newestLoaded >= target.Version || known && age >= limit
-			if endpoint.Weights[model] < target.Version && expired {
+	for _, target := range v.TargetVersions[model] {
+		if !v.expired(target, newestLoaded, limit) {
+			continue
+		}
+		for _, endpoint := range v.Endpoints[service] {
+			if endpoint.Weights[model] < target.Version {
 				excludedByWeights[endpoint.ID] = true
 			}
 		}
@@ -107,6 +116,16 @@
 	return excludedByWeights
 }
 
+// expired reports whether requests may no longer start on weights older than a target
+// version. If it became the target at an unknown time, that is the case as soon as an
+// endpoint has it.
+func (v View) expired(target TargetVersion, newestLoaded int64, limit staleness) bool {
+	if age, known := v.age(target); known {
+		return age >= limit.known
+	}
+	return newestLoaded >= target.Version || v.Now().Sub(target.Learned) >= limit.unknown
+}
+
 // replacedBy returns the oldest target version of a model that an endpoint lacks.
 func (v View) replacedBy(endpoint endpointtracker.Endpoint, model string) (TargetVersion, bool) {
 	for _, target := range v.TargetVersions[model] {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -156,9 +156,9 @@
 		if len(known) > 0 && known[len(known)-1].Version >= version {
 			return
 		}
-		target := placer.TargetVersion{Version: version}
+		target := placer.TargetVersion{Version: version, Learned: r.now()}
 		if fresh {
-			target.Since = r.now()
+			target.Since = target.Learned
 		}
 		// Published views share the slice, so append to a copy.
 		r.targetVersions[model] = append(slices.Clone(known), target)
