Date a version named during a standstill from the standstill's start

Cause: a node took the time at which it learned of a version for the time of the naming. A process that is stopped or suspended for six seconds while a version is named learns of it when it goes on, is in contact again three seconds later, and placed prompts on older weights until 8 s after it had learned: 14 s after the naming. The age by the boot-time clock does not help, since it starts too late, and a stopped process does not even see its clocks differ.

What is learned within three seconds after that may be as old as the standstill's start, and is dated so. A standstill of less than 0.6 s goes unnoticed; the limits leave more than that.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -40,6 +40,12 @@
 	expiredEntryGrace = 2 * time.Second
 	// minSuspension is the shortest suspension of the host that is logged.
 	minSuspension = 100 * time.Millisecond
+	// minStandstill is the shortest time between two steps of Run for which the process
+	// counts as stopped. It is some sweeps.
+	minStandstill = 3 * sweepPeriod
+	// catchUpPeriod is how long after a standstill a node may still learn of what happened
+	// meanwhile.
+	catchUpPeriod = 3 * time.Second
 )
 
 // Relayer is a node's control state. Its exported fields must be set before Run;
@@ -74,11 +80,22 @@
 	// retained holds, for each model, the oldest version whose prompt parts are still
 	// fetched from stores.
 	retained map[string]int64
+	// steppedAt is the time of the last step of Run, and stood the last time for which it
+	// made none.
+	steppedAt time.Time
+	stood     standstill
 	// checkedAt and checkedUptime are the clocks at the last check for a suspension.
 	checkedAt     time.Time
 	checkedUptime time.Duration
 }
 
+// standstill is a time for which the process did not run, because it was stopped or its host
+// was suspended.
+type standstill struct {
+	from  time.Time
+	until time.Time
+}
+
 // New returns a node that has no configuration yet.
 func New(log zerolog.Logger, now func() time.Time) *Relayer {
 	return &Relayer{
@@ -94,19 +111,33 @@
 func (r *Relayer) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
+	r.steppedAt = r.now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case change := <-r.inbox:
+			r.noteStep()
 			change()
 		case <-ticker.C:
+			r.noteStep()
 			r.logSuspension()
 			r.sweep()
 		}
 	}
 }
 
+// noteStep records a standstill if the last step was too long ago. It comes before a change
+// is made, since the change may tell of what happened meanwhile.
+func (r *Relayer) noteStep() {
+	now := r.now()
+	if now.Sub(r.steppedAt) >= minStandstill {
+		r.stood = standstill{from: r.steppedAt, until: now}
+		r.Log.Warn().Str("event", "standstill").Dur("stood", now.Sub(r.steppedAt)).Send()
+	}
+	r.steppedAt = now
+}
+
 // do queues a change for the control goroutine; it blocks while the queue is full.
 func (r *Relayer) do(change func()) { r.inbox <- change }
 
@@ -148,24 +179,38 @@
 
 // SetTargetVersion sets the version of a model's weights that endpoints are to
 // load. Versions that are not newer than the last one are ignored. fresh is set if
-// the operators have just set the version, so that the target dates from now;
-// otherwise its time is unknown and left zero.
+// the operators have just set the version; otherwise its time is unknown.
 func (r *Relayer) SetTargetVersion(model string, version int64, fresh bool) {
-	r.do(func() {
-		known := r.targetVersions[model]
-		if len(known) > 0 && known[len(known)-1].Version >= version {
-			return
-		}
-		target := placer.TargetVersion{Version: version, Learned: r.now()}
-		if fresh {
-			target.Since = target.Learned
-		}
-		// Published views share the slice, so append to a copy.
-		r.targetVersions[model] = append(slices.Clone(known), target)
-		r.publish()
-		r.Log.Info().Str("event", "weights named").Str("model", model).Int64("version", version).Bool("fresh", fresh).Send()
-		r.OnTargetChange()
-	})
+	r.do(func() { r.setTarget(model, version, fresh) })
+}
+
+func (r *Relayer) setTarget(model string, version int64, fresh bool) {
+	known := r.targetVersions[model]
+	if len(known) > 0 && known[len(known)-1].Version >= version {
+		return
+	}
+	target := placer.TargetVersion{Version: version, Learned: r.now()}
+	if fresh {
+		target.Since = r.earliestSince(target.Learned)
+	}
+	// Published views share the slice, so append to a copy.
+	r.targetVersions[model] = append(slices.Clone(known), target)
+	r.publish()
+	line := r.Log.Info().Str("event", "weights named").Str("model", model).Int64("version", version).Bool("fresh", fresh)
+	if fresh {
+		line.Dur("age", target.Learned.Sub(target.Since))
+	}
+	line.Send()
+	r.OnTargetChange()
+}
+
+// earliestSince returns the earliest time since when something may be in force that this
+// node has just learned: the start of the last standstill if that ended recently.
+func (r *Relayer) earliestSince(learned time.Time) time.Time {
+	if !r.stood.until.IsZero() && learned.Sub(r.stood.until) < catchUpPeriod {
+		return r.stood.from
+	}
+	return learned
 }
 
 // PutEndpoint adds or updates an endpoint from its directory entry. restored is set for
--- a/internal/relayer/replaced_weights_test.go
+++ b/internal/relayer/replaced_weights_test.go
@@ -52,3 +52,27 @@
 		assert.True(t, errors.Is(err, forwarder.ErrUnavailable), "%v", err)
 	})
 }
+
+// TestVersionNamedDuringStandstill covers a version that is named while the host of a node
+// stands still. The node learns of it afterwards and must not take it for just named.
+func TestVersionNamedDuringStandstill(t *testing.T) {
+	run := func(name string, after time.Duration, excluded bool) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				host := newHost()
+				node := newNodeOn(t, host, engine("a", 1))
+				time.Sleep(time.Second)
+				host.suspend(9 * time.Second)
+				time.Sleep(after)
+				// The feed reads a record that is not of its first listing.
+				node.SetTargetVersion("m", 2, true)
+				time.Sleep(3 * time.Second)
+				err := placePrompt(t, node)
+				assert.Equal(t, excluded, errors.Is(err, forwarder.ErrUnavailable), "%v", err)
+			})
+		})
+	}
+	run("learned at once", 0, true)
+	run("learned soon", 300*time.Millisecond, true)
+	run("named later", 4*time.Second, false)
+}
