A version heard from a peer after a start has an unknown age

Cause: a version that a peer told counted as just named if the node had a configuration. A node that starts while the log store is restored from a copy without the version gets its configuration from the log and the version from a peer, and used older weights for another 8 s. The question whether it had a configuration was also asked before that configuration was applied.

Why it works: what peers tell within three seconds after the start has an unknown age, and the limits for that hold. Later the node has followed the log or its home itself, so that a peer's news is news.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -43,8 +43,8 @@
 	// minStandstill is the shortest time between two steps of Run for which the process
 	// counts as stopped. It is some sweeps.
 	minStandstill = 3 * sweepPeriod
-	// catchUpPeriod is how long after a standstill a node may still learn of what happened
-	// meanwhile.
+	// catchUpPeriod is how long after its start or a standstill a node may still learn of
+	// what happened before or meanwhile.
 	catchUpPeriod = 3 * time.Second
 )
 
@@ -80,8 +80,9 @@
 	// retained holds, for each model, the oldest version whose prompt parts are still
 	// fetched from stores.
 	retained map[string]int64
-	// steppedAt is the time of the last step of Run, and stood the last time for which it
-	// made none.
+	// startedAt is when Run was called, steppedAt the time of its last step, and stood the
+	// last time for which it made none.
+	startedAt time.Time
 	steppedAt time.Time
 	stood     standstill
 	// checkedAt and checkedUptime are the clocks at the last check for a suspension.
@@ -111,7 +112,8 @@
 func (r *Relayer) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
-	r.steppedAt = r.now()
+	r.startedAt = r.now()
+	r.steppedAt = r.startedAt
 	for {
 		select {
 		case <-ctx.Done():
@@ -184,6 +186,12 @@
 	r.do(func() { r.setTarget(model, version, fresh) })
 }
 
+// SetTargetVersionFromPeer is SetTargetVersion for a version that a peer told. Its time is
+// unknown if this node has just started, since the peer may have known it for long.
+func (r *Relayer) SetTargetVersionFromPeer(model string, version int64) {
+	r.do(func() { r.setTarget(model, version, r.now().Sub(r.startedAt) >= catchUpPeriod) })
+}
+
 func (r *Relayer) setTarget(model string, version int64, fresh bool) {
 	known := r.targetVersions[model]
 	if len(known) > 0 && known[len(known)-1].Version >= version {
