Limit the begin on weights replaced at any age, by the earliest limit

Cause: an attempt got no begin timeout if the time of the naming was unknown, if the oldest version that the endpoint lacks had no known time while a newer one had, or if the limit had passed between the choice of the endpoint and the sending, where "nothing left" meant "no limit".

Why it works: both kinds of age have a limit for placing and a later one for the begin, in one type; the earliest limit of all versions that the endpoint lacks counts, and a limit that has passed is a timeout of a millisecond.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -49,16 +49,10 @@
 	// HasContact reports whether this node had contact with the log or a peer
 	// recently enough to know of new target weights.
 	HasContact func() bool
-	// MaxStaleness is how long requests may still start on old weights after new
-	// ones became the target.
-	MaxStaleness time.Duration
-	// MaxUnknownStaleness is the same if new weights became the target at an unknown time,
-	// after this node learned of them.
-	MaxUnknownStaleness time.Duration
-	// BeginLimit is how long answers may still begin on old weights after new ones became
-	// the target; zero for no limit. It is longer than MaxStaleness, since a request waits
-	// at its endpoint.
-	BeginLimit time.Duration
+	// KnownAge limits the use of weights that were replaced at a known time, counted from
+	// then, and UnknownAge that of others, counted from when this node learned of it.
+	KnownAge   WeightsLimits
+	UnknownAge WeightsLimits
 	Now        func() time.Time
 }
 
@@ -98,11 +92,9 @@
 	}
 	attempt.Weights = endpoint.Weights[s.Prompt.Model]
 	if target, ok := view.replacedBy(endpoint, s.Prompt.Model); ok {
-		age, known := view.age(target)
-		attempt.PlacementReason.ReplacedBy, attempt.PlacementReason.ReplacedFor = target.Version, age
-		if known {
-			attempt.BeginTimeout = max(s.BeginLimit-age, 0)
-		}
+		attempt.PlacementReason.ReplacedBy = target.Version
+		attempt.PlacementReason.ReplacedFor, _ = view.age(target)
+		attempt.BeginTimeout = view.beginTimeout(endpoint, s.Prompt.Model, s.weightsLimits())
 	}
 	attempt.Salt = s.salt(attempt.Weights)
 	query := s.forEndpoint(s.query(view), view, endpoint)
@@ -194,7 +186,7 @@
 	if s.Prompt == nil {
 		return s.Progress.Misdirected
 	}
-	excluded := view.excludedByWeights(s.Service, s.Prompt.Model, staleness{known: s.MaxStaleness, unknown: s.MaxUnknownStaleness})
+	excluded := view.excludedByWeights(s.Service, s.Prompt.Model, s.weightsLimits())
 	if len(excluded) == 0 {
 		return s.Progress.Misdirected
 	}
@@ -213,6 +205,10 @@
 	}
 }
 
+func (s *selection) weightsLimits() weightsLimits {
+	return weightsLimits{known: s.KnownAge, unknown: s.UnknownAge}
+}
+
 func (s *selection) tokens() int {
 	if s.Prompt == nil {
 		return 0
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -47,7 +47,8 @@
 		Scheduler:     &scheduler.Scheduler{Now: time.Now},
 		OnMisdirected: func(endpointtracker.Endpoint, string, int64) {},
 		Nodes:         func() int { return 1 }, HasContact: func() bool { return true },
-		MaxStaleness: 8 * time.Second, MaxUnknownStaleness: 2 * time.Second, BeginLimit: 9 * time.Second, Now: time.Now,
+		KnownAge:   placer.WeightsLimits{Place: 8 * time.Second, Begin: 9 * time.Second},
+		UnknownAge: placer.WeightsLimits{Place: 2 * time.Second, Begin: 3 * time.Second}, Now: time.Now,
 	}
 }
 
@@ -150,6 +151,28 @@
 	run("the oldest version that an endpoint lacks counts for the limit", func(t *testing.T) {
 		assertBeginTimeout(t, testView(targetsSetAgo(7*time.Second, time.Second), 2), 8*time.Second)
 	})
+	run("answers must begin before the limit on weights replaced at an unknown time", func(t *testing.T) {
+		assertBeginTimeout(t, testView([]placer.TargetVersion{{Version: 2, Learned: time.Now().Add(-time.Second)}}, 1), 2*time.Second)
+	})
+	run("the earliest limit of the versions that an endpoint lacks counts", func(t *testing.T) {
+		learned := time.Now().Add(-time.Second)
+		targets := []placer.TargetVersion{{Version: 2, Learned: learned}, {Version: 3, Since: time.Now().Add(-7500 * time.Millisecond)}}
+		assertBeginTimeout(t, testView(targets, 1), 1500*time.Millisecond)
+	})
+	run("a limit that passes after the endpoint was chosen still counts", func(t *testing.T) {
+		view := testView(targetsSetAgo(7*time.Second), 1)
+		p := newPlacer(view)
+		p.View = func() placer.View {
+			if chosen := len(p.Balancer.Report(time.Now())) > 0; chosen {
+				time.Sleep(5 * time.Second)
+			}
+			return view
+		}
+		attempt, err := place(t, p, cataloger.Team{}, forwarder.Progress{})
+		require.NoError(t, err)
+		assert.Equal(t, 12*time.Second, attempt.PlacementReason.ReplacedFor)
+		assert.Positive(t, attempt.BeginTimeout)
+	})
 	run("answers may begin at any time on the newest weights", func(t *testing.T) {
 		assertBeginTimeout(t, testView(targetsSetAgo(7*time.Second), 2), 0)
 	})
--- a/internal/coordination/placer/view.go
+++ b/internal/coordination/placer/view.go
@@ -86,16 +86,47 @@
 	return ids
 }
 
-// staleness is how long requests may still start on old weights after new ones became
-// the target, and after this node learned of new ones that became it at an unknown time.
-type staleness struct {
-	known   time.Duration
-	unknown time.Duration
+// WeightsLimits limits the use of weights after newer ones became the target.
+type WeightsLimits struct {
+	// Place is how long requests may still be placed on them.
+	Place time.Duration
+	// Begin is how long answers may still begin on them. It is longer than Place, since a
+	// request waits at its endpoint.
+	Begin time.Duration
+}
+
+// weightsLimits holds the limits for target versions whose time is known, and for others.
+type weightsLimits struct {
+	known   WeightsLimits
+	unknown WeightsLimits
+}
+
+// minBeginTimeout is the timeout of an attempt whose limit has passed since it was placed.
+const minBeginTimeout = time.Millisecond
+
+// beginTimeout returns how long answers may still begin on an endpoint's weights; zero if
+// they are the newest.
+func (v View) beginTimeout(endpoint endpointtracker.Endpoint, model string, limits weightsLimits) time.Duration {
+	timeout := time.Duration(0)
+	for _, target := range v.TargetVersions[model] {
+		if endpoint.Weights[model] >= target.Version {
+			continue
+		}
+		left := limits.unknown.Begin - v.Now().Sub(target.Learned)
+		if age, known := v.age(target); known {
+			left = limits.known.Begin - age
+		}
+		left = max(left, minBeginTimeout)
+		if timeout == 0 || left < timeout {
+			timeout = left
+		}
+	}
+	return timeout
 }
 
 // excludedByWeights returns the endpoints of a service whose weights for a model are too
 // old to start requests on, see expired.
-func (v View) excludedByWeights(service, model string, limit staleness) map[string]bool {
+func (v View) excludedByWeights(service, model string, limits weightsLimits) map[string]bool {
 	var newestLoaded int64
 	for _, endpoint := range v.Endpoints[service] {
 		if !endpoint.Leaving {
@@ -104,7 +135,7 @@
 	}
 	excludedByWeights := map[string]bool{}
 	for _, target := range v.TargetVersions[model] {
-		if !v.expired(target, newestLoaded, limit) {
+		if !v.expired(target, newestLoaded, limits) {
 			continue
 		}
 		for _, endpoint := range v.Endpoints[service] {
@@ -119,11 +150,11 @@
 // expired reports whether requests may no longer start on weights older than a target
 // version. If it became the target at an unknown time, that is the case as soon as an
 // endpoint has it.
-func (v View) expired(target TargetVersion, newestLoaded int64, limit staleness) bool {
+func (v View) expired(target TargetVersion, newestLoaded int64, limits weightsLimits) bool {
 	if age, known := v.age(target); known {
-		return age >= limit.known
+		return age >= limits.known.Place
 	}
-	return newestLoaded >= target.Version || v.Now().Sub(target.Learned) >= limit.unknown
+	return newestLoaded >= target.Version || v.Now().Sub(target.Learned) >= limits.unknown.Place
 }
 
 // replacedBy returns the oldest target version of a model that an endpoint lacks.
