An attempt whose begin timeout passes before it is sent is repeated

The connection of a caller that waited was closed without an answer when the begin timeout passed while the node was still connecting to an endpoint.

Cause: an attempt that was not sent, and whose context had ended, counted as one of a caller that had left.

Before: both new cases of TestBeginTimeout failed with "caller is gone". After: the request is repeated elsewhere, also one that may run only once, since nothing was sent.

TestBeginTimeoutBlamesNobody replaces the last case of TestBeginTimeout, which the review showed to pass also with code that blames the endpoint and the request: it now checks the suspects and that each endpoint still gets requests.

--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -48,10 +48,14 @@
 func (r *run) handleFailure(ctx context.Context, attempt Attempt, err error) error {
 	cause := context.Cause(ctx)
 	if errors.Is(err, ErrNotSent) {
-		if cause != nil {
+		switch {
+		case errors.Is(cause, ErrNotBegun):
+			// The caller still waits, and the endpoint is not to blame.
+		case cause != nil:
 			return r.markCancelled(ctx, err)
+		default:
+			r.placement.OnFailure(err)
 		}
-		r.placement.OnFailure(err)
 		r.logAttempt("not sent", attempt).Err(err).Send()
 		return err
 	}
--- a/internal/coordination/forwarder/forwarder_test.go
+++ b/internal/coordination/forwarder/forwarder_test.go
@@ -75,6 +75,11 @@
 	return forwarder.Answer{}, errors.Mark(ctx.Err(), forwarder.ErrBroken)
 }
 
+func neverConnects(ctx context.Context, _ forwarder.Attempt) (forwarder.Answer, error) {
+	<-ctx.Done()
+	return forwarder.Answer{}, errors.Mark(ctx.Err(), forwarder.ErrNotSent)
+}
+
 // stream sends events and then returns err; io.EOF ends the stream normally.
 func stream(err error, ids ...string) response {
 	return func(context.Context, forwarder.Attempt) (forwarder.Answer, error) {
@@ -403,11 +408,36 @@
 			assertSends(t, e, 1)
 			assert.Equal(t, []string{"1", "2"}, c.events)
 		})
-	run("the endpoint and the request are not blamed", cataloger.RetryIfNotRun, []response{neverAnswers},
-		func(t *testing.T, e *standinSender, _ *standinSink, err error, _ time.Duration) {
-			assert.Empty(t, e.closedIdle)
-			assert.False(t, errors.IsAny(err, forwarder.ErrStalled, forwarder.ErrPoison), "%v", err)
+	for name, policy := range map[string]cataloger.RetryPolicy{"once only": cataloger.RetryIfNotRun, "resumable": cataloger.RetryResumable} {
+		run("an attempt that was not sent in time is repeated elsewhere, "+name, policy, []response{neverConnects, stream(io.EOF, "1")},
+			func(t *testing.T, e *standinSender, _ *standinSink, err error, _ time.Duration) {
+				require.NoError(t, err)
+				assertSends(t, e, 2)
+			})
+	}
+}
+
+// TestBeginTimeoutBlamesNobody repeats a request that does not begin in time. Neither the request
+// nor its endpoints become suspect.
+func TestBeginTimeoutBlamesNobody(t *testing.T) {
+	for name, respond := range map[string]response{"not begun": neverAnswers, "not sent": neverConnects} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &standinSender{responses: []response{respond}}
+				x := newForwarder(e)
+				p := placerOf(x)
+				x.Placer = beginsWithin{x.Placer, time.Second}
+				for range 3 {
+					_ = x.Run(t.Context(), exchange(cataloger.RetryIfNotRun), &standinSink{})
+				}
+				assert.Empty(t, x.Suspects.Local(time.Now(), 8))
+				for _, attempt := range e.attempts {
+					_, ok := p.Balancer.Pick(time.Now(), balancer.Request{Endpoints: []endpointtracker.Endpoint{attempt.Endpoint}})
+					assert.True(t, ok, attempt.Endpoint.ID)
+				}
+			})
 		})
+	}
 }
 
 func TestTermination(t *testing.T) {
