Prompts on routes that are no streams expect their weights, too

Cause: the description of a prompt was read only on routes of streams. On another route to a service with engines a prompt ran on any weights, without an expected version, a salt, or the limits for replaced weights.

Before: TestReplacedWeightsOnPlainRoute was answered on weights that had been replaced 2.50 s ago (limit 2 s). After: it is refused.

Services without engines are left as they were: a model in a request to them means nothing. A whole answer has no first event, so there is no begin timeout for it, which would end answers that have begun.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -94,7 +94,10 @@
 	if target, ok := view.replacedBy(endpoint, s.Prompt.Model); ok {
 		attempt.PlacementReason.ReplacedBy = target.Version
 		attempt.PlacementReason.ReplacedFor, _ = view.age(target)
-		attempt.BeginTimeout = view.beginTimeout(endpoint, s.Prompt.Model, s.weightsLimits())
+		if s.Route.Stream {
+			// Other answers arrive whole, so it is not known when they begin.
+			attempt.BeginTimeout = view.beginTimeout(endpoint, s.Prompt.Model, s.weightsLimits())
+		}
 	}
 	attempt.Salt = s.salt(attempt.Weights)
 	query := s.forEndpoint(s.query(view), view, endpoint)
