Nodes tell each other the ages of new target versions

A node that restarts shortly after a version was named refused prompts from two seconds after its start until an engine had the version, while its peers, who knew the age, still served them on older weights.

Cause: the records of the operators have no time, and a node that has just started had no other source for it.

Why it works: heartbeats say, beside the newest target version, for how long it has been that, while that is less than 30 s. A node that has the same version at an unknown time takes the age. One change of 18 bytes a model more for 30 s after a naming. After a restart of all nodes nobody knows the age; then the limits for an unknown age hold as before.

--- a/internal/coordination/placer/view.go
+++ b/internal/coordination/placer/view.go
@@ -58,6 +58,16 @@
 	Learned time.Time
 }
 
+// TargetAge returns how long the newest target version of a model has been the target;
+// false if that is unknown.
+func (v View) TargetAge(model string) (time.Duration, bool) {
+	targets := v.TargetVersions[model]
+	if len(targets) == 0 {
+		return 0, false
+	}
+	return v.age(targets[len(targets)-1])
+}
+
 // age returns how long a version has been the target; false if that is unknown.
 func (v View) age(target TargetVersion) (time.Duration, bool) {
 	if target.Since.IsZero() {
--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -77,10 +77,10 @@
 	return endpoint.StartedAt.UnixMilli()
 }
 
-// modelVersions returns the target and the retained versions of models, as changes
-// with a marker in place of the endpoint. Retained versions are the lowest of this node
-// and its members; members are told this node's own. A heartbeat has room for maxModels; with more models successive
-// heartbeats rotate through them.
+// modelVersions returns the target versions of models, the ages of new ones, and the
+// retained versions, as changes with a marker in place of the endpoint. Retained versions
+// are the lowest of this node and its members; members are told this node's own. A heartbeat
+// has room for maxModels; with more models successive heartbeats rotate through them.
 func (p *Peers) modelVersions(now time.Time, kind kind) []peertracker.Change {
 	view, targets := p.Node.View(), p.Node.NewestTarget()
 	all := maps.Clone(targets)
@@ -100,6 +100,9 @@
 		if version, ok := targets[model]; ok {
 			modelVersions = append(modelVersions, peertracker.Change{Endpoint: targetMarker, Model: hash, Version: version})
 		}
+		if age, known := view.TargetAge(model); known && age < maxTargetAge {
+			modelVersions = append(modelVersions, peertracker.Change{Endpoint: ageMarker, Model: hash, Version: age.Milliseconds()})
+		}
 		if version, ok := retained[hash]; ok {
 			modelVersions = append(modelVersions, peertracker.Change{Endpoint: retainedMarker, Model: hash, Version: version})
 		}
@@ -171,3 +174,25 @@
 	}
 	p.Node.RaiseRetained(func(model string) int64 { return retained[balancer.IDHash(model)] })
 }
+
+// adoptTargetAges takes the ages of target versions from a peer that has the same ones, where
+// this node does not know since when they are that.
+func (p *Peers) adoptTargetAges(heartbeat peertracker.Heartbeat) {
+	targets, ages := map[uint32]int64{}, map[uint32]time.Duration{}
+	for _, change := range heartbeat.Changes {
+		switch change.Endpoint {
+		case targetMarker:
+			targets[change.Model] = change.Version
+		case ageMarker:
+			ages[change.Model] = time.Duration(change.Version) * time.Millisecond
+		}
+	}
+	if len(ages) == 0 {
+		return
+	}
+	p.Node.AdoptTargetAges(func(model string, version int64) (time.Duration, bool) {
+		hash := balancer.IDHash(model)
+		age, ok := ages[hash]
+		return age, ok && targets[hash] == version
+	})
+}
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -54,12 +54,17 @@
 	// startPeriod is the time after the start in which newer records are fetched at once,
 	// since the node is not ready before.
 	startPeriod = time.Second
-	// targetMarker and retainedMarker replace the endpoint's hash in changes that
-	// concern a model as a whole: its newest target version, and the oldest version
-	// whose parts are fetched. IDHash can return these values too: the changes of such
-	// an endpoint would be taken for those of the model.
+	// targetMarker, retainedMarker and ageMarker replace the endpoint's hash in changes
+	// that concern a model as a whole: its newest target version, the oldest version
+	// whose parts are fetched, and how long the newest target version has been that, in
+	// milliseconds. IDHash can return these values too: the changes of such an endpoint
+	// would be taken for those of the model.
 	targetMarker   = 0
 	retainedMarker = 1
+	ageMarker      = 3
+	// maxTargetAge is the age of a target version up to which peers are told it. Limits for
+	// older weights are shorter.
+	maxTargetAge = 30 * time.Second
 	// leavingMarker replaces the model's hash in a change that says that an endpoint is
 	// leaving. The version is then the start of its process.
 	leavingMarker = 2
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -32,6 +32,7 @@
 		p.HandleParts(heartbeat.Address, *heartbeat.Parts)
 	}
 	p.storeRetained(heartbeat)
+	p.adoptTargetAges(heartbeat)
 	if reporter == balancer.Home {
 		p.adoptRetained(heartbeat)
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -212,6 +212,32 @@
 	r.OnTargetChange()
 }
 
+// AdoptTargetAges sets the time of the newest target version of each model for which it is
+// unknown and age returns it.
+func (r *Relayer) AdoptTargetAges(age func(model string, version int64) (time.Duration, bool)) {
+	view := r.View()
+	for model, targets := range view.TargetVersions {
+		newest := targets[len(targets)-1]
+		told, ok := age(model, newest.Version)
+		if !ok || !newest.Since.IsZero() {
+			continue
+		}
+		r.do(func() { r.setTargetAge(model, newest.Version, told) })
+	}
+}
+
+func (r *Relayer) setTargetAge(model string, version int64, age time.Duration) {
+	targets := slices.Clone(r.targetVersions[model])
+	newest := &targets[len(targets)-1]
+	if newest.Version != version || !newest.Since.IsZero() {
+		return
+	}
+	newest.Since = r.now().Add(-age)
+	r.targetVersions[model] = targets
+	r.publish()
+	r.Log.Info().Str("event", "weights named").Str("model", model).Int64("version", version).Dur("age", age).Str("source", "peer").Send()
+}
+
 // earliestSince returns the earliest time since when something may be in force that this
 // node has just learned: the start of the last standstill if that ended recently.
 func (r *Relayer) earliestSince(learned time.Time) time.Time {
--- a/internal/relayer/replaced_weights_test.go
+++ b/internal/relayer/replaced_weights_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,3 +77,22 @@
 	run("learned soon", 300*time.Millisecond, true)
 	run("named later", 4*time.Second, false)
 }
+
+// TestAgeOfTargetFromPeers covers a node that starts after a version was named, at 7 and at 195
+// nodes: it takes the age from its peers.
+func TestAgeOfTargetFromPeers(t *testing.T) {
+	for nodes, domains := range map[int]int{7: 3, 195: 5} {
+		runFleet(t, fmt.Sprintf("%d nodes", nodes), nodes, domains, func(t *testing.T, f *fleet) {
+			f.wait(membershipBound)
+			started := f.nodes[len(f.nodes)-1]
+			for _, n := range f.nodes {
+				n.node.Configure(catalog(1), "test")
+				n.node.SetTargetVersion("m", 2, n != started)
+			}
+			f.wait(time.Second)
+			age, known := started.node.View().TargetAge("m")
+			require.True(t, known)
+			assert.InDelta(t, time.Second, age, float64(50*time.Millisecond))
+		})
+	}
+}
