Forwarder: log the parts of a broken attempt

What callers saw: nothing new.

Change: the line "attempt failed" carries the parts but the last (8 at most, 64 bytes each), their number, whether the attempt had events, and how long before the failure its first one arrived.

--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -60,7 +60,7 @@
 		r.Suspects.RecordCrash(r.Now(), r.fingerprint)
 		r.Broadcast()
 	}
-	r.logAttempt("attempt failed", attempt).Err(err).Send()
+	r.withParts(r.logAttempt("attempt failed", attempt), r.Now()).Err(err).Send()
 	return err
 }
 
--- a/internal/coordination/forwarder/attempt.go
+++ b/internal/coordination/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 )
@@ -14,6 +15,7 @@
 	defer r.placement.Release()
 	attempt := r.placement.Attempt()
 	r.attempts++
+	r.attemptEvent = time.Time{}
 	r.Tried[attempt.Endpoint.ID] = true
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/coordination/forwarder/forwarder.go
+++ b/internal/coordination/forwarder/forwarder.go
@@ -60,6 +60,8 @@
 	// the first event arrived.
 	queueTime  time.Duration
 	firstEvent time.Time
+	// attemptEvent is when the first event of the current attempt arrived; zero before.
+	attemptEvent time.Time
 	// attempts counts all attempts, executed those that may have run.
 	attempts int
 	executed int
--- a/internal/coordination/forwarder/recording.go
+++ b/internal/coordination/forwarder/recording.go
@@ -67,6 +67,9 @@
 
 // recordFirstEvent records the time of the first event of the answer.
 func (r *run) recordFirstEvent() {
+	if r.attemptEvent.IsZero() {
+		r.attemptEvent = r.Now()
+	}
 	if !r.firstEvent.IsZero() {
 		return
 	}
