Retrier: bound the work per record of a suspect part

What callers saw: nothing. A crash beside many requests with parts of their own can fill the table of suspect parts, and the records of the part to blame are then removed by chance; each record beyond the bound searched the whole table, as did each check of a request for expired records.

Change: 1,024 records instead of 256; beyond that an eighth is removed at once, weakest evidence first; expired records are removed once a second.

--- a/internal/coordination/retrier/part_record.go
+++ b/internal/coordination/retrier/part_record.go
@@ -57,7 +57,7 @@
 
 func weigh(crashes []partCrash) evidence {
 	var e evidence
-	var observers []uint32
+	observers := make([]uint32, 0, maxPartCrashes+1)
 	for i, crash := range crashes {
 		if i == 0 || crash.at.Sub(crashes[i-1].at) >= crashGap {
 			e.separate++
--- a/internal/coordination/retrier/part_suspects.go
+++ b/internal/coordination/retrier/part_suspects.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	// maxPartRecords is the maximum number of parts that are recorded.
-	maxPartRecords = 256
+	// maxPartRecords is the maximum number of parts that are recorded, and keptPartRecords
+	// how many are left of more.
+	maxPartRecords  = 1024
+	keptPartRecords = 896
+	// expirePeriod is the time between searches for expired records.
+	expirePeriod = time.Second
 	// clearedTTL is how long it is reported that a part is sound.
 	clearedTTL = 2 * time.Second
 	// maxUnrelated is the number of crashes by which a part may exceed another one that
@@ -35,6 +39,8 @@
 	records map[uint64]*partRecord
 	// survivals is for parts without a record, of which peers may report crashes later.
 	survivals survivals
+	// expiredAt is when expired records were last removed.
+	expiredAt time.Time
 }
 
 // PartRefusal says why requests with a part are refused.
@@ -211,18 +217,31 @@
 	return record
 }
 
-// evict removes the records with the weakest evidence, the least recently used first, while
+// evict removes the records with the weakest evidence, the least recently used first, if
 // there are too many.
 func (s *PartSuspects) evict() {
-	for len(s.records) > maxPartRecords {
-		least := slices.MinFunc(slices.Collect(maps.Keys(s.records)), func(a, b uint64) int {
-			x, y := s.records[a], s.records[b]
-			return cmp.Or(cmp.Compare(weigh(x.crashes).rank(), weigh(y.crashes).rank()), x.used.Compare(y.used))
-		})
-		delete(s.records, least)
+	if len(s.records) <= maxPartRecords {
+		return
+	}
+	type candidate struct {
+		part uint64
+		rank int
+		used time.Time
+	}
+	candidates := make([]candidate, 0, len(s.records))
+	for part, record := range s.records {
+		candidates = append(candidates, candidate{part, weigh(record.crashes).rank(), record.used})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.rank, b.rank), a.used.Compare(b.used)) })
+	for _, c := range candidates[:len(candidates)-keptPartRecords] {
+		delete(s.records, c.part)
 	}
 }
 
 func (s *PartSuspects) expire(now time.Time) {
+	if since := now.Sub(s.expiredAt); since >= 0 && since < expirePeriod {
+		return
+	}
+	s.expiredAt = now
 	maps.DeleteFunc(s.records, func(_ uint64, record *partRecord) bool { return now.Sub(record.used) >= s.Expiry })
 }
