Forwarder: an answer that ends with its connection proves no survival

An endpoint that crashes behind such a head seems to have completed its answer: the crash was not recorded, and what came before cleared the parts of the request.

Change: Answer.EndsWithConnection. The end of such an answer, or of a stream without events, is reported as a possible crash unless it had gone on 250 ms after its first event; as always, only a refused connection confirms one. An answer with a length or chunks clears its parts as before.

What remains: a service whose answers all end with their connection, within 250 ms of the first event, never clears its parts.

--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -105,7 +105,7 @@
 	}
 	r.Suspects.Clear(r.fingerprint)
 	if !answer.Failed {
-		r.recordSurvival()
+		r.recordEnd(attempt, answer)
 	}
 	r.logAttempt("answered", attempt).Int("status", answer.Status).Send()
 	r.placement.OnComplete()
--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -207,6 +207,9 @@
 	// Failed is set if the endpoint reported that it ran the request and failed.
 	// Another endpoint may succeed.
 	Failed bool
+	// EndsWithConnection is set if only the end of the connection ends the answer, so that
+	// an endpoint that crashes may seem to have completed it.
+	EndsWithConnection bool
 	// Leaving is set if the endpoint said that it is leaving.
 	Leaving bool
 	// Hold is how long the endpoint wants no requests from this node; zero if it did not
--- a/internal/coordination/forwarder/parts.go
+++ b/internal/coordination/forwarder/parts.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// recordEnd records the complete answer of the current attempt. If the endpoint may have
+// crashed instead, its parts are reported.
+func (r *run) recordEnd(attempt Attempt, answer Answer) {
+	isEmpty := answer.EventStream != nil && r.attemptEvent.IsZero()
+	if isEmpty || answer.EndsWithConnection {
+		r.reportCrash(attempt)
+		return
+	}
+	r.recordSurvival()
+}
+
 // recordSurvival records that the endpoint of the current attempt answers the request.
 func (r *run) recordSurvival() {
 	if r.PartSuspects == nil || r.survived {
--- a/internal/coordination/forwarder/parts_test.go
+++ b/internal/coordination/forwarder/parts_test.go
@@ -107,6 +107,11 @@
 		{"breaks just after the first event", stream(broken, "1"), []string{"a", "b"}},
 		{"breaks long after the first event", after(300*time.Millisecond, broken), nil},
 		{"completes", stream(io.EOF, "1"), nil},
+		{"completes without events", stream(io.EOF), []string{"a", "b"}},
+		{"ends with its connection just after the first event", endsWithConnection(stream(io.EOF, "1")), []string{"a", "b"}},
+		{"ends with its connection long after the first event", endsWithConnection(after(300*time.Millisecond, io.EOF)), nil},
+		{"ends with its connection and is no stream", endsWithConnection(status(200)), []string{"a", "b"}},
+		{"is no stream", status(200), nil},
 		{"stalls", failsWith(forwarder.ErrStalled), nil},
 		{"is not sent", failsWith(forwarder.ErrNotSent), nil},
 		{"has lost its weights", failsWith(forwarder.ErrVersionGone), nil},
@@ -129,6 +134,14 @@
 	}
 }
 
+func endsWithConnection(respond response) response {
+	return func(ctx context.Context, attempt forwarder.Attempt) (forwarder.Answer, error) {
+		answer, err := respond(ctx, attempt)
+		answer.EndsWithConnection = true
+		return answer, err
+	}
+}
+
 // pausedEvents has two events with a pause between them, and then returns err.
 type pausedEvents struct {
 	pause time.Duration
--- a/internal/coordination/forwarder/relay.go
+++ b/internal/coordination/forwarder/relay.go
@@ -60,9 +60,7 @@
 		}
 	}
 	r.Suspects.Clear(r.fingerprint)
-	if events > 0 {
-		r.recordSurvival()
-	}
+	r.recordEnd(attempt, answer)
 	r.placement.OnComplete()
 	r.logAttempt("streamed", attempt).Int("events", events).Dur("first", r.firstEvent.Sub(r.Received)).Send()
 	return nil
