Retrier: single crashes of a part are told for 30 s

What callers saw: nothing. Each crash accuses the parts of all requests beside it, most of them once; they filled the heartbeats (450 bytes each) for the ten minutes until they expired.

Change: a part with one separate crash is told for 30 s after it; the record stays and counts (TestSingleCrashIsToldForSomeTime). Parts with more are told until they expire, as nodes that start learn them so.

--- a/internal/coordination/retrier/part_record.go
+++ b/internal/coordination/retrier/part_record.go
@@ -94,6 +94,12 @@
 	return dropped != i
 }
 
+// isRecent reports whether the last crash is recent enough to be reported alone.
+func (r *partRecord) isRecent(now time.Time) bool {
+	n := len(r.crashes)
+	return n > 0 && now.Sub(r.crashes[n-1].at) < weakTTL
+}
+
 // leastCrash returns the index of the crash without which the evidence is strongest; the
 // oldest of several.
 func (r *partRecord) leastCrash() int {
--- a/internal/coordination/retrier/part_suspects.go
+++ b/internal/coordination/retrier/part_suspects.go
@@ -21,6 +21,8 @@
 	expirePeriod = time.Second
 	// clearedTTL is how long it is reported that a part is sound.
 	clearedTTL = 2 * time.Second
+	// weakTTL is how long it is reported that a part crashed an endpoint once.
+	weakTTL = 30 * time.Second
 	// maxUnrelated is the number of crashes by which a part may exceed another one that
 	// explains its crashes: endpoints also end for other reasons.
 	maxUnrelated = 1
@@ -187,7 +189,7 @@
 			strong = append(strong, part)
 		case now.Sub(record.clearedAt) < clearedTTL:
 			cleared = append(cleared, part)
-		case len(record.crashes) > 0:
+		case record.isRecent(now):
 			weak = append(weak, part)
 		}
 	}
--- a/internal/coordination/retrier/part_suspects_test.go
+++ b/internal/coordination/retrier/part_suspects_test.go
@@ -244,3 +244,20 @@
 	}
 	assertVerdict(t, tables, now, "x", retrier.VerdictAllow)
 }
+
+// TestSingleCrashIsToldForSomeTime shows that single crashes, of which most are bystanders',
+// don't fill the heartbeats for long, and still count.
+func TestSingleCrashIsToldForSomeTime(t *testing.T) {
+	start := time.Now()
+	tables := suspectsOf(start, []step{{0, "a", 1, "x"}})
+	for _, table := range tables {
+		assert.Len(t, table.Known(start.Add(29*time.Second), 10), 1)
+		assert.Empty(t, table.Known(start.Add(31*time.Second), 10))
+	}
+	for endpoint, node := range []string{"b", "c"} {
+		now := start.Add(time.Duration(40*(endpoint+1)) * time.Second)
+		tables[node].RecordCrash(now, now, hashes("x"), uint32(endpoint+2))
+		exchange(now, tables)
+	}
+	assertVerdict(t, tables, start.Add(2*time.Minute), "x", retrier.VerdictRefuse)
+}
--- a/internal/relayer/crash_faults_test.go
+++ b/internal/relayer/crash_faults_test.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// sentBytes returns the bytes that a node sends in a second, at most.
+func (s *crashSite) sentBytes() (most int64) {
+	for _, n := range s.nodes {
+		n.bytes.Store(0)
+	}
+	const seconds = 3
+	s.wait(seconds * time.Second)
+	for _, n := range s.nodes {
+		most = max(most, n.bytes.Load()/seconds)
+	}
+	return most
+}
+
 // runCrashSites runs a check on sites of 7 and of 195 nodes.
 func runCrashSites(t *testing.T, check func(t *testing.T, ctx context.Context, s *crashSite)) {
 	for _, site := range []struct{ nodes, domains int }{{7, 3}, {195, 5}} {
@@ -159,6 +172,7 @@
 // may hold.
 func TestHeartbeatsWithManySuspects(t *testing.T) {
 	runCrashSites(t, func(t *testing.T, _ context.Context, s *crashSite) {
+		before := s.sentBytes()
 		for i := range 300 {
 			for _, n := range s.nodes[:3] {
 				part := retrier.PartHashes([]string{fmt.Sprint("part", i)})
@@ -170,5 +184,8 @@
 			}
 		}
 		s.wait(5 * time.Second)
+		full := s.sentBytes()
+		s.wait(30 * time.Second)
+		t.Logf("bytes sent by a node in a second, at most: %d without suspects, %d with, %d later", before, full, s.sentBytes())
 	})
 }
