--- a/internal/coordination/forwarder/relay.go
+++ b/internal/coordination/forwarder/relay.go
@@ -27,6 +27,9 @@
 		r.beginTimer.Stop()
 		r.placement.OnEvent(events == 0)
 		r.recordFirstEvent()
+		if r.hasBegun() {
+			r.recordSurvival()
+		}
 		if err := r.event(answer, event); err != nil {
 			return errors.Mark(err, ErrCallerGone)
 		}
@@ -58,6 +61,7 @@
 		}
 	}
 	r.Suspects.Clear(r.fingerprint)
+	r.recordEnd(attempt, answer)
 	r.placement.OnComplete()
 	r.logAttempt("streamed", attempt).Int("events", events).Dur("first", r.firstEvent.Sub(r.Received)).Send()
 	return nil
