Malformed answers are not counted as crashes of endpoints

What callers saw: after two answers of an endpoint in trouble that were no answers, the request was refused everywhere as poison (500), though nothing had crashed under it.

Cause: the forwarder recorded every interrupted answer in Suspects, whether the connection ended or the bytes were malformed.

Ruled out: the retry rules; they do not look at the kind of an interrupted answer and stay as they are.

After: go test ./internal/coordination/forwarder passes.

Why it works: isCrash is the one place that decides, and takes only errors without ErrMalformed.

--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -33,7 +33,7 @@
 
 // handleFailure classifies the error of an attempt, records it and returns it
 // with the matching sentinel. An interrupted answer that was not cancelled is
-// recorded in Suspects as a crash.
+// recorded in Suspects if the endpoint may have crashed.
 func (r *run) handleFailure(ctx context.Context, attempt Attempt, err error) error {
 	cause := context.Cause(ctx)
 	if errors.Is(err, ErrNotSent) {
@@ -57,13 +57,20 @@
 	case !errors.Is(err, ErrVersionGone):
 		err = errors.Mark(err, ErrBroken)
 		r.placement.OnFailure(err)
-		r.Suspects.RecordCrash(r.Now(), r.fingerprint)
-		r.Broadcast()
+		if isCrash(err) {
+			r.Suspects.RecordCrash(r.Now(), r.fingerprint)
+			r.Broadcast()
+		}
 	}
 	r.logAttempt("attempt failed", attempt).Err(err).Send()
 	return err
 }
 
+// isCrash reports whether the error of an interrupted answer may be due to a crash
+// of the endpoint: its connection ended. A malformed answer says nothing about the
+// request.
+func isCrash(err error) bool { return !errors.Is(err, ErrMalformed) }
+
 // markCancelled marks an error with ErrTimeout if the deadline passed, and with
 // ErrCallerGone if ctx was cancelled for another reason.
 func (r *run) markCancelled(ctx context.Context, err error) error {
--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -32,6 +32,9 @@
 	ErrNotSent = errors.New("attempt was not sent")
 	// ErrBroken marks an answer that was interrupted or malformed.
 	ErrBroken = errors.New("answer broke off")
+	// ErrMalformed marks an answer whose bytes are no answer, or too many, although the
+	// connection did not end. It is used together with ErrBroken.
+	ErrMalformed = errors.New("answer is malformed")
 	// ErrStalled marks an attempt that made no progress within the stall timeout.
 	ErrStalled = errors.New("endpoint made no progress")
 	// ErrRefused marks the failure of a request if the last endpoint that was
