Sender bounds heads and bodies of answers and tells malformed ones from broken ones

What callers saw: an endpoint that sent a status line, header lines or a skipped answer without end was read until the attempt stalled, at the speed of the network, with all bytes of a line in memory. Log lines quoted them. Every malformed answer looked like a crash of the endpoint.

Cause: http.ReadResponse has no limit of its own, bodies were bounded without their chunk sizes, and all read errors got the same mark.

Ruled out: chunk sizes, chunk extensions and trailers, which net/http bounds itself.

Why it works: the reader below the buffer counts the bytes of a head or body and knows whether the connection has ended; an error while it has not is in the bytes. A first look at five bytes ends answers that are none at once.

--- a/internal/transport/sender/conn.go
+++ b/internal/transport/sender/conn.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	readBufferBytes = 4 << 10
 	// inlineBodyBytes is the largest declared length of a body that is written
 	// before the response is read. It fits the smallest socket buffers, so the
 	// write does not block. Longer bodies are written by another goroutine
@@ -33,13 +32,15 @@
 type conn struct {
 	target Target
 	raw    net.Conn
+	source *source
 	reader *bufio.Reader
 	// expires is the time after which an idle connection is not reused.
 	expires time.Time
 }
 
 func newConn(target Target, raw net.Conn) *conn {
-	return &conn{target: target, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	source := &source{raw: raw}
+	return &conn{target: target, raw: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 func (c *conn) close() { _ = c.raw.Close() }
@@ -78,6 +79,7 @@
 func (c *conn) roundTrip(ctx context.Context, r *http.Request, matches ResponseMatcher) (*Reply, error) {
 	reply := &Reply{conn: c, writeDone: make(chan struct{})}
 	reply.stopCancel = context.AfterFunc(ctx, c.close)
+	c.source.bytes = 0
 	if r.ContentLength <= inlineBodyBytes {
 		if err := reply.writeRequest(r); err != nil {
 			reply.stopCancel()
@@ -100,18 +102,28 @@
 // maxMismatches of them.
 func (c *conn) readResponseHead(r *http.Request, matches ResponseMatcher) (*http.Response, error) {
 	for range maxMismatches {
+		if err := c.source.beginHead(c.reader); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, r)
 		if err != nil {
-			return nil, err
+			return nil, c.source.markHead(err)
 		}
 		if response.StatusCode >= 200 && matches(response) {
+			c.source.beginStream()
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBodyBytes)); err != nil {
+		if err := c.skip(response.Body); err != nil {
 			return nil, err
 		}
 	}
-	return nil, errTooManyMismatches
+	return nil, c.source.malformed(errTooManyMismatches, 0)
+}
+
+func (c *conn) skip(body io.Reader) error {
+	c.source.beginBody()
+	_, err := io.Copy(io.Discard, body)
+	return c.source.mark(err)
 }
 
 // Reply is the response to a request.
@@ -135,27 +147,34 @@
 	return r.writeErr
 }
 
-// Read implements io.Reader on the response body.
+// Read implements io.Reader on the response body. Errors are marked with
+// forwarder.ErrBroken, and with forwarder.ErrMalformed unless the connection
+// has ended.
 func (r *Reply) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
 	if err == io.EOF {
 		r.complete = true
+		return n, err
 	}
-	return n, err
+	return n, r.conn.source.mark(err)
 }
 
+// BytesRead returns the number of bytes of the response that were read, its
+// head included.
+func (r *Reply) BytesRead() int64 { return r.conn.source.bytes }
+
 // ReadAll reads the response body to its end. It fails on a body over
-// maxBodyBytes.
+// maxBodyBytes, chunk sizes included.
 func (r *Reply) ReadAll() ([]byte, error) {
+	if r.ContentLength > maxBodyBytes {
+		return nil, r.conn.source.malformed(errBodyTooBig, maxBodyBytes)
+	}
+	r.conn.source.beginBody()
 	var buffer []byte
-	if r.ContentLength > 0 && r.ContentLength <= maxBodyBytes {
+	if r.ContentLength > 0 {
 		buffer = make([]byte, 0, r.ContentLength)
 	}
-	body, err := appendAll(buffer, r)
-	if err == nil && len(body) > maxBodyBytes {
-		return nil, errors.Newf("answer is over %d bytes", maxBodyBytes)
-	}
-	return body, err
+	return appendAll(buffer, r)
 }
 
 func appendAll(buffer []byte, r io.Reader) ([]byte, error) {
@@ -168,7 +187,7 @@
 		if err == io.EOF {
 			return buffer, nil
 		}
-		if err != nil || len(buffer) > maxBodyBytes {
+		if err != nil {
 			return buffer, err
 		}
 	}
--- a/internal/transport/sender/sender.go
+++ b/internal/transport/sender/sender.go
@@ -67,7 +67,9 @@
 
 // Send sends a request and returns its response, whose body has not been read
 // yet. Errors are marked with forwarder.ErrNotSent if no byte of the request can
-// have been sent, and with forwarder.ErrBroken otherwise.
+// have been sent, and with forwarder.ErrBroken otherwise. A malformed answer, or one whose
+// head is over maxHeadBytes, is also marked with forwarder.ErrMalformed; its connection is
+// closed.
 func (s *Sender) Send(ctx context.Context, target Target, r *http.Request, matches ResponseMatcher) (*Reply, error) {
 	c, err := s.connect(ctx, target)
 	if err != nil {
--- a/internal/transport/sender/sender_test.go
+++ b/internal/transport/sender/sender_test.go
@@ -25,10 +25,11 @@
 const testTimeout = 5 * time.Second
 
 // endpoint is a stand-in that serves each request with a handler and counts
-// connections and requests.
+// connections, those that are open, and requests.
 type endpoint struct {
 	target   sender.Target
 	conns    atomic.Int64
+	open     atomic.Int64
 	requests atomic.Int64
 }
 
@@ -49,6 +50,7 @@
 				return
 			}
 			e.conns.Add(1)
+			e.open.Add(1)
 			go e.serve(conn, handle)
 		}
 	}()
@@ -56,6 +58,7 @@
 }
 
 func (e *endpoint) serve(conn net.Conn, handle handler) {
+	defer e.open.Add(-1)
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
