Answers of endpoints share a bounded part of the memory

What callers saw: a node of 112 MiB ran out of memory when many requests met an endpoint that sent a body without end, or only declared a long one, and all requests at the node ended with it.

Cause: each body was bounded by 16 MiB, their sum by nothing; a declared length was allocated before a byte of it had arrived.

Ruled out: garbage of the collector, since the soft limit of the runtime was set as in a node.

The bound is 117 MB.

Why it works: buffers beyond 16 KiB reserve their memory from a pool of an eighth of the node's memory before they grow. When it runs short, the largest buffer of the endpoint that holds most is revoked: its connection is closed and its attempt fails as malformed. Sound answers are smaller than endless ones, and answers that have arrived completely are never revoked.

--- /dev/null
+++ b/internal/transport/reserver/reserver.go
@@ -0,0 +1,173 @@
+// Package reserver limits the memory that holds what other processes send, over all
+// connections together. If it runs short, the largest buffer of the process that takes most
+// is revoked, so that one that sends without end takes no memory from the others.
+//
+// # Usage
+//
+//	pool := &reserver.Pool{Limit: 16 << 20}
+//	buffer := pool.NewBuffer(address, conn.Close)
+//	defer buffer.Release()
+//	if err := buffer.Grow(size); err != nil {
+//		return err
+//	}
+package reserver
+
+import (
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// FreeBytes is the part of each buffer that does not count.
+const FreeBytes = 16 << 10
+
+// ErrRevoked is returned for a buffer that has been revoked.
+var ErrRevoked = errors.New("memory for received bytes is used up")
+
+// Pool is the memory for received bytes. Its fields are set before use, and it is safe for
+// concurrent use. A nil Pool has no limit.
+type Pool struct {
+	// Limit is the most that all buffers may hold together, in bytes, beyond the FreeBytes
+	// of each.
+	Limit int
+
+	mu      sync.Mutex
+	used    int
+	buffers map[*Buffer]struct{}
+}
+
+// Buffer is the memory for the bytes of one answer. A nil Buffer has no limit.
+type Buffer struct {
+	pool   *Pool
+	source netip.AddrPort
+	stop   func()
+	// counted is the part of the size that counts. kept is set once the bytes have arrived
+	// completely.
+	counted int
+	kept    bool
+	revoked bool
+}
+
+// NewBuffer returns an empty buffer for bytes from a source. If it is revoked, stop is
+// called, which must make the reader release it soon.
+func (p *Pool) NewBuffer(source netip.AddrPort, stop func()) *Buffer {
+	if p == nil {
+		return nil
+	}
+	return &Buffer{pool: p, source: source, stop: stop}
+}
+
+// Used returns the number of bytes that count.
+func (p *Pool) Used() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used
+}
+
+// Grow reserves memory for a size in bytes, before it is allocated. It returns ErrRevoked if
+// the buffer has been revoked.
+func (b *Buffer) Grow(size int) error {
+	if b == nil {
+		return nil
+	}
+	revoked, err := b.pool.grow(b, max(size-FreeBytes, 0))
+	for _, other := range revoked {
+		other.stop()
+	}
+	return err
+}
+
+func (p *Pool) grow(b *Buffer, counted int) (revoked []*Buffer, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b.revoked {
+		return nil, ErrRevoked
+	}
+	if counted > b.counted {
+		p.set(b, counted)
+	}
+	for p.used > p.Limit {
+		largest := p.largest()
+		if largest == nil {
+			// All others are kept.
+			largest = b
+		}
+		largest.revoked = true
+		p.set(largest, 0)
+		revoked = append(revoked, largest)
+	}
+	if b.revoked {
+		err = ErrRevoked
+	}
+	return revoked, err
+}
+
+func (p *Pool) set(b *Buffer, counted int) {
+	p.used += counted - b.counted
+	b.counted = counted
+	if counted == 0 {
+		delete(p.buffers, b)
+		return
+	}
+	if p.buffers == nil {
+		p.buffers = map[*Buffer]struct{}{}
+	}
+	p.buffers[b] = struct{}{}
+}
+
+// largest returns the largest buffer that may be revoked, of the source that holds most.
+func (p *Pool) largest() *Buffer {
+	sums, most := map[netip.AddrPort]int{}, map[netip.AddrPort]*Buffer{}
+	var found *Buffer
+	for b := range p.buffers {
+		if b.kept {
+			continue
+		}
+		sums[b.source] += b.counted
+		if most[b.source] == nil || b.counted > most[b.source].counted {
+			most[b.source] = b
+		}
+	}
+	for source, b := range most {
+		if found == nil || sums[source] > sums[found.source] {
+			found = b
+		}
+	}
+	return found
+}
+
+// Keep ends the reading: the buffer is complete and can't be revoked any more. It returns
+// ErrRevoked if it has been.
+func (b *Buffer) Keep() error {
+	if b == nil {
+		return nil
+	}
+	b.pool.mu.Lock()
+	defer b.pool.mu.Unlock()
+	if b.revoked {
+		return ErrRevoked
+	}
+	b.kept = true
+	return nil
+}
+
+// Revoked reports whether the buffer has been revoked.
+func (b *Buffer) Revoked() bool {
+	if b == nil {
+		return false
+	}
+	b.pool.mu.Lock()
+	defer b.pool.mu.Unlock()
+	return b.revoked
+}
+
+// Release frees the memory.
+func (b *Buffer) Release() {
+	if b == nil {
+		return
+	}
+	b.pool.mu.Lock()
+	defer b.pool.mu.Unlock()
+	b.pool.set(b, 0)
+}
--- /dev/null
+++ b/internal/transport/reserver/reserver_test.go
@@ -0,0 +1,135 @@
+package reserver_test
+
+import (
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
+)
+
+const limit = 1 << 20
+
+var (
+	first  = netip.MustParseAddrPort("10.0.0.1:80")
+	second = netip.MustParseAddrPort("10.0.0.2:80")
+)
+
+func newPool() *reserver.Pool { return &reserver.Pool{Limit: limit} }
+
+// counted returns the size of a buffer of which n bytes count.
+func counted(n int) int { return n + reserver.FreeBytes }
+
+func newBuffer(p *reserver.Pool, source netip.AddrPort) (*reserver.Buffer, *int) {
+	stops := new(int)
+	return p.NewBuffer(source, func() { *stops++ }), stops
+}
+
+func assertRevoked(t *testing.T, b *reserver.Buffer, stops *int, want bool) {
+	t.Helper()
+	assert.Equal(t, want, b.Revoked())
+	if want {
+		assert.ErrorIs(t, b.Grow(1), reserver.ErrRevoked)
+		assert.ErrorIs(t, b.Keep(), reserver.ErrRevoked)
+		assert.Equal(t, 1, *stops)
+		return
+	}
+	assert.NoError(t, b.Grow(1))
+	assert.Zero(t, *stops)
+}
+
+func TestRevocation(t *testing.T) {
+	t.Run("none within the limit", func(t *testing.T) {
+		p := newPool()
+		b, stops := newBuffer(p, first)
+		require.NoError(t, b.Grow(counted(limit)))
+		assertRevoked(t, b, stops, false)
+		b.Release()
+		assert.Zero(t, p.Used())
+	})
+	t.Run("of a buffer over the limit", func(t *testing.T) {
+		p := newPool()
+		b, stops := newBuffer(p, first)
+		require.ErrorIs(t, b.Grow(counted(limit)+1), reserver.ErrRevoked)
+		assertRevoked(t, b, stops, true)
+		assert.Zero(t, p.Used())
+	})
+	t.Run("of the largest buffer, not of the one that grows", func(t *testing.T) {
+		p := newPool()
+		large, largeStops := newBuffer(p, first)
+		small, smallStops := newBuffer(p, first)
+		require.NoError(t, large.Grow(counted(limit)))
+		require.NoError(t, small.Grow(counted(100)))
+		assertRevoked(t, large, largeStops, true)
+		assertRevoked(t, small, smallStops, false)
+		assert.Equal(t, 100, p.Used())
+	})
+	t.Run("at the source that holds most", func(t *testing.T) {
+		p := newPool()
+		large, largeStops := newBuffer(p, first)
+		require.NoError(t, large.Grow(counted(limit/3)))
+		var many []*reserver.Buffer
+		for range 8 {
+			b, _ := newBuffer(p, second)
+			many = append(many, b)
+			_ = b.Grow(counted(limit / 8))
+		}
+		assertRevoked(t, large, largeStops, false)
+		revoked := 0
+		for _, b := range many {
+			if b.Revoked() {
+				revoked++
+			}
+		}
+		assert.Equal(t, 3, revoked)
+	})
+	t.Run("never of complete buffers", func(t *testing.T) {
+		p := newPool()
+		complete, completeStops := newBuffer(p, first)
+		require.NoError(t, complete.Grow(counted(limit)))
+		require.NoError(t, complete.Keep())
+		b, stops := newBuffer(p, second)
+		require.ErrorIs(t, b.Grow(counted(1)), reserver.ErrRevoked)
+		assertRevoked(t, b, stops, true)
+		assert.Zero(t, *completeStops)
+		assert.Equal(t, limit, p.Used())
+	})
+	t.Run("never of small buffers", func(t *testing.T) {
+		p := newPool()
+		complete, _ := newBuffer(p, first)
+		require.NoError(t, complete.Grow(counted(limit)))
+		require.NoError(t, complete.Keep())
+		for range 100 {
+			b, stops := newBuffer(p, second)
+			require.NoError(t, b.Grow(reserver.FreeBytes))
+			assertRevoked(t, b, stops, false)
+		}
+	})
+	t.Run("no limit without a pool", func(t *testing.T) {
+		var p *reserver.Pool
+		b := p.NewBuffer(first, nil)
+		assert.NoError(t, b.Grow(1<<40))
+		assert.NoError(t, b.Keep())
+		assert.False(t, b.Revoked())
+		b.Release()
+	})
+}
+
+func TestConcurrentBuffersStayWithinTheLimit(t *testing.T) {
+	p := newPool()
+	var group sync.WaitGroup
+	for i := range 50 {
+		group.Go(func() {
+			b := p.NewBuffer(netip.AddrPortFrom(first.Addr(), uint16(i%5)), func() {})
+			defer b.Release()
+			for size := 1 << 10; b.Grow(size) == nil && size < 2*limit; size *= 2 {
+				assert.LessOrEqual(t, p.Used(), limit)
+			}
+		})
+	}
+	group.Wait()
+	assert.Zero(t, p.Used())
+}
--- a/internal/transport/sender/conn.go
+++ b/internal/transport/sender/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
 )
 
 const (
@@ -20,8 +22,6 @@
 	// write does not block. Longer bodies are written by another goroutine
 	// while the response is read.
 	inlineBodyBytes = 2 << 10
-	// maxBodyBytes is the largest response body.
-	maxBodyBytes = 16 << 20
 )
 
 // errTooManyMismatches is returned when maxMismatches responses have been
@@ -132,6 +132,7 @@
 
 	sender     *Sender
 	conn       *conn
+	memory     *reserver.Buffer
 	stopCancel func() bool
 	// writeDone is closed once the request has been written; writeErr is valid
 	// after that.
@@ -147,55 +148,10 @@
 	return r.writeErr
 }
 
-// Read implements io.Reader on the response body. Errors are marked with
-// forwarder.ErrBroken, and with forwarder.ErrMalformed unless the connection
-// has ended.
-func (r *Reply) Read(p []byte) (int, error) {
-	n, err := r.Body.Read(p)
-	if err == io.EOF {
-		r.complete = true
-		return n, err
-	}
-	return n, r.conn.source.mark(err)
-}
-
-// BytesRead returns the number of bytes of the response that were read, its
-// head included.
-func (r *Reply) BytesRead() int64 { return r.conn.source.bytes }
-
-// ReadAll reads the response body to its end. It fails on a body over
-// maxBodyBytes, chunk sizes included.
-func (r *Reply) ReadAll() ([]byte, error) {
-	if r.ContentLength > maxBodyBytes {
-		return nil, r.conn.source.malformed(errBodyTooBig, maxBodyBytes)
-	}
-	r.conn.source.beginBody()
-	var buffer []byte
-	if r.ContentLength > 0 {
-		buffer = make([]byte, 0, r.ContentLength)
-	}
-	return appendAll(buffer, r)
-}
-
-func appendAll(buffer []byte, r io.Reader) ([]byte, error) {
-	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
-		}
-		n, err := r.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if err == io.EOF {
-			return buffer, nil
-		}
-		if err != nil {
-			return buffer, err
-		}
-	}
-}
-
 // Close returns the connection to the pool if the response is complete and the
 // endpoint keeps the connection open, and closes it otherwise.
 func (r *Reply) Close() {
+	r.memory.Release()
 	notCancelled := r.stopCancel()
 	if notCancelled && r.reusable() {
 		r.conn.expires = time.Now().Add(idleTimeout(r.Header))
@@ -212,6 +168,10 @@
 		return false
 	}
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+	if r.memory.Revoked() {
+		// Its connection is closed, or about to be.
+		return false
+	}
 	return r.writeErr == nil && r.complete && framed && !r.Response.Close && r.ProtoAtLeast(1, 1) && r.conn.reader.Buffered() == 0
 }
 
--- /dev/null
+++ b/internal/transport/sender/memory_test.go
@@ -0,0 +1,138 @@
+package sender_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"runtime/metrics"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/sender"
+)
+
+const (
+	// The limits are those of a node with 112 MiB.
+	nodeBytes       = 112 << 20
+	softLimitBytes  = nodeBytes * 6 / 10
+	answersBytes    = nodeBytes / 8
+	endlessRequests = 100
+	soundRequests   = 100
+	soundBodyBytes  = 100 << 10
+)
+
+// heapPeak returns a function that ends the measurement and returns the peak of the heap, in
+// bytes, dead objects included.
+func heapPeak() func() uint64 {
+	stop, peak := make(chan struct{}), make(chan uint64)
+	go func() {
+		sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+		highest := uint64(0)
+		for {
+			metrics.Read(sample)
+			highest = max(highest, sample[0].Value.Uint64())
+			select {
+			case <-stop:
+				peak <- highest
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	return func() uint64 {
+		close(stop)
+		return <-peak
+	}
+}
+
+// newPartlyEndlessEndpoint returns an endpoint that answers requests whose id begins with
+// "sound" soundly, and others without end.
+func newPartlyEndlessEndpoint(t *testing.T, head, unit string) *endpoint {
+	t.Helper()
+	var total atomic.Int64
+	endless := flood(head, unit, &total)
+	sound := respondWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: %d\r\n\r\n%s", soundBodyBytes, strings.Repeat("s", soundBodyBytes)))
+	return newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		if strings.HasPrefix(r.Header.Get("Id"), "sound") {
+			return sound(conn, r)
+		}
+		return endless(conn, r)
+	})
+}
+
+func assertSound(t *testing.T, s *sender.Sender, e *endpoint, id string) {
+	t.Helper()
+	body, err := readWhole(t, s, e, id)
+	assert.NoError(t, err)
+	assert.Len(t, body, soundBodyBytes)
+}
+
+// TestEndlessAnswersShareTheMemory guards against a node that runs out of memory when many
+// requests meet an endpoint that sends without end.
+func TestEndlessAnswersShareTheMemory(t *testing.T) {
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(softLimitBytes))
+	for name, answer := range map[string][2]string{
+		"bodies without length": {okHead + "\r\n", "x"},
+		"bodies with a length":  {okHead + "Content-Length: 16000000\r\n\r\n", "x"},
+		"chunks":                {okHead + "Transfer-Encoding: chunked\r\n\r\nffffff\r\n", "x"},
+		"header lines":          {okHead, "A: b\r\n"},
+		"header names":          {okHead, "abcde:\r\nfghij:\r\nklmno:\r\npqrst:\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &sender.Sender{DialTimeout: time.Second, Memory: &reserver.Pool{Limit: answersBytes}}
+			bad, good := newPartlyEndlessEndpoint(t, answer[0], answer[1]), newEndpoint(t, respondWith(okResponse))
+			peak := heapPeak()
+			var group sync.WaitGroup
+			for i := range endlessRequests {
+				group.Go(func() {
+					_, err := readWhole(t, s, bad, fmt.Sprint("endless", i))
+					// A whole body of the largest length is an answer.
+					if name != "bodies with a length" || err != nil {
+						assertMarked(t, err, forwarder.ErrMalformed)
+					}
+				})
+			}
+			for i := range soundRequests {
+				group.Go(func() { assertSound(t, s, bad, fmt.Sprint("sound", i)) })
+				group.Go(func() { assertBody(t, s, good, fmt.Sprint(i)) })
+			}
+			group.Wait()
+			highest := peak()
+			t.Logf("peak of the heap: %d bytes", highest)
+			assert.Less(t, highest, uint64(nodeBytes))
+			assert.Zero(t, s.Memory.Used())
+			assert.Eventually(t, func() bool { return bad.open.Load() <= soundRequests }, noticeTime, 5*time.Millisecond)
+		})
+	}
+}
+
+// TestDeclaredLengthTakesNoMemory declares a length of which nothing arrives.
+func TestDeclaredLengthTakesNoMemory(t *testing.T) {
+	s := &sender.Sender{DialTimeout: time.Second, Memory: &reserver.Pool{Limit: answersBytes}}
+	silent := make(chan struct{})
+	e := newEndpoint(t, func(conn net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 16000000\r\n\r\nx")
+		<-silent
+		return false
+	})
+	peak := heapPeak()
+	var group sync.WaitGroup
+	for range endlessRequests {
+		group.Go(func() {
+			_, err := readWhole(t, s, e, "1")
+			assert.Error(t, err)
+		})
+	}
+	time.AfterFunc(300*time.Millisecond, func() { close(silent) })
+	group.Wait()
+	assert.Less(t, peak(), uint64(nodeBytes))
+}
--- a/internal/transport/sender/sender.go
+++ b/internal/transport/sender/sender.go
@@ -28,6 +28,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
 )
 
 const (
@@ -60,6 +61,8 @@
 type Sender struct {
 	// DialTimeout limits the time to open a connection.
 	DialTimeout time.Duration
+	// Memory limits the memory for answers; nil for no limit.
+	Memory *reserver.Pool
 
 	mu   sync.Mutex
 	idle map[Target][]*conn
@@ -81,6 +84,7 @@
 		return nil, errors.Mark(err, forwarder.ErrBroken)
 	}
 	reply.sender = s
+	reply.memory = s.Memory.NewBuffer(target.Address, c.close)
 	return reply, nil
 }
 
