--- a/internal/protocol/splitter/splitter.go
+++ b/internal/protocol/splitter/splitter.go
@@ -24,8 +24,8 @@
 
 const (
 	initialBufferBytes = 1 << 10
-	// maxEventBytes is the size at which an incomplete event is rejected.
-	maxEventBytes = 1 << 20
+	// MaxEventBytes is the size at which an incomplete event is rejected.
+	MaxEventBytes = 1 << 20
 )
 
 // Event is one event. Data contains all its bytes including the blank line at its
@@ -37,6 +37,11 @@
 
 // Splitter reads events from a stream. It is not safe for concurrent use.
 type Splitter struct {
+	// Reserve is called with the new size in bytes before the buffer grows. If it returns
+	// an error, Next returns that error. It may be nil, and is set before the first call
+	// of Next.
+	Reserve func(size int) error
+
 	source io.Reader
 	buffer []byte
 	// start is the index in buffer at which the next event begins, and scanned the
@@ -52,7 +57,8 @@
 }
 
 // Next returns the next event. It returns io.EOF at the end of a complete stream,
-// ErrPartial at the end of an incomplete one, ErrTooLong, or the source's error.
+// ErrPartial at the end of an incomplete one, ErrTooLong, or the error of the source or of
+// Reserve.
 func (s *Splitter) Next() (Event, error) {
 	for {
 		if eventEnd := s.eventEnd(); eventEnd > 0 {
@@ -98,10 +104,12 @@
 		s.start = 0
 	}
 	if len(s.buffer) == cap(s.buffer) {
-		if len(s.buffer) >= maxEventBytes {
+		if len(s.buffer) >= MaxEventBytes {
 			return ErrTooLong
 		}
-		s.buffer = append(s.buffer, make([]byte, len(s.buffer))...)[:len(s.buffer)]
+		if err := s.grow(2 * len(s.buffer)); err != nil {
+			return err
+		}
 	}
 	n, err := s.source.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
@@ -112,6 +120,16 @@
 	return err
 }
 
+func (s *Splitter) grow(size int) error {
+	if s.Reserve != nil {
+		if err := s.Reserve(size); err != nil {
+			return err
+		}
+	}
+	s.buffer = append(make([]byte, 0, size), s.buffer...)
+	return nil
+}
+
 // eventID returns the event's id field, or "" if it has none.
 func eventID(data []byte) string {
 	for len(data) > 0 {
--- a/internal/protocol/splitter/splitter_test.go
+++ b/internal/protocol/splitter/splitter_test.go
@@ -59,6 +59,23 @@
 	})
 }
 
+// TestReserve checks that memory is reserved before the buffer grows.
+func TestReserve(t *testing.T) {
+	denied := errors.New("denied")
+	var sizes []int
+	s := splitter.New(strings.NewReader(strings.Repeat("x", 1<<20)))
+	s.Reserve = func(size int) error {
+		sizes = append(sizes, size)
+		if size > 8<<10 {
+			return denied
+		}
+		return nil
+	}
+	_, err := s.Next()
+	require.ErrorIs(t, err, denied)
+	assert.Equal(t, []int{2 << 10, 4 << 10, 8 << 10, 16 << 10}, sizes)
+}
+
 func FuzzNext(f *testing.F) {
 	f.Add([]byte("id: 1\n\nid: 2\r\n\r\n"), 3)
 	f.Add([]byte("\n\n\n\r\n\r\n"), 1)
--- a/internal/transport/sender/body.go
+++ b/internal/transport/sender/body.go
@@ -32,6 +32,10 @@
 	}
 }
 
+// BytesRead returns the number of bytes of the response that were read, its
+// head included.
+func (r *Reply) BytesRead() int64 { return r.conn.source.bytes }
+
 // Malformed returns a *MalformedError, marked with the sentinels of package forwarder. The
 // limit is in bytes, zero for none.
 func (r *Reply) Malformed(cause error, limit int64) error {
