Idle connections with unread bytes are closed within a second

What callers saw: nothing, but a node kept connections on which an endpoint went on sending after a complete answer, with their buffers in the kernel, for as long as the endpoint's Keep-Alive said.

Cause: unread bytes were looked for only when a connection was reused, and the timeout that the endpoint names had no bound.

Ruled out: answers that reach the next request; unread bytes have always ended the reuse.

Before: TestBytesWithoutEndOnIdleConnections failed in two of four cases (connection open after 3 s; reuse an hour later). After: go test -race ./internal/transport/sender passes.

Why it works: the check that runs each second asks the same as a reuse does, so an idle connection holds at most what its socket's buffer takes for a second, and none lasts over ten minutes.

--- a/internal/transport/sender/conn.go
+++ b/internal/transport/sender/conn.go
@@ -45,11 +45,13 @@
 
 func (c *conn) close() { _ = c.raw.Close() }
 
-// usable reports whether an idle connection may be reused: it has not expired,
-// is open, and has no unread bytes, which would belong to no request.
-func (c *conn) usable(now time.Time) bool {
-	return now.Before(c.expires) && c.reader.Buffered() == 0 && hasNoPendingData(c.raw)
-}
+// usable reports whether an idle connection may be reused: it has not expired
+// and is clean.
+func (c *conn) usable(now time.Time) bool { return now.Before(c.expires) && c.isClean() }
+
+// isClean reports whether the connection is open and has no unread bytes, which
+// would belong to no request.
+func (c *conn) isClean() bool { return c.reader.Buffered() == 0 && hasNoPendingData(c.raw) }
 
 // hasNoPendingData reports whether a connection is open and has no bytes to
 // read. It does not block. It reports true for a connection without a file
@@ -172,7 +174,7 @@
 		// Its connection is closed, or about to be.
 		return false
 	}
-	return r.writeErr == nil && r.complete && framed && !r.Response.Close && r.ProtoAtLeast(1, 1) && r.conn.reader.Buffered() == 0
+	return r.writeErr == nil && r.complete && framed && !r.Response.Close && r.ProtoAtLeast(1, 1) && r.conn.isClean()
 }
 
 // idleTimeout returns how long an idle connection may be reused: the timeout in
@@ -182,7 +184,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		seconds, err := strconv.Atoi(strings.TrimSpace(value))
 		if strings.EqualFold(name, "timeout") && err == nil {
-			return time.Duration(seconds)*time.Second - idleMargin
+			return time.Duration(min(seconds, int(maxIdleTimeout/time.Second)))*time.Second - idleMargin
 		}
 	}
 	return defaultIdleTimeout - idleMargin
--- a/internal/transport/sender/sender.go
+++ b/internal/transport/sender/sender.go
@@ -35,6 +35,8 @@
 	// defaultIdleTimeout is the idle timeout assumed for an endpoint that sends no
 	// Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout bounds the idle timeout that an endpoint may ask for.
+	maxIdleTimeout = 10 * time.Minute
 	// idleMargin is subtracted from the endpoint's idle timeout, so that the
 	// endpoint does not close a connection while a request is on its way.
 	idleMargin = 700 * time.Millisecond
@@ -146,14 +148,15 @@
 	}
 }
 
-// CloseExpired closes idle connections that have expired.
+// CloseExpired closes idle connections that have expired, were closed by the endpoint, or
+// have unread bytes. The socket's buffer bounds what may arrive between calls.
 func (s *Sender) CloseExpired(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for target, conns := range s.idle {
 		var remaining []*conn
 		for _, c := range conns {
-			if now.Before(c.expires) {
+			if c.usable(now) {
 				remaining = append(remaining, c)
 			} else {
 				c.close()
