Calls between nodes read at most 16 MiB

What callers saw: nothing yet; a node of 112 MiB that reads a reply of 64 MiB into a growing buffer is out of memory.

Cause: the bound was chosen without regard to the node's memory.

Ruled out: larger legitimate bodies. A forwarded call has at most 8 MiB (listener.MaxBodyBytes); the directory of parts takes up to 16 MB in a node's memory (docs/design/prompts.md) and less on the wire, but that was not measured here.

Why it works: a longer reply is cut off, does not match its code and is an error, as before.

--- a/internal/transport/messenger/signer.go
+++ b/internal/transport/messenger/signer.go
@@ -18,7 +18,7 @@
 
 	nonceBytes = 16
 	// maxBodyBytes is the largest body of a request or reply between nodes.
-	maxBodyBytes = 64 << 20
+	maxBodyBytes = 16 << 20
 )
 
 // ErrNotAuthentic is returned for a reply whose authentication code does not
