Splitter searches each byte of a stream once

What callers saw: a node whose processor was busy with one stream: an endpoint that sent one event of almost 1 MiB and then many small ones made the node search the whole buffer for each of them.

Cause: both terminators were searched for to the end of the buffer before the nearer one was taken.

Ruled out: events that are complete in a small buffer, which is what sound endpoints send.

Why it works: line ends are visited in order, and the first that completes a terminator ends the event.

--- a/internal/protocol/splitter/splitter.go
+++ b/internal/protocol/splitter/splitter.go
@@ -83,18 +83,22 @@
 // ends are not recognized.
 func (s *Splitter) eventEnd() int {
 	// A terminator of up to four bytes may have been read only in part.
-	from := max(s.start, s.scanned-3)
-	rest := s.buffer[from:]
-	s.scanned = len(s.buffer)
-	nearest := 0
-	for _, terminator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if at := bytes.Index(rest, terminator); at >= 0 {
-			if eventEnd := from + at + len(terminator); nearest == 0 || eventEnd < nearest {
-				nearest = eventEnd
-			}
+	at := max(s.start, s.scanned-3)
+	for {
+		next := bytes.IndexByte(s.buffer[at:], '\n')
+		if next < 0 {
+			s.scanned = len(s.buffer)
+			return 0
+		}
+		at += next + 1
+		rest := s.buffer[at:]
+		if bytes.HasPrefix(rest, []byte("\n")) {
+			return at + 1
+		}
+		if bytes.HasSuffix(s.buffer[s.start:at], []byte("\r\n")) && bytes.HasPrefix(rest, []byte("\r\n")) {
+			return at + 2
 		}
 	}
-	return nearest
 }
 
 func (s *Splitter) fill() error {
--- a/internal/protocol/splitter/splitter_test.go
+++ b/internal/protocol/splitter/splitter_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
@@ -93,3 +94,17 @@
 }
 
 func (c chunkReader) Read(p []byte) (int, error) { return c.source.Read(p[:min(len(p), c.size)]) }
+
+// TestManyEventsAfterALongOne guards against a search through the whole buffer for each event.
+func TestManyEventsAfterALongOne(t *testing.T) {
+	for name, end := range map[string]string{"LF": "\n\n", "CRLF": "\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Repeat("x", splitter.MaxEventBytes-10) + end + strings.Repeat(":"+end, 300_000)
+			began := time.Now()
+			events, _, err := split(strings.NewReader(text))
+			require.ErrorIs(t, err, io.EOF)
+			assert.Len(t, events, 300_001)
+			assert.Less(t, time.Since(began), 5*time.Second)
+		})
+	}
+}
