One sound answer may use most of the memory for answers

What callers saw: on a node of 112 MiB an answer without a length of over 8 MiB failed as malformed, although the pool has 14 MiB, since buffers doubled.

Before, with buffers that always double: TestLargeAnswersFitTheMemory/without_length (11 MB) failed, the case with a length passed. After: both pass.

Why it works: buffers grow by a quarter from 1 MiB on. The log line of a revoked answer now names the pool's limit.

--- a/internal/transport/reserver/reserver.go
+++ b/internal/transport/reserver/reserver.go
@@ -19,8 +19,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// FreeBytes is the part of each buffer that does not count.
-const FreeBytes = 16 << 10
+const (
+	// FreeBytes is the part of each buffer that does not count.
+	FreeBytes = 16 << 10
+	// doublingBytes is the size from which on buffers no longer double.
+	doublingBytes = 1 << 20
+)
 
 // ErrRevoked is returned for a buffer that has been revoked.
 var ErrRevoked = errors.New("memory for received bytes is used up")
@@ -58,6 +62,15 @@
 	return &Buffer{pool: p, source: source, stop: stop}
 }
 
+// NextSize returns the size to which a full buffer of a size in bytes grows. Large buffers
+// grow by less than double, so that a body can use most of the limit.
+func NextSize(size int) int {
+	if size < doublingBytes {
+		return 2 * size
+	}
+	return size + size/4
+}
+
 // Used returns the number of bytes that count.
 func (p *Pool) Used() int {
 	p.mu.Lock()
--- a/internal/transport/sender/body.go
+++ b/internal/transport/sender/body.go
@@ -3,8 +3,6 @@
 import (
 	"io"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
 )
 
@@ -26,7 +24,7 @@
 		r.complete = true
 		return n, err
 	case err != nil && r.memory.Revoked():
-		return n, r.Malformed(reserver.ErrRevoked, 0)
+		return n, r.outOfMemory(reserver.ErrRevoked)
 	default:
 		return n, r.conn.source.mark(err)
 	}
@@ -46,11 +44,15 @@
 // fails if the endpoints' answers together take too much memory and this one is the largest.
 func (r *Reply) Reserve(size int) error {
 	if err := r.memory.Grow(size); err != nil {
-		return r.Malformed(err, int64(size))
+		return r.outOfMemory(err)
 	}
 	return nil
 }
 
+func (r *Reply) outOfMemory(err error) error {
+	return r.Malformed(err, int64(r.sender.Memory.Limit))
+}
+
 // ReadAll reads the response body to its end. It fails on a body over
 // maxBodyBytes, chunk sizes included, and if Reserve fails.
 func (r *Reply) ReadAll() ([]byte, error) {
@@ -80,7 +82,7 @@
 
 // grow returns a copy of a part of the body with room for more.
 func (r *Reply) grow(body []byte) ([]byte, error) {
-	size := 2 * cap(body)
+	size := reserver.NextSize(cap(body))
 	if declared := int(r.ContentLength); declared > cap(body) {
 		size = min(size, declared)
 	}
@@ -92,7 +94,7 @@
 
 func (r *Reply) keep() error {
 	if err := r.memory.Keep(); err != nil {
-		return r.Malformed(errors.Wrap(err, "body"), 0)
+		return r.outOfMemory(err)
 	}
 	return nil
 }
--- a/internal/transport/sender/memory_test.go
+++ b/internal/transport/sender/memory_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
@@ -115,6 +116,24 @@
 	}
 }
 
+// TestLargeAnswersFitTheMemory checks that one sound answer can use most of the memory.
+func TestLargeAnswersFitTheMemory(t *testing.T) {
+	const size = answersBytes * 3 / 4
+	for name, field := range map[string]string{"without length": "Connection: close", "with a length": fmt.Sprint("Content-Length: ", size)} {
+		t.Run(name, func(t *testing.T) {
+			s := &sender.Sender{DialTimeout: time.Second, Memory: &reserver.Pool{Limit: answersBytes}}
+			e := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+				respondWith(okHead+field+"\r\n\r\n"+strings.Repeat("s", size))(conn, r)
+				return false
+			})
+			body, err := readWhole(t, s, e, "1")
+			require.NoError(t, err)
+			assert.Len(t, body, size)
+			assert.Zero(t, s.Memory.Used())
+		})
+	}
+}
+
 // TestDeclaredLengthTakesNoMemory declares a length of which nothing arrives.
 func TestDeclaredLengthTakesNoMemory(t *testing.T) {
 	s := &sender.Sender{DialTimeout: time.Second, Memory: &reserver.Pool{Limit: answersBytes}}
