--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -44,7 +44,7 @@
 
 // handleFailure classifies the error of an attempt, records it and returns it
 // with the matching sentinel. An interrupted answer that was not cancelled is
-// recorded in Suspects as a crash.
+// recorded in Suspects if the endpoint may have crashed.
 func (r *run) handleFailure(ctx context.Context, attempt Attempt, err error) error {
 	cause := context.Cause(ctx)
 	if errors.Is(err, ErrNotSent) {
@@ -71,20 +71,22 @@
 		err = r.markCancelled(ctx, err)
 	case errors.Is(err, ErrStalled):
 		r.placement.OnFailure(err)
-	case mayBeCrash(err):
+	case !errors.Is(err, ErrVersionGone):
 		err = errors.Mark(err, ErrBroken)
 		r.placement.OnFailure(err)
-		r.Suspects.RecordCrash(r.Now(), r.fingerprint)
-		r.Broadcast()
-		r.reportCrash(attempt)
+		if mayBeCrash(err) {
+			r.Suspects.RecordCrash(r.Now(), r.fingerprint)
+			r.Broadcast()
+			r.reportCrash(attempt)
+		}
 	}
 	r.withParts(r.logAttempt("attempt failed", attempt), r.Now()).Err(err).Send()
 	return err
 }
 
-// mayBeCrash reports whether the error of an attempt that was sent and not cancelled may
-// mean that the endpoint has crashed.
-func mayBeCrash(err error) bool { return !errors.IsAny(err, ErrStalled, ErrVersionGone) }
+// mayBeCrash reports whether the error of an interrupted answer may be due to a crash of
+// the endpoint: its connection ended. A malformed answer says nothing about the request.
+func mayBeCrash(err error) bool { return !errors.Is(err, ErrMalformed) }
 
 // markCancelled marks an error with ErrTimeout if the deadline passed, and with
 // ErrCallerGone if ctx was cancelled for another reason.
--- a/internal/protocol/splitter/splitter.go
+++ b/internal/protocol/splitter/splitter.go
@@ -24,8 +24,8 @@
 
 const (
 	initialBufferBytes = 1 << 10
-	// maxEventBytes is the size at which an incomplete event is rejected.
-	maxEventBytes = 1 << 20
+	// MaxEventBytes is the size at which an incomplete event is rejected.
+	MaxEventBytes = 1 << 20
 )
 
 // Event is one event. Data contains all its bytes including the blank line at its
@@ -37,6 +37,11 @@
 
 // Splitter reads events from a stream. It is not safe for concurrent use.
 type Splitter struct {
+	// Reserve is called with the new size in bytes before the buffer grows. If it returns
+	// an error, Next returns that error. It may be nil, and is set before the first call
+	// of Next.
+	Reserve func(size int) error
+
 	source io.Reader
 	buffer []byte
 	// start is the index in buffer at which the next event begins, and scanned the
@@ -52,7 +57,8 @@
 }
 
 // Next returns the next event. It returns io.EOF at the end of a complete stream,
-// ErrPartial at the end of an incomplete one, ErrTooLong, or the source's error.
+// ErrPartial at the end of an incomplete one, ErrTooLong, or the error of the source or of
+// Reserve.
 func (s *Splitter) Next() (Event, error) {
 	for {
 		if eventEnd := s.eventEnd(); eventEnd > 0 {
@@ -77,18 +83,22 @@
 // ends are not recognized.
 func (s *Splitter) eventEnd() int {
 	// A terminator of up to four bytes may have been read only in part.
-	from := max(s.start, s.scanned-3)
-	rest := s.buffer[from:]
-	s.scanned = len(s.buffer)
-	nearest := 0
-	for _, terminator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if at := bytes.Index(rest, terminator); at >= 0 {
-			if eventEnd := from + at + len(terminator); nearest == 0 || eventEnd < nearest {
-				nearest = eventEnd
-			}
+	at := max(s.start, s.scanned-3)
+	for {
+		next := bytes.IndexByte(s.buffer[at:], '\n')
+		if next < 0 {
+			s.scanned = len(s.buffer)
+			return 0
+		}
+		at += next + 1
+		rest := s.buffer[at:]
+		if bytes.HasPrefix(rest, []byte("\n")) {
+			return at + 1
+		}
+		if bytes.HasSuffix(s.buffer[s.start:at], []byte("\r\n")) && bytes.HasPrefix(rest, []byte("\r\n")) {
+			return at + 2
 		}
 	}
-	return nearest
 }
 
 func (s *Splitter) fill() error {
@@ -98,10 +108,12 @@
 		s.start = 0
 	}
 	if len(s.buffer) == cap(s.buffer) {
-		if len(s.buffer) >= maxEventBytes {
+		if len(s.buffer) >= MaxEventBytes {
 			return ErrTooLong
 		}
-		s.buffer = append(s.buffer, make([]byte, len(s.buffer))...)[:len(s.buffer)]
+		if err := s.grow(2 * len(s.buffer)); err != nil {
+			return err
+		}
 	}
 	n, err := s.source.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
@@ -112,6 +124,16 @@
 	return err
 }
 
+func (s *Splitter) grow(size int) error {
+	if s.Reserve != nil {
+		if err := s.Reserve(size); err != nil {
+			return err
+		}
+	}
+	s.buffer = append(make([]byte, 0, size), s.buffer...)
+	return nil
+}
+
 // eventID returns the event's id field, or "" if it has none.
 func eventID(data []byte) string {
 	for len(data) > 0 {
--- a/internal/protocol/splitter/splitter_test.go
+++ b/internal/protocol/splitter/splitter_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
@@ -59,6 +60,23 @@
 	})
 }
 
+// TestReserve checks that memory is reserved before the buffer grows.
+func TestReserve(t *testing.T) {
+	denied := errors.New("denied")
+	var sizes []int
+	s := splitter.New(strings.NewReader(strings.Repeat("x", 1<<20)))
+	s.Reserve = func(size int) error {
+		sizes = append(sizes, size)
+		if size > 8<<10 {
+			return denied
+		}
+		return nil
+	}
+	_, err := s.Next()
+	require.ErrorIs(t, err, denied)
+	assert.Equal(t, []int{2 << 10, 4 << 10, 8 << 10, 16 << 10}, sizes)
+}
+
 func FuzzNext(f *testing.F) {
 	f.Add([]byte("id: 1\n\nid: 2\r\n\r\n"), 3)
 	f.Add([]byte("\n\n\n\r\n\r\n"), 1)
@@ -76,3 +94,17 @@
 }
 
 func (c chunkReader) Read(p []byte) (int, error) { return c.source.Read(p[:min(len(p), c.size)]) }
+
+// TestManyEventsAfterALongOne guards against a search through the whole buffer for each event.
+func TestManyEventsAfterALongOne(t *testing.T) {
+	for name, end := range map[string]string{"LF": "\n\n", "CRLF": "\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Repeat("x", splitter.MaxEventBytes-10) + end + strings.Repeat(":"+end, 300_000)
+			began := time.Now()
+			events, _, err := split(strings.NewReader(text))
+			require.ErrorIs(t, err, io.EOF)
+			assert.Len(t, events, 300_001)
+			assert.Less(t, time.Since(began), 5*time.Second)
+		})
+	}
+}
--- a/internal/transport/sender/conn.go
+++ b/internal/transport/sender/conn.go
@@ -12,17 +12,16 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
 )
 
 const (
-	readBufferBytes = 4 << 10
 	// inlineBodyBytes is the largest declared length of a body that is written
 	// before the response is read. It fits the smallest socket buffers, so the
 	// write does not block. Longer bodies are written by another goroutine
 	// while the response is read.
 	inlineBodyBytes = 2 << 10
-	// maxBodyBytes is the largest response body.
-	maxBodyBytes = 16 << 20
 )
 
 // errTooManyMismatches is returned when maxMismatches responses have been
@@ -33,22 +32,26 @@
 type conn struct {
 	target Target
 	raw    net.Conn
+	source *source
 	reader *bufio.Reader
 	// expires is the time after which an idle connection is not reused.
 	expires time.Time
 }
 
 func newConn(target Target, raw net.Conn) *conn {
-	return &conn{target: target, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	source := &source{raw: raw}
+	return &conn{target: target, raw: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 func (c *conn) close() { _ = c.raw.Close() }
 
-// usable reports whether an idle connection may be reused: it has not expired,
-// is open, and has no unread bytes, which would belong to no request.
-func (c *conn) usable(now time.Time) bool {
-	return now.Before(c.expires) && c.reader.Buffered() == 0 && hasNoPendingData(c.raw)
-}
+// usable reports whether an idle connection may be reused: it has not expired
+// and is clean.
+func (c *conn) usable(now time.Time) bool { return now.Before(c.expires) && c.isClean() }
+
+// isClean reports whether the connection is open and has no unread bytes, which
+// would belong to no request.
+func (c *conn) isClean() bool { return c.reader.Buffered() == 0 && hasNoPendingData(c.raw) }
 
 // hasNoPendingData reports whether a connection is open and has no bytes to
 // read. It does not block. It reports true for a connection without a file
@@ -78,6 +81,7 @@
 func (c *conn) roundTrip(ctx context.Context, r *http.Request, matches ResponseMatcher) (*Reply, error) {
 	reply := &Reply{conn: c, writeDone: make(chan struct{})}
 	reply.stopCancel = context.AfterFunc(ctx, c.close)
+	c.source.bytes = 0
 	if r.ContentLength <= inlineBodyBytes {
 		if err := reply.writeRequest(r); err != nil {
 			reply.stopCancel()
@@ -100,18 +104,28 @@
 // maxMismatches of them.
 func (c *conn) readResponseHead(r *http.Request, matches ResponseMatcher) (*http.Response, error) {
 	for range maxMismatches {
+		if err := c.source.beginHead(c.reader); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, r)
 		if err != nil {
-			return nil, err
+			return nil, c.source.markHead(err)
 		}
 		if response.StatusCode >= 200 && matches(response) {
+			c.source.beginStream()
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBodyBytes)); err != nil {
+		if err := c.skip(response.Body); err != nil {
 			return nil, err
 		}
 	}
-	return nil, errTooManyMismatches
+	return nil, c.source.malformed(errTooManyMismatches, 0)
+}
+
+func (c *conn) skip(body io.Reader) error {
+	c.source.beginBody()
+	_, err := io.Copy(io.Discard, body)
+	return c.source.mark(err)
 }
 
 // Reply is the response to a request.
@@ -120,6 +134,7 @@
 
 	sender     *Sender
 	conn       *conn
+	memory     *reserver.Buffer
 	stopCancel func() bool
 	// writeDone is closed once the request has been written; writeErr is valid
 	// after that.
@@ -135,48 +150,10 @@
 	return r.writeErr
 }
 
-// Read implements io.Reader on the response body.
-func (r *Reply) Read(p []byte) (int, error) {
-	n, err := r.Body.Read(p)
-	if err == io.EOF {
-		r.complete = true
-	}
-	return n, err
-}
-
-// ReadAll reads the response body to its end. It fails on a body over
-// maxBodyBytes.
-func (r *Reply) ReadAll() ([]byte, error) {
-	var buffer []byte
-	if r.ContentLength > 0 && r.ContentLength <= maxBodyBytes {
-		buffer = make([]byte, 0, r.ContentLength)
-	}
-	body, err := appendAll(buffer, r)
-	if err == nil && len(body) > maxBodyBytes {
-		return nil, errors.Newf("answer is over %d bytes", maxBodyBytes)
-	}
-	return body, err
-}
-
-func appendAll(buffer []byte, r io.Reader) ([]byte, error) {
-	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
-		}
-		n, err := r.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if err == io.EOF {
-			return buffer, nil
-		}
-		if err != nil || len(buffer) > maxBodyBytes {
-			return buffer, err
-		}
-	}
-}
-
 // Close returns the connection to the pool if the response is complete and the
 // endpoint keeps the connection open, and closes it otherwise.
 func (r *Reply) Close() {
+	r.memory.Release()
 	notCancelled := r.stopCancel()
 	if notCancelled && r.reusable() {
 		r.conn.expires = time.Now().Add(idleTimeout(r.Header))
@@ -193,7 +170,11 @@
 		return false
 	}
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	return r.writeErr == nil && r.complete && framed && !r.Response.Close && r.ProtoAtLeast(1, 1) && r.conn.reader.Buffered() == 0
+	if r.memory.Revoked() {
+		// Its connection is closed, or about to be.
+		return false
+	}
+	return r.writeErr == nil && r.complete && framed && !r.Response.Close && r.ProtoAtLeast(1, 1) && r.conn.isClean()
 }
 
 // idleTimeout returns how long an idle connection may be reused: the timeout in
@@ -203,7 +184,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		seconds, err := strconv.Atoi(strings.TrimSpace(value))
 		if strings.EqualFold(name, "timeout") && err == nil {
-			return time.Duration(seconds)*time.Second - idleMargin
+			return time.Duration(min(seconds, int(maxIdleTimeout/time.Second)))*time.Second - idleMargin
 		}
 	}
 	return defaultIdleTimeout - idleMargin
--- a/internal/transport/sender/sender.go
+++ b/internal/transport/sender/sender.go
@@ -28,12 +28,15 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
 )
 
 const (
 	// defaultIdleTimeout is the idle timeout assumed for an endpoint that sends no
 	// Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout bounds the idle timeout that an endpoint may ask for.
+	maxIdleTimeout = 10 * time.Minute
 	// idleMargin is subtracted from the endpoint's idle timeout, so that the
 	// endpoint does not close a connection while a request is on its way.
 	idleMargin = 700 * time.Millisecond
@@ -60,6 +63,8 @@
 type Sender struct {
 	// DialTimeout limits the time to open a connection.
 	DialTimeout time.Duration
+	// Memory limits the memory for answers; nil for no limit.
+	Memory *reserver.Pool
 
 	mu   sync.Mutex
 	idle map[Target][]*conn
@@ -67,7 +72,9 @@
 
 // Send sends a request and returns its response, whose body has not been read
 // yet. Errors are marked with forwarder.ErrNotSent if no byte of the request can
-// have been sent, and with forwarder.ErrBroken otherwise.
+// have been sent, and with forwarder.ErrBroken otherwise. A malformed answer, or one whose
+// head is over maxHeadBytes, is also marked with forwarder.ErrMalformed; its connection is
+// closed.
 func (s *Sender) Send(ctx context.Context, target Target, r *http.Request, matches ResponseMatcher) (*Reply, error) {
 	c, err := s.connect(ctx, target)
 	if err != nil {
@@ -79,6 +86,7 @@
 		return nil, errors.Mark(err, forwarder.ErrBroken)
 	}
 	reply.sender = s
+	reply.memory = s.Memory.NewBuffer(target.Address, c.close)
 	return reply, nil
 }
 
@@ -140,14 +148,15 @@
 	}
 }
 
-// CloseExpired closes idle connections that have expired.
+// CloseExpired closes idle connections that have expired, were closed by the endpoint, or
+// have unread bytes. The socket's buffer bounds what may arrive between calls.
 func (s *Sender) CloseExpired(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for target, conns := range s.idle {
 		var remaining []*conn
 		for _, c := range conns {
-			if now.Before(c.expires) {
+			if c.usable(now) {
 				remaining = append(remaining, c)
 			} else {
 				c.close()
