Lengths of answers without a body are not limited

What callers saw: a HEAD request for something over 16 MiB failed as malformed.

Before: TestLengthWithoutBody failed. After: go test ./internal/transport/sender passes.

--- a/internal/transport/sender/body.go
+++ b/internal/transport/sender/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
 )
@@ -56,7 +57,7 @@
 // ReadAll reads the response body to its end. It fails on a body over
 // maxBodyBytes, chunk sizes included, and if Reserve fails.
 func (r *Reply) ReadAll() ([]byte, error) {
-	if r.ContentLength > maxBodyBytes {
+	if r.ContentLength > maxBodyBytes && r.Body != http.NoBody {
 		return nil, r.Malformed(errBodyTooBig, maxBodyBytes)
 	}
 	r.conn.source.beginBody()
--- a/internal/transport/sender/memory_test.go
+++ b/internal/transport/sender/memory_test.go
@@ -134,6 +134,20 @@
 	}
 }
 
+// TestLengthWithoutBody covers answers whose declared length is that of another answer.
+func TestLengthWithoutBody(t *testing.T) {
+	s, e := newSender(), newEndpoint(t, respondWith(okHead+"Content-Length: 99999999999\r\n\r\n"))
+	for range 2 {
+		reply, err := send(t, s, e, http.MethodHead, "1", 0)
+		require.NoError(t, err)
+		body, err := reply.ReadAll()
+		require.NoError(t, err)
+		assert.Empty(t, body)
+		reply.Close()
+	}
+	assert.EqualValues(t, 1, e.conns.Load())
+}
+
 // TestDeclaredLengthTakesNoMemory declares a length of which nothing arrives.
 func TestDeclaredLengthTakesNoMemory(t *testing.T) {
 	s := &sender.Sender{DialTimeout: time.Second, Memory: &reserver.Pool{Limit: answersBytes}}
