--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -32,12 +32,13 @@
 // with ErrNotSent, ErrBroken or ErrStalled; those of Engine also with
 // ErrRefused.
 var (
-	// ErrNotSent, ErrBroken, ErrStalled and ErrRefused are the errors of package
-	// forwarder.
-	ErrNotSent = forwarder.ErrNotSent
-	ErrBroken  = forwarder.ErrBroken
-	ErrStalled = forwarder.ErrStalled
-	ErrRefused = forwarder.ErrRefused
+	// ErrNotSent, ErrBroken, ErrMalformed, ErrStalled and ErrRefused are the errors
+	// of package forwarder.
+	ErrNotSent   = forwarder.ErrNotSent
+	ErrBroken    = forwarder.ErrBroken
+	ErrMalformed = forwarder.ErrMalformed
+	ErrStalled   = forwarder.ErrStalled
+	ErrRefused   = forwarder.ErrRefused
 
 	// ErrNoEndpoint, ErrPoison, ErrRetryBudget, ErrVersionGone and ErrCallerGone
 	// are errors of package forwarder, too.
--- a/internal/transport/dialer/dialer.go
+++ b/internal/transport/dialer/dialer.go
@@ -15,6 +15,7 @@
 package dialer
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -33,6 +34,8 @@
 const (
 	idleConnsPerEndpoint = 64
 	idleTimeout          = 30 * time.Second
+	// maxHeaderBytes is the largest head of a response, interim ones included.
+	maxHeaderBytes = 64 << 10
 )
 
 // Pools holds one connection pool per endpoint address. Its fields are set
@@ -62,10 +65,11 @@
 
 func (p *Pools) transport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: p.DialTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnsPerEndpoint,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: p.DialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    idleConnsPerEndpoint,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
 	}
 }
 
@@ -148,6 +152,8 @@
 		return errors.Mark(errors.Wrapf(err, "no progress for %s", e.stallTimeout), dispatcher.ErrStalled)
 	case !e.mayHaveSent.Load():
 		return errors.Mark(err, dispatcher.ErrNotSent)
+	case errors.IsAny(err, bufio.ErrTooLong, errBodyTooBig):
+		return errors.Mark(errors.Mark(err, dispatcher.ErrBroken), dispatcher.ErrMalformed)
 	default:
 		return errors.Mark(err, dispatcher.ErrBroken)
 	}
--- a/internal/transport/dialer/service.go
+++ b/internal/transport/dialer/service.go
@@ -12,9 +12,11 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/state/registrar"
 )
 
-// maxResponseBytes is the largest response body of a plain service.
+// maxResponseBytes is the largest response body that is read whole.
 const maxResponseBytes = 16 << 20
 
+var errBodyTooBig = errors.New("body of the answer is too big")
+
 // Service is the client of plain services. It implements dispatcher.ServiceClient.
 type Service struct {
 	Pools *Pools
@@ -69,7 +71,7 @@
 			return nil, err
 		}
 		if whole.Len() > maxResponseBytes {
-			return nil, errors.Newf("answer is over %d bytes", maxResponseBytes)
+			return nil, errors.Wrapf(errBodyTooBig, "limit is %d bytes", maxResponseBytes)
 		}
 	}
 }
