Retrier: a part that was answered before needs five crashes

Suspected cause, not traced: by chance three separate ends came with the part in hand and no answer between them, which an outage of all endpoints makes likely. Such a verdict holds for two minutes, as requests that are refused can't clear their parts.

Change: three crashes are enough for a part that no endpoint is known to have answered; one that was answered, on any node that remembers or tells it, needs five. A part that crashes every endpoint was never answered, so it is found as soon as before.

TestPartVerdicts has the two new cases.

What remains: a part that was sound and begins to crash endpoints, as with new weights, takes five.

--- a/internal/coordination/retrier/part_record.go
+++ b/internal/coordination/retrier/part_record.go
@@ -11,8 +11,10 @@
 	// maxPartCrashes is the maximum number of crashes in the record of a part.
 	maxPartCrashes = 5
 	// separateCrashes is the number of separate crashes, and crashObservers that of nodes
-	// that saw them, from which a part is refused.
+	// that saw them, from which a part is refused. answeredCrashes is the number for a part
+	// that was answered before.
 	separateCrashes = 3
+	answeredCrashes = maxPartCrashes
 	crashObservers  = 2
 	// crashGap is the time between crashes from which they are separate. Endpoints that end
 	// together have probably ended for another reason than a prompt.
@@ -53,10 +55,13 @@
 	separate int
 	// observers is the number of nodes that saw crashes.
 	observers int
+	// answered is set if an endpoint has answered a request with the part.
+	answered bool
 }
 
-func weigh(crashes []partCrash) evidence {
-	var e evidence
+// evidence returns what crashes of the record amount to.
+func (r *partRecord) evidence(crashes []partCrash) evidence {
+	e := evidence{answered: !r.survived.IsZero()}
 	observers := make([]uint32, 0, maxPartCrashes+1)
 	for i, crash := range crashes {
 		if i == 0 || crash.at.Sub(crashes[i-1].at) >= crashGap {
@@ -71,7 +76,11 @@
 }
 
 func (e evidence) isEnough() bool {
-	return e.separate >= separateCrashes && e.observers >= crashObservers
+	needed := separateCrashes
+	if e.answered {
+		needed = answeredCrashes
+	}
+	return e.separate >= needed && e.observers >= crashObservers
 }
 
 // rank orders evidence. More observers than are needed don't count.
@@ -105,7 +114,7 @@
 func (r *partRecord) leastCrash() int {
 	least, best := 0, -1
 	for i := range r.crashes {
-		if rank := weigh(slices.Delete(slices.Clone(r.crashes), i, i+1)).rank(); rank > best {
+		if rank := r.evidence(slices.Delete(slices.Clone(r.crashes), i, i+1)).rank(); rank > best {
 			least, best = i, rank
 		}
 	}
--- a/internal/coordination/retrier/part_suspects.go
+++ b/internal/coordination/retrier/part_suspects.go
@@ -110,10 +110,10 @@
 	defer s.mu.Unlock()
 	s.expire(now)
 	record := s.record(told.Part)
-	before := weigh(record.crashes).isEnough()
+	before := record.evidence(record.crashes).isEnough()
 	isNews := record.merge(now, told)
 	s.evict()
-	return isNews && !before && weigh(record.crashes).isEnough()
+	return isNews && !before && record.evidence(record.crashes).isEnough()
 }
 
 // Check returns the verdict on a request with the parts and, unless it is VerdictAllow, why.
@@ -128,11 +128,11 @@
 	mayProbe := true
 	for i, part := range parts {
 		record, ok := s.records[part]
-		if !ok || !weigh(record.crashes).isEnough() {
+		if !ok || !record.evidence(record.crashes).isEnough() {
 			continue
 		}
 		left := s.leftToExplain(record, parts)
-		e := weigh(left)
+		e := record.evidence(left)
 		if !e.isEnough() {
 			continue
 		}
@@ -163,9 +163,9 @@
 // leftToExplain returns the crashes of a record without those that parts explain that are
 // not in the request and crashed about as often, or more.
 func (s *PartSuspects) leftToExplain(record *partRecord, parts []uint64) []partCrash {
-	left, own := record.crashes, weigh(record.crashes)
+	left, own := record.crashes, record.evidence(record.crashes)
 	for part, other := range s.records {
-		e := weigh(other.crashes)
+		e := other.evidence(other.crashes)
 		if e.isEnough() && e.separate+maxUnrelated >= own.separate && !slices.Contains(parts, part) {
 			left = unexplained(left, other)
 		}
@@ -185,7 +185,7 @@
 	rand.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
 	for _, part := range parts {
 		switch record := s.records[part]; {
-		case weigh(record.crashes).separate > 1:
+		case record.evidence(record.crashes).separate > 1:
 			strong = append(strong, part)
 		case now.Sub(record.clearedAt) < clearedTTL:
 			cleared = append(cleared, part)
@@ -194,7 +194,7 @@
 		}
 	}
 	slices.SortStableFunc(strong, func(a, b uint64) int {
-		return cmp.Compare(weigh(s.records[b].crashes).rank(), weigh(s.records[a].crashes).rank())
+		return cmp.Compare(s.records[b].evidence(s.records[b].crashes).rank(), s.records[a].evidence(s.records[a].crashes).rank())
 	})
 	var known []peertracker.PartSuspect
 	for i := range max(len(strong), len(cleared), len(weak)) {
@@ -232,7 +232,7 @@
 	}
 	candidates := make([]candidate, 0, len(s.records))
 	for part, record := range s.records {
-		candidates = append(candidates, candidate{part, weigh(record.crashes).rank(), record.used})
+		candidates = append(candidates, candidate{part, record.evidence(record.crashes).rank(), record.used})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.rank, b.rank), a.used.Compare(b.used)) })
 	for _, c := range candidates[:len(candidates)-keptPartRecords] {
--- a/internal/coordination/retrier/part_suspects_test.go
+++ b/internal/coordination/retrier/part_suspects_test.go
@@ -60,6 +60,16 @@
 	}
 }
 
+// after returns the steps later by a time.
+func after(d time.Duration, steps []step) []step {
+	var later []step
+	for _, s := range steps {
+		s.at += d
+		later = append(later, s)
+	}
+	return later
+}
+
 func TestPartVerdicts(t *testing.T) {
 	const second = time.Second
 	x3 := []step{{0, "a", 1, "system x"}, {second, "b", 2, "system x tools"}, {2 * second, "a", 3, "system x"}}
@@ -101,6 +111,13 @@
 			nil,
 			[]string{"x"},
 		},
+		{"answered before three crashes", append([]step{{0, "c", 0, "system x"}}, after(second, x3)...), nil, []string{"x", "system x"}},
+		{
+			"answered before five crashes",
+			append(append([]step{{0, "c", 0, "x"}}, after(second, x3)...), step{4 * second, "b", 4, "x"}, step{5 * second, "a", 5, "x"}),
+			[]string{"x", "system x"},
+			[]string{"system"},
+		},
 		{"answered after the crashes", append(x3[:3:3], step{3 * second, "c", 0, "system x"}), nil, []string{"x", "system x"}},
 		{
 			"first part with an unrelated crash more",
