Retrier: five crashes of a part in one burst are enough

With bursts of three requests with the part, each tried twice, five endpoints end within 0.2 s, which is two separate crashes; the next burst, seconds later, still ran.

Change: a part that was never answered is refused after five crashes at two moments, as well as after three at three. Endpoints that all end at one moment still accuse nothing.

--- a/internal/coordination/retrier/part_record.go
+++ b/internal/coordination/retrier/part_record.go
@@ -11,9 +11,11 @@
 	// maxPartCrashes is the maximum number of crashes in the record of a part.
 	maxPartCrashes = 5
 	// separateCrashes is the number of separate crashes, and crashObservers that of nodes
-	// that saw them, from which a part is refused. answeredCrashes is the number for a part
-	// that was answered before.
+	// that saw them, from which a part is refused; burstCrashes is the number if there are
+	// maxPartCrashes of them. answeredCrashes is the number for a part that was answered
+	// before.
 	separateCrashes = 3
+	burstCrashes    = 2
 	answeredCrashes = maxPartCrashes
 	crashObservers  = 2
 	// crashGap is the time between crashes from which they are separate. Endpoints that end
@@ -51,7 +53,8 @@
 
 // evidence is what the crashes of a part amount to.
 type evidence struct {
-	// separate is the number of separate crashes.
+	// crashes is the number of crashes, and separate that of separate ones.
+	crashes  int
 	separate int
 	// observers is the number of nodes that saw crashes.
 	observers int
@@ -61,7 +64,7 @@
 
 // evidence returns what crashes of the record amount to.
 func (r *partRecord) evidence(crashes []partCrash) evidence {
-	e := evidence{answered: !r.survived.IsZero()}
+	e := evidence{crashes: len(crashes), answered: !r.survived.IsZero()}
 	observers := make([]uint32, 0, maxPartCrashes+1)
 	for i, crash := range crashes {
 		if i == 0 || crash.at.Sub(crashes[i-1].at) >= crashGap {
@@ -77,8 +80,11 @@
 
 func (e evidence) isEnough() bool {
 	needed := separateCrashes
-	if e.answered {
+	switch {
+	case e.answered:
 		needed = answeredCrashes
+	case e.crashes >= maxPartCrashes:
+		needed = burstCrashes
 	}
 	return e.separate >= needed && e.observers >= crashObservers
 }
--- a/internal/coordination/retrier/part_suspects_test.go
+++ b/internal/coordination/retrier/part_suspects_test.go
@@ -143,6 +143,18 @@
 			[]string{"x"},
 			nil,
 		},
+		{
+			"five endpoints at two times",
+			[]step{{0, "a", 1, "x"}, {0, "b", 2, "x"}, {0, "b", 3, "x"}, {100 * time.Millisecond, "a", 4, "x"}, {100 * time.Millisecond, "c", 5, "x"}},
+			[]string{"x"},
+			nil,
+		},
+		{
+			"four endpoints at two times",
+			[]step{{0, "a", 1, "x"}, {0, "b", 2, "x"}, {100 * time.Millisecond, "a", 3, "x"}, {100 * time.Millisecond, "c", 4, "x"}},
+			nil,
+			[]string{"x"},
+		},
 		{
 			"many endpoints at once, then two more",
 			[]step{{0, "a", 1, "x"}, {0, "a", 2, "x"}, {0, "a", 3, "x"}, {0, "b", 4, "x"}, {0, "b", 5, "x"}, {second, "b", 6, "x"}, {2 * second, "a", 7, "x"}},
--- a/internal/relayer/crash_faults_test.go
+++ b/internal/relayer/crash_faults_test.go
@@ -130,7 +130,7 @@
 		for i := range 20 {
 			part := fmt.Sprint("doc", i)
 			parts = append(parts, part)
-			s.repeatSound(ctx, 200*time.Millisecond, "system", part)
+			s.repeatSound(ctx, 200*time.Millisecond, func() []string { return []string{"system", part} })
 		}
 		for i := range 60 {
 			s.wait(500 * time.Millisecond)
--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -206,33 +206,6 @@
 	}
 }
 
-// discardSink accepts all answers.
-type discardSink struct{}
-
-// DeliverComplete implements forwarder.Sink.
-func (discardSink) DeliverComplete(forwarder.Answer) error { return nil }
-
-// Begin implements forwarder.Sink.
-func (discardSink) Begin(forwarder.Answer) error { return nil }
-
-// Event implements forwarder.Sink.
-func (discardSink) Event(forwarder.Event) error { return nil }
-
-// attemptMeter records whether the answer began at the first attempt.
-type attemptMeter struct {
-	failed bool
-	begun  bool
-}
-
-// Request implements forwarder.Meter.
-func (m *attemptMeter) Request(string, string, time.Duration) {}
-
-// Attempt implements forwarder.Meter. It is called when an attempt has ended.
-func (m *attemptMeter) Attempt(_, outcome string) { m.failed = m.failed || outcome != "streamed" }
-
-// FirstEvent implements forwarder.Meter.
-func (m *attemptMeter) FirstEvent(string, time.Duration, time.Duration) { m.begun = !m.failed }
-
 // request runs a request at a random node. All have the same caller and target.
 func (s *crashSite) request(ctx context.Context, parts ...string) bool {
 	s.mu.Lock()
@@ -278,10 +251,10 @@
 	}()
 }
 
-func (s *crashSite) repeatSound(ctx context.Context, period time.Duration, parts ...string) {
+func (s *crashSite) repeatSound(ctx context.Context, period time.Duration, parts func() []string) {
 	s.repeat(ctx, period, func() {
 		at := time.Now()
-		begun := s.request(ctx, parts...)
+		begun := s.request(ctx, parts()...)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if ctx.Err() == nil {
@@ -318,6 +291,20 @@
 	soundPeriod    time.Duration
 	crashing       []string
 	crashingPeriod time.Duration
+	// burst is the number of crashing requests that come together, and firsts that of
+	// different first parts, among which all requests choose; zero for one.
+	burst  int
+	firsts int
+}
+
+// vary returns parts with one of the first parts.
+func (s *crashSite) vary(c crashCase, parts []string) []string {
+	if c.firsts == 0 {
+		return parts
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string{fmt.Sprint(parts[0], s.rand.IntN(c.firsts))}, parts[1:]...)
 }
 
 // TestCrashingPart guards against requests that crash one endpoint after the other: they
@@ -334,9 +321,26 @@
 		minShare = 0.5
 	)
 	cases := []crashCase{
-		{"many sound requests", []string{"system", "tools"}, 30 * time.Millisecond, []string{"system", crashingPart, "tools"}, 500 * time.Millisecond},
-		{"few sound requests", []string{"system"}, 120 * time.Millisecond, []string{"system", crashingPart}, time.Second},
-		{"crashing part first", []string{"tools"}, 100 * time.Millisecond, []string{crashingPart, "tools"}, 500 * time.Millisecond},
+		{
+			name: "many sound requests", sound: []string{"system", "tools"}, soundPeriod: 30 * time.Millisecond,
+			crashing: []string{"system", crashingPart, "tools"}, crashingPeriod: 500 * time.Millisecond,
+		},
+		{
+			name: "few sound requests", sound: []string{"system"}, soundPeriod: 120 * time.Millisecond,
+			crashing: []string{"system", crashingPart}, crashingPeriod: time.Second,
+		},
+		{
+			name: "crashing part first", sound: []string{"tools"}, soundPeriod: 100 * time.Millisecond,
+			crashing: []string{crashingPart, "tools"}, crashingPeriod: 500 * time.Millisecond,
+		},
+		{
+			name: "several first parts", sound: []string{"system"}, soundPeriod: 100 * time.Millisecond,
+			crashing: []string{"system", crashingPart}, crashingPeriod: 600 * time.Millisecond, firsts: 4,
+		},
+		{
+			name: "bursts", sound: []string{"system"}, soundPeriod: 50 * time.Millisecond,
+			crashing: []string{"system", crashingPart}, crashingPeriod: 2 * time.Second, firsts: 2, burst: 3,
+		},
 	}
 	for _, site := range []struct {
 		nodes, domains int
@@ -350,10 +354,14 @@
 					defer cancel()
 					s.wait(membershipBound)
 					started := time.Now()
-					s.repeatSound(ctx, c.soundPeriod, c.sound...)
+					s.repeatSound(ctx, c.soundPeriod, func() []string { return s.vary(c, c.sound) })
 					s.wait(before)
 					fromCrashes := time.Now()
-					s.repeat(ctx, c.crashingPeriod, func() { s.request(ctx, c.crashing...) })
+					s.repeat(ctx, c.crashingPeriod, func() {
+						for range max(c.burst, 1) {
+							go s.request(ctx, s.vary(c, c.crashing)...)
+						}
+					})
 					s.wait(during)
 					cancel()
 					s.wait(time.Second)
