A node that alone sees a part crash endpoints refuses it, too

Requests with a crashing part that come at one node only, as on a site with one live node, went on to crash one endpoint after the other, since two nodes must have seen crashes before a part is refused.

Change: the directory is the second witness. If a process that started later stands at the address of a crashed one, three times, the node that saw these crashes refuses the part itself. Its peers do not believe it for that.

Before: the same crashes gave no verdict (the case "crashes seen by one node alone" of TestPartVerdicts, which holds on: without the directory there is none). After: TestCrashesSeenByOneNode, of which the entries of the same process and of processes elsewhere give no verdict either. At most 64 crashed endpoints are remembered for it.

--- a/internal/coordination/retrier/crash_confirmer.go
+++ b/internal/coordination/retrier/crash_confirmer.go
@@ -23,6 +23,8 @@
 	// maxPendingParts that of parts reported for one of them.
 	maxPendingCrashes = 64
 	maxPendingParts   = 256
+	// maxCrashed is the maximum number of crashed endpoints whose restart is waited for.
+	maxCrashed = 64
 )
 
 // CrashConfirmer records the parts of broken requests in Suspects if the endpoint has
@@ -40,6 +42,8 @@
 
 	mu      sync.Mutex
 	pending map[uint32]*pendingCrash
+	// crashed holds the last endpoints with a confirmed crash.
+	crashed []endpointtracker.Endpoint
 }
 
 // pendingCrash is a crash that is being confirmed.
@@ -97,9 +101,38 @@
 	}
 	c.log(endpoint, "confirmed", len(crash.parts))
 	c.Suspects.RecordCrash(c.Now(), crash.at, crash.parts, process)
+	c.rememberCrash(endpoint)
 	c.Broadcast()
 }
 
+func (c *CrashConfirmer) rememberCrash(endpoint endpointtracker.Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashed) >= maxCrashed {
+		c.crashed = slices.Delete(c.crashed, 0, 1)
+	}
+	c.crashed = append(c.crashed, endpoint)
+}
+
+// ObserveEntry is called with each entry of an endpoint in the directory. A process at the
+// address of a crashed one that started later shows that the crash was one.
+func (c *CrashConfirmer) ObserveEntry(endpoint endpointtracker.Endpoint) {
+	c.mu.Lock()
+	var ended []endpointtracker.Endpoint
+	c.crashed = slices.DeleteFunc(c.crashed, func(crashed endpointtracker.Endpoint) bool {
+		replaced := crashed.Address == endpoint.Address && endpoint.StartedAt.After(crashed.StartedAt)
+		if replaced {
+			ended = append(ended, crashed)
+		}
+		return replaced
+	})
+	c.mu.Unlock()
+	for _, crashed := range ended {
+		c.Suspects.RecordRestart(processHash(crashed))
+		c.log(crashed, "restarted", 0)
+	}
+}
+
 func (c *CrashConfirmer) check(address netip.AddrPort) bool {
 	for attempt := range confirmAttempts {
 		if attempt > 0 {
--- a/internal/coordination/retrier/crash_confirmer_test.go
+++ b/internal/coordination/retrier/crash_confirmer_test.go
@@ -88,3 +88,45 @@
 		}
 	})
 }
+
+// TestCrashesSeenByOneNode guards against a part that crashes one endpoint after the other if its
+// requests come at one node only. That node refuses the part once the directory confirms the
+// crashes, and no other node does.
+func TestCrashesSeenByOneNode(t *testing.T) {
+	process := func(n int) endpointtracker.Endpoint {
+		return endpointtracker.Endpoint{
+			ID: fmt.Sprint("e", n), Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(n%2+80)), StartedAt: time.UnixMilli(int64(1000 * n)),
+		}
+	}
+	run := func(name string, entry func(n int) endpointtracker.Endpoint, want retrier.Verdict) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				alone := &retrier.PartSuspects{Node: "n", Expiry: time.Hour}
+				c := &retrier.CrashConfirmer{
+					Suspects: alone, Broadcast: func() {}, Log: zerolog.Nop(), Now: time.Now,
+					Refuses: func(context.Context, netip.AddrPort) bool { return true },
+				}
+				for n := range 4 {
+					c.Report(process(n), hashes("x"))
+					time.Sleep(time.Second)
+					c.ObserveEntry(entry(n))
+				}
+				verdict, _ := alone.Check(time.Now(), hashes("x"))
+				assert.Equal(t, want, verdict)
+				peer := &retrier.PartSuspects{Node: "m", Expiry: time.Hour}
+				for _, suspect := range alone.Known(time.Now(), 10) {
+					peer.Update(time.Now(), suspect)
+				}
+				verdict, _ = peer.Check(time.Now(), hashes("x"))
+				assert.Equal(t, retrier.VerdictAllow, verdict)
+			})
+		})
+	}
+	run("other processes take their places", func(n int) endpointtracker.Endpoint { return process(n + 2) }, retrier.VerdictRefuse)
+	run("their entries are renewed", process, retrier.VerdictAllow)
+	run("processes start elsewhere", func(n int) endpointtracker.Endpoint {
+		started := process(n + 2)
+		started.Address = netip.AddrPortFrom(started.Address.Addr(), 90)
+		return started
+	}, retrier.VerdictAllow)
+}
--- a/internal/coordination/retrier/part_record.go
+++ b/internal/coordination/retrier/part_record.go
@@ -18,6 +18,9 @@
 	burstCrashes    = 2
 	answeredCrashes = maxPartCrashes
 	crashObservers  = 2
+	// crashRestarts is the number of crashes after which the directory has shown another
+	// process that stand for the missing observers.
+	crashRestarts = 3
 	// crashGap is the time between crashes from which they are separate. Endpoints that end
 	// together have probably ended for another reason than a prompt.
 	crashGap = 100 * time.Millisecond
@@ -35,6 +38,9 @@
 	endpoint uint32
 	observer uint32
 	at       time.Time
+	// restarted is set once the directory has shown another process in place of the
+	// endpoint's.
+	restarted bool
 }
 
 // partRecord is what is known of a part that may crash endpoints.
@@ -65,6 +71,7 @@
 // evidence returns what crashes of the record amount to.
 func (r *partRecord) evidence(crashes []partCrash) evidence {
 	e := evidence{crashes: len(crashes), answered: !r.survived.IsZero()}
+	restarts := 0
 	observers := make([]uint32, 0, maxPartCrashes+1)
 	for i, crash := range crashes {
 		if i == 0 || crash.at.Sub(crashes[i-1].at) >= crashGap {
@@ -73,8 +80,14 @@
 		if !slices.Contains(observers, crash.observer) {
 			observers = append(observers, crash.observer)
 		}
+		if crash.restarted {
+			restarts++
+		}
 	}
 	e.observers = len(observers)
+	if restarts >= crashRestarts {
+		e.observers = max(e.observers, crashObservers)
+	}
 	return e
 }
 
@@ -171,7 +184,7 @@
 			r.clearedAt = now
 			continue
 		}
-		isNews = r.add(partCrash{crash.Endpoint, crash.Observer, at}) || isNews
+		isNews = r.add(partCrash{endpoint: crash.Endpoint, observer: crash.Observer, at: at}) || isNews
 	}
 	if used := now.Add(-told.Used); used.After(r.used) {
 		r.used = used
--- a/internal/coordination/retrier/part_suspects.go
+++ b/internal/coordination/retrier/part_suspects.go
@@ -82,12 +82,24 @@
 	s.expire(now)
 	for _, part := range parts {
 		record := s.record(part)
-		record.add(partCrash{endpoint, nodeHash(s.Node), at})
+		record.add(partCrash{endpoint: endpoint, observer: nodeHash(s.Node), at: at})
 		record.used = now
 	}
 	s.evict()
 }
 
+// RecordRestart records that the directory shows another process in place of an endpoint's,
+// whose hash is given. A node that alone saw crashes may refuse a part for them then.
+func (s *PartSuspects) RecordRestart(endpoint uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, record := range s.records {
+		for i := range record.crashes {
+			record.crashes[i].restarted = record.crashes[i].restarted || record.crashes[i].endpoint == endpoint
+		}
+	}
+}
+
 // RecordSurvival records that an endpoint answered a request with the parts.
 func (s *PartSuspects) RecordSurvival(now time.Time, parts []uint64) {
 	s.mu.Lock()
