A request found to crash endpoints while it waits is not sent

A request that waited for an endpoint while others with the same fingerprint crashed theirs was sent once the wait was over: the verdict was asked for before the wait only. The parts of prompts were asked for again already.

Before: TestPoisonWhileWaiting failed, one attempt was sent after the verdict. After: none is, and the tests of forwarder and dispatcher pass.

--- a/internal/coordination/forwarder/attempt.go
+++ b/internal/coordination/forwarder/attempt.go
@@ -13,7 +13,7 @@
 		return err
 	}
 	defer r.placement.Release()
-	if r.hasRefusedPart() {
+	if r.isPoison() {
 		// The last crash was reported while the request waited for its endpoint.
 		return ErrPoison
 	}
--- a/internal/coordination/forwarder/forwarder_test.go
+++ b/internal/coordination/forwarder/forwarder_test.go
@@ -534,3 +534,34 @@
 		assert.NoError(t, x.Run(t.Context(), other, &standinSink{}))
 	})
 }
+
+// TestPoisonWhileWaiting covers a request that is found to crash endpoints while it waits in the
+// scheduler for its first attempt.
+func TestPoisonWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		crashes := &standinSender{responses: []response{failsWith(forwarder.ErrBroken)}}
+		x := newForwarder(crashes)
+		b := placerOf(x).Balancer
+		for _, endpoint := range view().Endpoints[service] {
+			b.RecordLoading(endpoint.ID, time.Now())
+		}
+		done := make(chan error)
+		go func() { done <- x.Run(t.Context(), exchange(cataloger.RetryIfNotRun), &standinSink{}) }()
+		time.Sleep(50 * time.Millisecond)
+		synctest.Wait()
+		// Other requests with the same fingerprint have crashed endpoints meanwhile.
+		sample := &standinSender{responses: []response{failsWith(forwarder.ErrBroken)}}
+		other := newForwarder(sample)
+		other.Suspects = x.Suspects
+		for range 4 {
+			_ = other.Run(t.Context(), exchange(cataloger.RetryIfNotRun), &standinSink{})
+		}
+		require.Less(t, len(sample.attempts), 4, "refused from some crash on")
+		for _, endpoint := range view().Endpoints[service] {
+			b.ResetBackoff(endpoint.ID)
+		}
+		placerOf(x).Scheduler.StartWaiting()
+		<-done
+		assertSends(t, crashes, 0)
+	})
+}
