TestSharedLog waits for the read that ends with its pause

The test slept for ten seconds, at whose end a read of one second ends too, and looked before the next one had begun.

--- a/internal/relayer/sharing_test.go
+++ b/internal/relayer/sharing_test.go
@@ -204,6 +204,8 @@
 	run("a hub reads the log itself", func(t *testing.T) {
 		r := newLogReader(t, true, false)
 		time.Sleep(10 * time.Second)
+		// A read ends at the same moment; the next one must have begun.
+		synctest.Wait()
 		assert.Zero(t, r.peer.calls.Load())
 		assert.InDelta(t, 11, r.direct.calls.Load(), 2)
 		assert.Equal(t, r.direct.calls.Load()-1, r.contact.Load(), "one call is under way")
