--- a/internal/coordination/placer/view.go
+++ b/internal/coordination/placer/view.go
@@ -159,7 +159,7 @@
 
 // expired reports whether requests may no longer start on weights older than a target
 // version. If it became the target at an unknown time, that is the case as soon as an
-// endpoint has it.
+// endpoint has it, or once this node has known of it for the limit.
 func (v View) expired(target TargetVersion, newestLoaded int64, limits ageLimits) bool {
 	if age, known := v.age(target); known {
 		return age >= limits.known.Place
