Memory of revoked answers counts until it is released

Callers would have seen: a node out of memory, so all its requests broken, when an endpoint sends without end and the node has few processors.

Cause: when the pool for received bytes ran short, the largest buffer was revoked and its bytes were free at once, but its reader still held them until it ran again and noticed. On one processor many readers wait for their turn, and the memory was handed out several times over.

Ruled out: garbage of growing buffers.

Change: revoked buffers count until they are released, and may hold as much again as the limit. A buffer that would exceed that waits for a release, for a second at most, and is then revoked itself; small buffers never wait.

--- a/internal/transport/reserver/reserver.go
+++ b/internal/transport/reserver/reserver.go
@@ -15,6 +15,7 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -24,6 +25,9 @@
 	FreeBytes = 16 << 10
 	// doublingBytes is the size from which on buffers no longer double.
 	doublingBytes = 1 << 20
+	// releaseTimeout is how long a buffer waits for the memory of revoked ones before it is
+	// revoked too.
+	releaseTimeout = time.Second
 )
 
 // ErrRevoked is returned for a buffer that has been revoked.
@@ -33,12 +37,17 @@
 // concurrent use. A nil Pool has no limit.
 type Pool struct {
 	// Limit is the most that all buffers may hold together, in bytes, beyond the FreeBytes
-	// of each.
+	// of each. Revoked ones may hold as much again until they are released.
 	Limit int
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// used is the number of bytes of the buffers, revoked that of buffers that were revoked
+	// and not released yet.
 	used    int
+	revoked int
 	buffers map[*Buffer]struct{}
+	// changed is closed when a buffer is revoked, or released after it was revoked.
+	changed chan struct{}
 }
 
 // Buffer is the memory for the bytes of one answer. A nil Buffer has no limit.
@@ -71,49 +80,90 @@
 	return size + size/4
 }
 
-// Used returns the number of bytes that count.
+// Used returns the number of bytes that count, without those of revoked buffers.
 func (p *Pool) Used() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.used
 }
 
-// Grow reserves memory for a size in bytes, before it is allocated. It returns ErrRevoked if
+// Held returns the number of bytes that count, with those of revoked buffers.
+func (p *Pool) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used + p.revoked
+}
+
+// Grow reserves memory for a size in bytes, before it is allocated. It waits while too many
+// revoked buffers have not been released, for releaseTimeout at most. It returns ErrRevoked if
 // the buffer has been revoked.
 func (b *Buffer) Grow(size int) error {
 	if b == nil {
 		return nil
 	}
-	revoked, err := b.pool.grow(b, max(size-FreeBytes, 0))
-	for _, other := range revoked {
-		other.stop()
+	var timeout <-chan time.Time
+	for {
+		revoked, released, err := b.pool.grow(b, max(size-FreeBytes, 0))
+		for _, other := range revoked {
+			other.stop()
+		}
+		if released == nil {
+			return err
+		}
+		if timeout == nil {
+			timeout = time.After(releaseTimeout)
+		}
+		select {
+		case <-released:
+		case <-timeout:
+			return b.giveUp()
+		}
 	}
-	return err
 }
 
-func (p *Pool) grow(b *Buffer, counted int) (revoked []*Buffer, err error) {
+// grow adds memory to a buffer and returns the buffers that were revoked for it. If the revoked
+// ones hold too much, nothing is added, and released is closed once that may have changed.
+func (p *Pool) grow(b *Buffer, counted int) (revoked []*Buffer, released <-chan struct{}, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if b.revoked {
-		return nil, ErrRevoked
+		return nil, nil, ErrRevoked
 	}
-	if counted > b.counted {
-		p.set(b, counted)
+	if counted <= b.counted {
+		return nil, nil, nil
 	}
+	before := b.counted
+	p.set(b, counted)
 	for p.used > p.Limit {
 		largest := p.largest()
 		if largest == nil {
 			// All others are kept.
 			largest = b
 		}
-		largest.revoked = true
-		p.set(largest, 0)
+		if largest == b {
+			p.set(b, before)
+		}
+		p.revoke(largest)
 		revoked = append(revoked, largest)
 	}
-	if b.revoked {
-		err = ErrRevoked
+	switch {
+	case b.revoked:
+		return revoked, nil, ErrRevoked
+	case p.used+p.revoked > 2*p.Limit:
+		p.set(b, before)
+		return revoked, p.changed, nil
+	}
+	return revoked, nil, nil
+}
+
+// giveUp revokes a buffer that got no memory in time.
+func (b *Buffer) giveUp() error {
+	b.pool.mu.Lock()
+	defer b.pool.mu.Unlock()
+	if !b.revoked {
+		b.pool.revoke(b)
 	}
-	return revoked, err
+	return ErrRevoked
 }
 
 func (p *Pool) set(b *Buffer, counted int) {
@@ -129,6 +179,21 @@
 	p.buffers[b] = struct{}{}
 }
 
+func (p *Pool) revoke(b *Buffer) {
+	b.revoked = true
+	p.used -= b.counted
+	p.revoked += b.counted
+	delete(p.buffers, b)
+	p.signal()
+}
+
+func (p *Pool) signal() {
+	if p.changed != nil {
+		close(p.changed)
+	}
+	p.changed = make(chan struct{})
+}
+
 // largest returns the largest buffer that may be revoked, of the source that holds most.
 func (p *Pool) largest() *Buffer {
 	sums, most := map[netip.AddrPort]int{}, map[netip.AddrPort]*Buffer{}
@@ -180,7 +245,14 @@
 	if b == nil {
 		return
 	}
-	b.pool.mu.Lock()
-	defer b.pool.mu.Unlock()
-	b.pool.set(b, 0)
+	p := b.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !b.revoked {
+		p.set(b, 0)
+		return
+	}
+	p.revoked -= b.counted
+	b.counted = 0
+	p.signal()
 }
--- a/internal/transport/reserver/reserver_test.go
+++ b/internal/transport/reserver/reserver_test.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -133,3 +135,77 @@
 	group.Wait()
 	assert.Zero(t, p.Used())
 }
+
+// TestRevokedMemoryCountsUntilReleased guards against a node whose heap outgrows its memory,
+// since the readers of revoked buffers have not yet run.
+func TestRevokedMemoryCountsUntilReleased(t *testing.T) {
+	// newFullPool returns a pool of which the revoked buffers hold all that they may, and a
+	// function that releases them.
+	newFullPool := func(t *testing.T) (*reserver.Pool, func()) {
+		t.Helper()
+		p := newPool()
+		var buffers []*reserver.Buffer
+		for i := 0; p.Held()+limit/4 <= 2*limit; i++ {
+			// The earlier ones are larger, so they are revoked first.
+			b, _ := newBuffer(p, second)
+			require.NoError(t, b.Grow(counted(limit/4-i)))
+			buffers = append(buffers, b)
+		}
+		return p, func() {
+			for _, b := range buffers {
+				b.Release()
+			}
+		}
+	}
+	t.Run("a buffer waits for it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p, release := newFullPool(t)
+			b, stops := newBuffer(p, first)
+			time.AfterFunc(time.Millisecond, release)
+			began := time.Now()
+			require.NoError(t, b.Grow(counted(limit/2)))
+			assert.Equal(t, time.Millisecond, time.Since(began))
+			assertRevoked(t, b, stops, false)
+		})
+	})
+	t.Run("for a limited time", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p, release := newFullPool(t)
+			b, _ := newBuffer(p, first)
+			began := time.Now()
+			require.ErrorIs(t, b.Grow(counted(limit/2)), reserver.ErrRevoked)
+			assert.Equal(t, time.Second, time.Since(began))
+			b.Release()
+			release()
+			assert.Zero(t, p.Held())
+		})
+	})
+	t.Run("small buffers do not wait", func(t *testing.T) {
+		p, release := newFullPool(t)
+		b, stops := newBuffer(p, first)
+		assertRevoked(t, b, stops, false)
+		require.NoError(t, b.Grow(reserver.FreeBytes))
+		release()
+	})
+}
+
+// TestSlowReadersStayWithinTheMemory runs readers that notice late that they were revoked.
+func TestSlowReadersStayWithinTheMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool()
+		var group sync.WaitGroup
+		for i := range 200 {
+			group.Go(func() {
+				b := p.NewBuffer(netip.AddrPortFrom(first.Addr(), uint16(i%5)), func() {})
+				defer b.Release()
+				for size := 1 << 10; b.Grow(size) == nil && size < 2*limit; size *= 2 {
+					assert.LessOrEqual(t, p.Held(), 2*limit)
+					time.Sleep(time.Duration(i%7) * time.Millisecond)
+				}
+				time.Sleep(10 * time.Millisecond)
+			})
+		}
+		group.Wait()
+		assert.Zero(t, p.Held())
+	})
+}
