Bodies are read into segments, by one function of package reserver

A body that is given up made garbage of up to five times its size, while the node is short of memory.

A refusal whose body breaks off now passes on no part of it.

--- a/internal/transport/reserver/reserver.go
+++ b/internal/transport/reserver/reserver.go
@@ -23,8 +23,6 @@
 const (
 	// FreeBytes is the part of each buffer that does not count.
 	FreeBytes = 16 << 10
-	// doublingBytes is the size from which on buffers no longer double.
-	doublingBytes = 1 << 20
 	// releaseTimeout is how long a buffer waits for the memory of revoked ones before it is
 	// revoked too.
 	releaseTimeout = time.Second
@@ -71,15 +69,6 @@
 	return &Buffer{pool: p, source: source, stop: stop}
 }
 
-// NextSize returns the size to which a full buffer of a size in bytes grows. Large buffers
-// grow by less than double, so that a body can use most of the limit.
-func NextSize(size int) int {
-	if size < doublingBytes {
-		return 2 * size
-	}
-	return size + size/4
-}
-
 // Used returns the number of bytes that count, without those of revoked buffers.
 func (p *Pool) Used() int {
 	p.mu.Lock()
--- a/internal/transport/sender/body.go
+++ b/internal/transport/sender/body.go
@@ -4,16 +4,13 @@
 	"io"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
 )
 
-const (
-	// maxBodyBytes is the largest response body.
-	maxBodyBytes = 16 << 20
-	// initialBodyBytes is the size of the buffer of a body that is read whole. It grows with
-	// the bytes that arrive, since a declared length may be wrong.
-	initialBodyBytes = 8 << 10
-)
+// maxBodyBytes is the largest response body.
+const maxBodyBytes = 16 << 20
 
 // Read implements io.Reader on the response body. Errors are marked with
 // forwarder.ErrBroken, and with forwarder.ErrMalformed unless the connection
@@ -61,41 +58,12 @@
 		return nil, r.Malformed(errBodyTooBig, maxBodyBytes)
 	}
 	r.conn.source.beginBody()
-	body := make([]byte, 0, initialBodyBytes)
-	for {
-		if len(body) == cap(body) {
-			larger, err := r.grow(body)
-			if err != nil {
-				return body, err
-			}
-			body = larger
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			return body, r.keep()
-		}
-		if err != nil {
-			return body, err
-		}
-	}
-}
-
-// grow returns a copy of a part of the body with room for more.
-func (r *Reply) grow(body []byte) ([]byte, error) {
-	size := reserver.NextSize(cap(body))
-	if declared := int(r.ContentLength); declared > cap(body) {
-		size = min(size, declared)
-	}
-	if err := r.Reserve(size); err != nil {
-		return nil, err
-	}
-	return append(make([]byte, 0, size), body...), nil
-}
-
-func (r *Reply) keep() error {
-	if err := r.memory.Keep(); err != nil {
-		return r.outOfMemory(err)
+	body, err := r.memory.ReadAll(r, maxBodyBytes)
+	switch {
+	case errors.Is(err, reserver.ErrRevoked):
+		return nil, r.outOfMemory(err)
+	case errors.Is(err, reserver.ErrTooLong):
+		return nil, r.Malformed(errBodyTooBig, maxBodyBytes)
 	}
-	return nil
+	return body, err
 }
