--- a/internal/transport/sender/memory_test.go
+++ b/internal/transport/sender/memory_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
 	"strings"
@@ -80,6 +81,16 @@
 // TestEndlessAnswersShareTheMemory guards against a node that runs out of memory when many
 // requests meet an endpoint that sends without end.
 func TestEndlessAnswersShareTheMemory(t *testing.T) {
+	for _, processors := range []int{1, runtime.NumCPU()} {
+		t.Run(fmt.Sprint("processors: ", processors), func(t *testing.T) {
+			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(processors))
+			assertEndlessAnswersShareTheMemory(t)
+		})
+	}
+}
+
+func assertEndlessAnswersShareTheMemory(t *testing.T) {
+	t.Helper()
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(softLimitBytes))
 	for name, answer := range map[string][2]string{
 		"bodies without length": {okHead + "\r\n", "x"},
