Bytes of a body count as activity of its endpoint

An answer whose body or event takes longer to arrive made its endpoint count as silent.

Change: Attempt.OnBytes records activity with each read of a body. An endpoint that lets its bytes trickle is still given up by the forwarder's stall timer, which only answers and events reset.

--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -164,6 +164,8 @@
 	// FetchTimeout is the timeout for fetching parts. Parts that arrive later are
 	// recomputed.
 	FetchTimeout time.Duration
+	// OnBytes is called when bytes of the answer's body have arrived; nil if nobody asks.
+	OnBytes func()
 	// PlacementReason holds the inputs of the endpoint choice.
 	PlacementReason PlacementReason
 }
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -85,6 +85,7 @@
 	view, now, endpoint := s.View(), s.Now(), choice.Endpoint
 	attempt := forwarder.Attempt{
 		Exchange: s.Exchange, Endpoint: endpoint, TimeLeft: s.EffectiveDeadline().Sub(now), LastEventID: s.Progress.LastEventID,
+		OnBytes:         func() { s.Balancer.RecordActivity(endpoint.ID, s.Now()) },
 		PlacementReason: forwarder.PlacementReason{Cost: choice.Cost, Read: choice.Work.Read, Fetch: choice.Work.Fetch},
 	}
 	if s.Prompt == nil {
--- a/internal/transport/sender/body.go
+++ b/internal/transport/sender/body.go
@@ -17,6 +17,9 @@
 // has ended.
 func (r *Reply) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
+	if n > 0 && r.OnBytes != nil {
+		r.OnBytes()
+	}
 	switch {
 	case err == io.EOF:
 		r.complete = true
--- a/internal/transport/sender/conn.go
+++ b/internal/transport/sender/conn.go
@@ -131,6 +131,8 @@
 // Reply is the response to a request.
 type Reply struct {
 	*http.Response
+	// OnBytes is called when bytes of the body have been read; nil if nobody asks.
+	OnBytes func()
 
 	sender     *Sender
 	conn       *conn
