Small buffers get the memory of revoked ones first

Cause: all buffers that wait for revoked ones to be released raced for each release, and buffers of endless answers that asked just then did not wait at all, so they took what was released as long as they came.

Change: a buffer also waits while one that asks for less is waiting. No buffer waits for a larger one, and each wait ends with the release of revoked buffers, so none waits in a circle.

Evidence: TestRevokedMemoryCountsUntilReleased/small_ones_get_it_first (new).

--- a/internal/transport/reserver/reserver.go
+++ b/internal/transport/reserver/reserver.go
@@ -44,7 +44,9 @@
 	used    int
 	revoked int
 	buffers map[*Buffer]struct{}
-	// changed is closed when a buffer is revoked, or released after it was revoked.
+	// waiting holds the buffers that wait for memory, and the size that each asks for.
+	waiting map[*Buffer]int
+	// changed is closed when a buffer may stop waiting.
 	changed chan struct{}
 }
 
@@ -83,39 +85,40 @@
 	return p.used + p.revoked
 }
 
-// Grow reserves memory for a size in bytes, before it is allocated. It waits while too many
-// revoked buffers have not been released, for releaseTimeout at most. It returns ErrRevoked if
-// the buffer has been revoked.
+// Grow reserves memory for a size in bytes, before it is allocated. While too many revoked
+// buffers have not been released it waits, for releaseTimeout at most; small buffers get
+// memory first. It returns ErrRevoked if the buffer has been revoked.
 func (b *Buffer) Grow(size int) error {
 	if b == nil {
 		return nil
 	}
 	var timeout <-chan time.Time
 	for {
-		revoked, released, err := b.pool.grow(b, max(size-FreeBytes, 0))
+		revoked, changed, err := b.pool.grow(b, max(size-FreeBytes, 0))
 		for _, other := range revoked {
 			other.stop()
 		}
-		if released == nil {
+		if changed == nil {
 			return err
 		}
 		if timeout == nil {
 			timeout = time.After(releaseTimeout)
 		}
 		select {
-		case <-released:
+		case <-changed:
 		case <-timeout:
 			return b.giveUp()
 		}
 	}
 }
 
-// grow adds memory to a buffer and returns the buffers that were revoked for it. If the revoked
-// ones hold too much, nothing is added, and released is closed once that may have changed.
-func (p *Pool) grow(b *Buffer, counted int) (revoked []*Buffer, released <-chan struct{}, err error) {
+// grow adds memory to a buffer and returns the buffers that were revoked for it. If the buffer
+// must wait, nothing is added, and changed is closed once it may try again.
+func (p *Pool) grow(b *Buffer, counted int) (revoked []*Buffer, changed <-chan struct{}, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if b.revoked {
+		p.stopWaiting(b)
 		return nil, nil, ErrRevoked
 	}
 	if counted <= b.counted {
@@ -137,18 +140,50 @@
 	}
 	switch {
 	case b.revoked:
-		return revoked, nil, ErrRevoked
-	case p.used+p.revoked > 2*p.Limit:
+		err = ErrRevoked
+	case p.used+p.revoked > 2*p.Limit || p.smallerWaits(counted):
 		p.set(b, before)
-		return revoked, p.changed, nil
+		return revoked, p.wait(b, counted), nil
+	}
+	p.stopWaiting(b)
+	return revoked, nil, err
+}
+
+func (p *Pool) smallerWaits(counted int) bool {
+	for _, asked := range p.waiting {
+		if asked < counted {
+			return true
+		}
+	}
+	return false
+}
+
+// wait enters a buffer that waits for memory, and returns a channel that is closed once it may
+// try again.
+func (p *Pool) wait(b *Buffer, counted int) <-chan struct{} {
+	if p.waiting == nil {
+		p.waiting = map[*Buffer]int{}
+	}
+	p.waiting[b] = counted
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	return p.changed
+}
+
+// stopWaiting lets the larger ones try that waited for this buffer.
+func (p *Pool) stopWaiting(b *Buffer) {
+	if _, ok := p.waiting[b]; ok {
+		delete(p.waiting, b)
+		p.signal()
 	}
-	return revoked, nil, nil
 }
 
 // giveUp revokes a buffer that got no memory in time.
 func (b *Buffer) giveUp() error {
 	b.pool.mu.Lock()
 	defer b.pool.mu.Unlock()
+	b.pool.stopWaiting(b)
 	if !b.revoked {
 		b.pool.revoke(b)
 	}
@@ -179,8 +214,8 @@
 func (p *Pool) signal() {
 	if p.changed != nil {
 		close(p.changed)
+		p.changed = nil
 	}
-	p.changed = make(chan struct{})
 }
 
 // largest returns the largest buffer that may be revoked, of the source that holds most.
--- a/internal/transport/reserver/reserver_test.go
+++ b/internal/transport/reserver/reserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -139,20 +140,23 @@
 // TestRevokedMemoryCountsUntilReleased guards against a node whose heap outgrows its memory,
 // since the readers of revoked buffers have not yet run.
 func TestRevokedMemoryCountsUntilReleased(t *testing.T) {
+	type fullPool struct {
+		*reserver.Pool
+		buffers []*reserver.Buffer
+	}
 	// newFullPool returns a pool of which the revoked buffers hold all that they may, and a
 	// function that releases them.
-	newFullPool := func(t *testing.T) (*reserver.Pool, func()) {
+	newFullPool := func(t *testing.T) (*fullPool, func()) {
 		t.Helper()
-		p := newPool()
-		var buffers []*reserver.Buffer
+		p := &fullPool{Pool: newPool()}
 		for i := 0; p.Held()+limit/4 <= 2*limit; i++ {
 			// The earlier ones are larger, so they are revoked first.
-			b, _ := newBuffer(p, second)
+			b, _ := newBuffer(p.Pool, second)
 			require.NoError(t, b.Grow(counted(limit/4-i)))
-			buffers = append(buffers, b)
+			p.buffers = append(p.buffers, b)
 		}
 		return p, func() {
-			for _, b := range buffers {
+			for _, b := range p.buffers {
 				b.Release()
 			}
 		}
@@ -160,7 +164,7 @@
 	t.Run("a buffer waits for it", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			p, release := newFullPool(t)
-			b, stops := newBuffer(p, first)
+			b, stops := newBuffer(p.Pool, first)
 			time.AfterFunc(time.Millisecond, release)
 			began := time.Now()
 			require.NoError(t, b.Grow(counted(limit/2)))
@@ -171,7 +175,7 @@
 	t.Run("for a limited time", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			p, release := newFullPool(t)
-			b, _ := newBuffer(p, first)
+			b, _ := newBuffer(p.Pool, first)
 			began := time.Now()
 			require.ErrorIs(t, b.Grow(counted(limit/2)), reserver.ErrRevoked)
 			assert.Equal(t, time.Second, time.Since(began))
@@ -180,9 +184,37 @@
 			assert.Zero(t, p.Held())
 		})
 	})
+	t.Run("small ones get it first", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p, _ := newFullPool(t)
+			granted := map[int]bool{}
+			var mu sync.Mutex
+			var group sync.WaitGroup
+			sizes := []int{limit / 32, limit / 16, limit / 10, limit / 8}
+			for _, size := range slices.Backward(sizes) {
+				group.Go(func() {
+					b, _ := newBuffer(p.Pool, first)
+					assert.NoError(t, b.Grow(counted(size)))
+					mu.Lock()
+					defer mu.Unlock()
+					granted[size] = true
+				})
+				synctest.Wait()
+			}
+			assert.Empty(t, granted)
+			for _, b := range p.buffers {
+				b.Release()
+				synctest.Wait()
+				for _, size := range sizes[:len(granted)] {
+					assert.True(t, granted[size], "%d waits, %v have memory", size, granted)
+				}
+			}
+			group.Wait()
+		})
+	})
 	t.Run("small buffers do not wait", func(t *testing.T) {
 		p, release := newFullPool(t)
-		b, stops := newBuffer(p, first)
+		b, stops := newBuffer(p.Pool, first)
 		assertRevoked(t, b, stops, false)
 		require.NoError(t, b.Grow(reserver.FreeBytes))
 		release()
