A connection whose stream ended inside an event is not used again

Callers saw: a stream that broke off and could be resumed ended with an error.

Cause: an answer whose length is right but whose last event is partial counted as complete, so its connection went back to the pool, and the resumed request was sent on it while the endpoint closed it. The reset used up the second of two attempts.

An endpoint that closes an idle connection after a whole answer without saying so can still meet the next request on it; that holds for any client of HTTP/1.1.

--- a/internal/transport/sender/conn.go
+++ b/internal/transport/sender/conn.go
@@ -142,8 +142,10 @@
 	// after that.
 	writeDone chan struct{}
 	writeErr  error
-	// complete is set once the body has been read to its end.
-	complete bool
+	// complete is set once the body has been read to its end, discarded once its contents
+	// turned out to be incomplete.
+	complete  bool
+	discarded bool
 }
 
 func (r *Reply) writeRequest(request *http.Request) error {
@@ -152,6 +154,10 @@
 	return r.writeErr
 }
 
+// Discard makes Close close the connection: the body has its end, but its contents do not, so
+// the endpoint is about to close the connection too or does not know where its answers end.
+func (r *Reply) Discard() { r.discarded = true }
+
 // Close returns the connection to the pool if the response is complete and the
 // endpoint keeps the connection open, and closes it otherwise.
 func (r *Reply) Close() {
@@ -176,7 +182,7 @@
 		// Its connection is closed, or about to be.
 		return false
 	}
-	return r.writeErr == nil && r.complete && framed && !r.Response.Close && r.ProtoAtLeast(1, 1) && r.conn.isClean()
+	return r.writeErr == nil && r.complete && !r.discarded && framed && !r.Response.Close && r.ProtoAtLeast(1, 1) && r.conn.isClean()
 }
 
 // idleTimeout returns how long an idle connection may be reused: the timeout in
