--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -1,7 +1,11 @@
-// Command soak runs the stand-ins of a fault soak of the platform's relay.
+// Command soak runs fault soaks of the platform's relay, and the stand-ins that they use.
 //
 // # Usage
 //
+//	soak run --seed 7 --length 60s --relay ./platformrelay --directory /tmp/soak
+//	soak run --seeds 1-50 --relay ./platformrelay --directory /tmp/soak
+//	soak plan --seed 7
+//	soak check /tmp/soak/seed-7
 //	soak log --listen 127.0.0.1:7001 --retention 500
 //	soak endpoint --name plain-1 --listen 127.0.0.1:7002 --service plain --log 127.0.0.1:7001
 package main
@@ -14,17 +18,38 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
 )
 
+// Exit codes.
+const (
+	exitFailed = 1
+	exitInput  = 2
+)
+
+// errInput marks errors of the command line and of the files that it names.
+var errInput = errors.New("bad input")
+
 func main() {
-	app := kingpin.New("soak", "Runs the stand-ins of a fault soak.")
+	app := kingpin.New("soak", "Runs fault soaks of the relay.")
 	app.HelpFlag.Short('h')
 	verbs := standinVerbs(app)
-	verb := kingpin.MustParse(app.Parse(os.Args[1:]))
+	addSoakVerbs(app, verbs)
+	verb, err := app.Parse(os.Args[1:])
+	if err != nil {
+		exit(errors.Mark(err, errInput))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := verbs[verb](ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "soak:", err)
-		os.Exit(1)
+		exit(err)
+	}
+}
+
+func exit(err error) {
+	fmt.Fprintln(os.Stderr, "soak:", err)
+	if errors.Is(err, errInput) {
+		os.Exit(exitInput)
 	}
+	os.Exit(exitFailed)
 }
