--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -50,9 +50,9 @@
 		verb.Flag("other", "The number of endpoints of the other service.").Default("2").IntVar(&o.other)
 	}
 	run.Flag("seeds", "A range of seeds to run one after the other, such as 1-50.").StringVar(&o.seeds)
-	run.Flag("plan", "A file with the plan to use instead of that of the seed.").StringVar(&o.plan)
+	run.Flag("plan", "A file with the plan to use instead of that of the seed.").ExistingFileVar(&o.plan)
 	run.Flag("clients", "The number of clients.").Default("100").IntVar(&o.clients)
-	run.Flag("relay", "The program platformrelay.").Required().StringVar(&o.relay)
+	run.Flag("relay", "The program platformrelay.").Required().ExistingFileVar(&o.relay)
 	run.Flag("directory", "Where each run gets a directory of its own, which must not exist yet.").Required().StringVar(&o.directory)
 	check := app.Command("check", "Check the record of a run.")
 	checked := check.Arg("directory", "The run's directory.").Required().String()
