--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -181,7 +181,13 @@
 	for _, rule := range checker.Coverage(events, checker.DefaultLimits()) {
 		fmt.Printf("nothing to judge: %s\n", rule)
 	}
-	fmt.Printf("%d events, %d findings\n", len(events), len(findings))
+	pauses := 0
+	for _, e := range events {
+		if e.Kind == recorder.Disturbed && e.Target == recorder.Host {
+			pauses++
+		}
+	}
+	fmt.Printf("%d events, %d pauses of the host, %d findings\n", len(events), pauses, len(findings))
 	if len(findings) > 0 {
 		return errFindings
 	}
