--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -50,9 +50,9 @@
 		verb.Flag("other", "The number of endpoints of the other service.").Default("2").IntVar(&o.other)
 	}
 	run.Flag("seeds", "A range of seeds to run one after the other, such as 1-50.").StringVar(&o.seeds)
-	run.Flag("plan", "A file with the plan to use instead of that of the seed.").StringVar(&o.plan)
+	run.Flag("plan", "A file with the plan to use instead of that of the seed.").ExistingFileVar(&o.plan)
 	run.Flag("clients", "The number of clients.").Default("100").IntVar(&o.clients)
-	run.Flag("relay", "The program platformrelay.").Required().StringVar(&o.relay)
+	run.Flag("relay", "The program platformrelay.").Required().ExistingFileVar(&o.relay)
 	run.Flag("directory", "Where each run gets a directory of its own, which must not exist yet.").Required().StringVar(&o.directory)
 	check := app.Command("check", "Check the record of a run.")
 	checked := check.Arg("directory", "The run's directory.").Required().String()
@@ -181,7 +181,13 @@
 	for _, rule := range checker.Coverage(events, checker.DefaultLimits()) {
 		fmt.Printf("nothing to judge: %s\n", rule)
 	}
-	fmt.Printf("%d events, %d findings\n", len(events), len(findings))
+	pauses := 0
+	for _, e := range events {
+		if e.Kind == recorder.Disturbed && e.Target == recorder.Host {
+			pauses++
+		}
+	}
+	fmt.Printf("%d events, %d pauses of the host, %d findings\n", len(events), pauses, len(findings))
 	if len(findings) > 0 {
 		return errFindings
 	}
