--- a/cmd/soak/standins.go
+++ b/cmd/soak/standins.go
@@ -4,39 +4,51 @@
 	"context"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/launcher"
+	"github.com/lacewingrelay/lacewingrelay/platform/soak/logkeeper"
+	"github.com/lacewingrelay/lacewingrelay/platform/soak/recorder"
+	"github.com/lacewingrelay/lacewingrelay/platform/soak/responder"
 )
 
+// loadTime is the usual time in which an engine replaces its weights.
+const loadTime = 600 * time.Millisecond
+
 // standinVerbs adds the verbs log and endpoint. It returns what they run, by verb.
 func standinVerbs(app *kingpin.Application) map[string]func(ctx context.Context) error {
 	log := app.Command("log", "Run a stand-in of the log store until SIGTERM.")
-	logOptions := launcher.LogOptions{Logger: newLogger()}
-	address(log, "listen", "The address to listen on.", &logOptions.Listen).Required()
-	log.Flag("retention", "How many records of a topic are kept for reads; 0 for all.").Default("0").IntVar(&logOptions.Retention)
-	log.Flag("heartbeat", "The time between the writes of an endpoint.").Default("500ms").DurationVar(&logOptions.Heartbeat)
+	var listen netip.AddrPort
+	store := &logkeeper.Store{Log: newLogger()}
+	address(log, "listen", "The address to listen on.", &listen).Required()
+	log.Flag("retention", "How many records of a topic are kept for reads; 0 for all.").Default("0").IntVar(&store.Retention)
+	log.Flag("heartbeat", "The time between the writes of an endpoint.").Default("500ms").DurationVar(&store.Heartbeat)
 
 	endpoint := app.Command("endpoint", "Run a stand-in of an endpoint until SIGTERM, which begins a planned end.")
-	options := launcher.EndpointOptions{Out: os.Stdout, Logger: newLogger()}
-	endpoint.Flag("name", "The name in the record.").Required().StringVar(&options.Name)
-	address(endpoint, "listen", "The address to listen on.", &options.Listen).Required()
-	address(endpoint, "advertise", "The address in the directory; by default that to listen on.", &options.Advertise)
-	endpoint.Flag("service", "The service.").Required().StringVar(&options.Service)
-	endpoint.Flag("domain", "The failure domain.").Default("z1").StringVar(&options.Domain)
-	endpoint.Flag("slots", "How many requests run at once.").Default("8").IntVar(&options.Slots)
-	endpoint.Flag("model", "The model of an engine.").StringVar(&options.Model)
-	address(endpoint, "log", "The address of the log store.", &options.Log).Required()
-	endpoint.Flag("drain", "How long to serve once the log store has the planned end.").Default("2s").DurationVar(&options.Drain)
-	endpoint.Flag("heartbeat", "The time between writes of the entry.").Default("500ms").DurationVar(&options.Heartbeat)
-	endpoint.Flag("seed", "Determines how long requests take.").Default("1").Uint64Var(&options.Seed)
+	events := &recorder.Writer{Out: os.Stdout}
+	e := &responder.Endpoint{Load: loadTime, Events: events, Logger: newLogger()}
+	endpoint.Flag("name", "The name in the record.").Required().StringVar(&e.Name)
+	address(endpoint, "listen", "The address to listen on.", &listen).Required()
+	address(endpoint, "advertise", "The address in the directory; by default that to listen on.", &e.Advertise)
+	endpoint.Flag("service", "The service.").Required().StringVar(&e.Service)
+	endpoint.Flag("domain", "The failure domain.").Default("z1").StringVar(&e.Domain)
+	endpoint.Flag("slots", "How many requests run at once.").Default("8").IntVar(&e.Slots)
+	endpoint.Flag("model", "The model of an engine.").StringVar(&e.Model)
+	address(endpoint, "log", "The address of the log store.", &e.Log.Address).Required()
+	endpoint.Flag("drain", "How long to serve once the log store has the planned end.").Default("2s").DurationVar(&e.Drain)
+	endpoint.Flag("heartbeat", "The time between writes of the entry.").Default("500ms").DurationVar(&e.Heartbeat)
+	endpoint.Flag("seed", "Determines how long requests take.").Default("1").Uint64Var(&e.Seed)
 
 	return map[string]func(ctx context.Context) error{
-		log.FullCommand():      func(ctx context.Context) error { return launcher.RunLog(ctx, logOptions) },
-		endpoint.FullCommand(): func(ctx context.Context) error { return launcher.RunEndpoint(ctx, options) },
+		log.FullCommand(): func(ctx context.Context) error { return launcher.RunLog(ctx, listen, store) },
+		endpoint.FullCommand(): func(ctx context.Context) error {
+			events.Source = e.Name
+			return launcher.RunEndpoint(ctx, listen, e)
+		},
 	}
 }
 
