--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -174,11 +174,11 @@
 	if err != nil {
 		return errors.Mark(err, errInput)
 	}
-	findings := checker.Check(events, checker.DefaultLimits())
+	findings, unseen := checker.Check(events)
 	for _, f := range findings {
 		fmt.Printf("%s: %s: %s %s\n", f.Time.Format(time.RFC3339Nano), f.Rule, f.Request, f.Detail)
 	}
-	for _, rule := range checker.Coverage(events, checker.DefaultLimits()) {
+	for _, rule := range unseen {
 		fmt.Printf("nothing to judge: %s\n", rule)
 	}
 	pauses := 0
