Reply.Discard unsets complete instead of a second flag

A reply whose contents have no end is not complete, which reusable already asks for; the flag beside it could only say the same. Nothing reads the body after Discard. The tests of package sender and those of package platform on streams, resumption and endless answers pass unchanged.

--- a/internal/transport/sender/conn.go
+++ b/internal/transport/sender/conn.go
@@ -142,10 +142,8 @@
 	// after that.
 	writeDone chan struct{}
 	writeErr  error
-	// complete is set once the body has been read to its end, discarded once its contents
-	// turned out to be incomplete.
-	complete  bool
-	discarded bool
+	// complete is set once the body has been read to its end, and unset by Discard.
+	complete bool
 }
 
 func (r *Reply) writeRequest(request *http.Request) error {
@@ -156,7 +154,7 @@
 
 // Discard makes Close close the connection: the body has its end, but its contents do not, so
 // the endpoint is about to close the connection too or does not know where its answers end.
-func (r *Reply) Discard() { r.discarded = true }
+func (r *Reply) Discard() { r.complete = false }
 
 // Close returns the connection to the pool if the response is complete and the
 // endpoint keeps the connection open, and closes it otherwise.
@@ -182,7 +180,7 @@
 		// Its connection is closed, or about to be.
 		return false
 	}
-	return r.writeErr == nil && r.complete && !r.discarded && framed && !r.Response.Close && r.ProtoAtLeast(1, 1) && r.conn.isClean()
+	return r.writeErr == nil && r.complete && framed && !r.Response.Close && r.ProtoAtLeast(1, 1) && r.conn.isClean()
 }
 
 // idleTimeout returns how long an idle connection may be reused: the timeout in
