Memory tests do not count the garbage of earlier tests

Cause: the highest heap was that of the first sample, 3 us to 1 ms after the watch began, when no request had run. It is garbage of TestEndpointsInTroubleAtSize, which runs just before and whose 195 nodes may take 1 GiB; the collector had not run since.

Load, bounds and soft limit are unchanged.

--- a/internal/transport/sender/memory_test.go
+++ b/internal/transport/sender/memory_test.go
@@ -33,8 +33,9 @@
 )
 
 // heapPeak returns a function that ends the measurement and returns the peak of the heap, in
-// bytes, dead objects included.
+// bytes, dead objects included, but for those of earlier tests.
 func heapPeak() func() uint64 {
+	runtime.GC()
 	stop, peak := make(chan struct{}), make(chan uint64)
 	go func() {
 		sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
