--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -143,7 +143,7 @@
 	}
 	log := newLogger()
 	return (&runner.Runner{
-		Shape: shape, Plan: steps, Length: o.length, Seed: seed,
+		Shape: shape, Plan: steps, Length: o.length,
 		RelayProgram: o.relay, SoakProgram: self, Directory: directory, Log: log,
 		Connect: func(d runner.Deployment) (runner.Operator, runner.Clients) {
 			changes := &operator.Operator{Log: d.Log, Record: d.Record, Seed: seed}
--- a/cmd/soak/standins.go
+++ b/cmd/soak/standins.go
@@ -41,7 +41,6 @@
 	address(endpoint, "log", "The address of the log store.", &e.Log.Address).Required()
 	endpoint.Flag("drain", "How long to serve once the log store has the planned end.").Default("2s").DurationVar(&e.Drain)
 	endpoint.Flag("heartbeat", "The time between writes of the entry.").Default("500ms").DurationVar(&e.Heartbeat)
-	endpoint.Flag("seed", "Determines how long requests take.").Default("1").Uint64Var(&e.Seed)
 
 	return map[string]func(ctx context.Context) error{
 		log.FullCommand(): func(ctx context.Context) error { return launcher.RunLog(ctx, listen, store) },
