--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -148,21 +148,12 @@
 		Connect: func(d runner.Deployment) (runner.Operator, runner.Clients) {
 			changes := &operator.Operator{Log: d.Log, Record: d.Record, Seed: seed}
 			return changes, &caller.Caller{
-				Name: "client", Nodes: func() []caller.Node { return clientNodes(d.Nodes()) }, Current: changes.Current,
-				Record: d.Record, Seed: seed, Clients: o.clients, Log: log,
+				Nodes: d.Nodes, Current: changes.Current, Record: d.Record, Seed: seed, Clients: o.clients, Log: log,
 			}
 		},
 	}).Run(ctx)
 }
 
-func clientNodes(nodes []runner.Node) []caller.Node {
-	list := make([]caller.Node, len(nodes))
-	for i, node := range nodes {
-		list[i] = caller.Node(node)
-	}
-	return list
-}
-
 // checkRecord prints what breaks a rule, and the rules that had nothing to judge.
 func checkRecord(directory string) error {
 	file, err := os.Open(filepath.Join(directory, runner.RecordName))
