Soak: the log store runs in the runner's process

The runner serves the log store itself and calls SetFault, in place of a process of its own, its start, and PUT /_soak. This removes the verb log, package launcher (an endpoint needs only a listener, in cmd/soak) and the flags that the runner gave the same value each time. A process is now one goroutine per start that keeps its thread, in place of a thread that starts all and a supervisor for each. The log of the runner and the log store is soak.log in the run's directory.

Tests: the fake log store is gone. Fake nodes call the real one, and the test asserts which nodes it refuses, that it gets slow, that it serves all again, and that it has ended after the run. The launcher's test is now that of runEndpoint.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -1,55 +1,81 @@
-// Command soak runs fault soaks of the platform's relay, and the stand-ins that they use.
+// Command soak runs fault soaks of the platform's relay, and the endpoints that they use.
 //
 // # Usage
 //
 //	soak run --seed 7 --length 60s --relay ./platformrelay --directory /tmp/soak
-//	soak run --seeds 1-50 --relay ./platformrelay --directory /tmp/soak
+//	soak run --seed 1 --runs 50 --relay ./platformrelay --directory /tmp/soak
 //	soak plan --seed 7
 //	soak check /tmp/soak/seed-7
-//	soak log --listen 127.0.0.1:7001 --retention 500
-//	soak endpoint --name plain-1 --listen 127.0.0.1:7002 --service plain --log 127.0.0.1:7001
 package main
 
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/cockroachdb/errors"
-)
+	"github.com/rs/zerolog"
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitInput  = 2
+	"github.com/lacewingrelay/lacewingrelay/platform/soak/planner"
+	"github.com/lacewingrelay/lacewingrelay/platform/soak/responder"
 )
 
-// errInput marks errors of the command line and of the files that it names.
-var errInput = errors.New("bad input")
-
 func main() {
 	app := kingpin.New("soak", "Runs fault soaks of the relay.")
 	app.HelpFlag.Short('h')
-	verbs := standinVerbs(app)
-	addSoakVerbs(app, verbs)
-	verb, err := app.Parse(os.Args[1:])
-	if err != nil {
-		exit(errors.Mark(err, errInput))
+
+	s := &soak{shape: planner.DefaultShape}
+	run := app.Command("run", "Run a soak, and check its record.")
+	plan := app.Command("plan", "Print the plan of a seed.")
+	for _, verb := range []*kingpin.CmdClause{run, plan} {
+		verb.Flag("seed", "The seed.").Default("1").Uint64Var(&s.seed)
+		verb.Flag("length", "How long clients send requests.").Default("60s").DurationVar(&s.length)
+		verb.Flag("nodes", "The number of nodes.").IntVar(&s.shape.Nodes)
+		for i := range s.shape.Services {
+			service := &s.shape.Services[i]
+			verb.Flag(service.Name, "The number of endpoints of service "+service.Name+".").IntVar(&service.Endpoints)
+		}
 	}
+	run.Flag("runs", "The number of runs, each with the seed after that of the one before.").Default("1").Uint64Var(&s.runs)
+	run.Flag("plan", "A file with the plan to use instead of that of the seed.").ExistingFileVar(&s.plan)
+	run.Flag("clients", "The number of clients.").Default("100").IntVar(&s.clients)
+	run.Flag("relay", "The program platformrelay.").Required().ExistingFileVar(&s.relay)
+	run.Flag("directory", "Where each run gets a directory of its own, which must not exist yet.").Required().StringVar(&s.directory)
+
+	check := app.Command("check", "Check the record of a run.")
+	checked := check.Arg("directory", "The run's directory.").Required().String()
+
+	endpoint := app.Command("endpoint", "Run an endpoint of a soak until SIGTERM, which begins a planned end.").Hidden()
+	var listen netip.AddrPort
+	e := &responder.Endpoint{Logger: zerolog.New(os.Stderr).With().Timestamp().Logger()}
+	endpoint.Flag("name", "The name in the record.").Required().StringVar(&e.Name)
+	endpoint.Flag("listen", "The address to listen on.").Required().SetText(&listen)
+	endpoint.Flag("advertise", "The address in the directory.").Required().SetText(&e.Advertise)
+	endpoint.Flag("service", "The service.").Required().StringVar(&e.Service)
+	endpoint.Flag("domain", "The failure domain.").Required().StringVar(&e.Domain)
+	endpoint.Flag("model", "The model of an engine.").StringVar(&e.Model)
+	endpoint.Flag("log", "The address of the log store.").Required().SetText(&e.Log.Address)
+	endpoint.Flag("seed", "Determines how long requests take.").Required().Uint64Var(&e.Seed)
+
+	verb := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := verbs[verb](ctx); err != nil {
-		exit(err)
+	var err error
+	switch verb {
+	case run.FullCommand():
+		err = s.run(ctx)
+	case plan.FullCommand():
+		fmt.Print(planner.Format(planner.Plan(s.seed, s.shape, s.length)))
+	case check.FullCommand():
+		err = checkRecord(*checked)
+	case endpoint.FullCommand():
+		err = runEndpoint(ctx, listen, e, os.Stdout)
 	}
-}
-
-func exit(err error) {
-	fmt.Fprintln(os.Stderr, "soak:", err)
-	if errors.Is(err, errInput) {
-		os.Exit(exitInput)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
 	}
-	os.Exit(exitFailed)
 }
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -5,12 +5,10 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/caller"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/checker"
@@ -20,72 +18,31 @@
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/runner"
 )
 
-// planName is the name of the plan in a run's directory.
-const planName = "plan.txt"
+// Names of files in a run's directory: the plan, and the log of the runner and the log store.
+const (
+	planName = "plan.txt"
+	logName  = "soak.log"
+)
 
 // errFindings is returned if a record breaks a rule.
 var errFindings = errors.New("the record breaks rules")
 
-// options are those of the verbs run and plan.
-type options struct {
-	seed                  uint64
-	seeds, plan           string
-	length                time.Duration
-	shape                 planner.Shape
-	clients               int
-	relay, directory      string
-	engines, plain, other int
-}
-
-func addSoakVerbs(app *kingpin.Application, verbs map[string]func(context.Context) error) {
-	o := &options{}
-	run := app.Command("run", "Run a soak of each seed, and check its record.")
-	plan := app.Command("plan", "Print the plan of a seed.")
-	for _, verb := range []*kingpin.CmdClause{run, plan} {
-		verb.Flag("seed", "The seed.").Default("1").Uint64Var(&o.seed)
-		verb.Flag("length", "How long clients send requests.").Default("60s").DurationVar(&o.length)
-		verb.Flag("nodes", "The number of nodes.").Default("7").IntVar(&o.shape.Nodes)
-		verb.Flag("engines", "The number of model engines.").Default("4").IntVar(&o.engines)
-		verb.Flag("plain", "The number of endpoints of the plain service.").Default("3").IntVar(&o.plain)
-		verb.Flag("other", "The number of endpoints of the other service.").Default("2").IntVar(&o.other)
-	}
-	run.Flag("seeds", "A range of seeds to run one after the other, such as 1-50.").StringVar(&o.seeds)
-	run.Flag("plan", "A file with the plan to use instead of that of the seed.").ExistingFileVar(&o.plan)
-	run.Flag("clients", "The number of clients.").Default("100").IntVar(&o.clients)
-	run.Flag("relay", "The program platformrelay.").Required().ExistingFileVar(&o.relay)
-	run.Flag("directory", "Where each run gets a directory of its own, which must not exist yet.").Required().StringVar(&o.directory)
-	check := app.Command("check", "Check the record of a run.")
-	checked := check.Arg("directory", "The run's directory.").Required().String()
-
-	verbs[run.FullCommand()] = func(ctx context.Context) error { return runSeeds(ctx, o) }
-	verbs[plan.FullCommand()] = func(context.Context) error {
-		fmt.Print(planner.Format(planner.Plan(o.seed, o.fullShape(), o.length)))
-		return nil
-	}
-	verbs[check.FullCommand()] = func(context.Context) error { return checkRecord(*checked) }
-}
-
-func (o *options) fullShape() planner.Shape {
-	shape := o.shape
-	for i, n := range []int{o.engines, o.plain, o.other} {
-		service := planner.DefaultShape.Services[i]
-		service.Endpoints = n
-		shape.Services = append(shape.Services, service)
-	}
-	return shape
+// soak is what the flags of the verbs run and plan say.
+type soak struct {
+	seed, runs             uint64
+	length                 time.Duration
+	shape                  planner.Shape
+	clients                int
+	plan, relay, directory string
 }
 
-// runSeeds runs all seeds. It returns errFindings if a record breaks a rule.
-func runSeeds(ctx context.Context, o *options) error {
-	first, last, err := o.seedRange()
-	if err != nil {
-		return err
-	}
+// run runs the soaks one after the other. It returns errFindings if a record breaks a rule.
+func (s *soak) run(ctx context.Context) error {
 	broken := 0
-	for seed := first; seed <= last && ctx.Err() == nil; seed++ {
-		directory := filepath.Join(o.directory, fmt.Sprintf("seed-%d", seed))
+	for seed := s.seed; seed < s.seed+s.runs && ctx.Err() == nil; seed++ {
+		directory := filepath.Join(s.directory, fmt.Sprintf("seed-%d", seed))
 		fmt.Println("seed", seed)
-		err := runSeed(ctx, o, seed, directory)
+		err := s.runSeed(ctx, seed, directory)
 		if err == nil {
 			err = checkRecord(directory)
 		}
@@ -97,59 +54,49 @@
 		}
 	}
 	if broken > 0 {
-		return errors.Wrapf(errFindings, "%d of %d seeds", broken, last-first+1)
+		return errors.Wrapf(errFindings, "%d of %d seeds", broken, s.runs)
 	}
 	return ctx.Err()
 }
 
-func (o *options) seedRange() (first, last uint64, err error) {
-	if o.seeds == "" {
-		return o.seed, o.seed, nil
-	}
-	low, high, _ := strings.Cut(o.seeds, "-")
-	if first, err = strconv.ParseUint(low, 10, 64); err != nil {
-		return 0, 0, errors.Mark(err, errInput)
-	}
-	if last, err = strconv.ParseUint(high, 10, 64); err != nil {
-		return 0, 0, errors.Mark(err, errInput)
-	}
-	return first, last, nil
-}
-
-func runSeed(ctx context.Context, o *options, seed uint64, directory string) error {
-	shape := o.fullShape()
-	steps := planner.Plan(seed, shape, o.length)
-	if o.plan != "" {
-		text, err := os.ReadFile(o.plan)
+func (s *soak) runSeed(ctx context.Context, seed uint64, directory string) error {
+	steps := planner.Plan(seed, s.shape, s.length)
+	if s.plan != "" {
+		text, err := os.ReadFile(s.plan)
 		if err != nil {
-			return errors.Mark(err, errInput)
+			return err
 		}
 		if steps, err = planner.Parse(string(text)); err != nil {
-			return errors.Mark(err, errInput)
+			return err
 		}
 	}
-	if err := os.MkdirAll(o.directory, 0o755); err != nil {
-		return errors.Mark(err, errInput)
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(s.directory, 0o755); err != nil {
+		return err
 	}
 	if err := os.Mkdir(directory, 0o755); err != nil {
-		return errors.Mark(err, errInput)
+		return err
 	}
 	if err := os.WriteFile(filepath.Join(directory, planName), []byte(planner.Format(steps)), 0o644); err != nil {
 		return err
 	}
-	self, err := os.Executable()
+	file, err := os.Create(filepath.Join(directory, logName))
 	if err != nil {
 		return err
 	}
-	log := newLogger()
+	defer file.Close()
+	log := zerolog.New(file).Level(zerolog.InfoLevel).With().Timestamp().Logger()
 	return (&runner.Runner{
-		Shape: shape, Plan: steps, Length: o.length, Seed: seed,
-		RelayProgram: o.relay, SoakProgram: self, Directory: directory, Log: log,
+		Shape: s.shape, Plan: steps, Length: s.length, Seed: seed,
+		RelayProgram: s.relay, SoakProgram: self, Directory: directory, Log: log,
 		Connect: func(d runner.Deployment) (runner.Operator, runner.Clients) {
 			changes := &operator.Operator{Log: d.Log, Record: d.Record, Seed: seed}
 			return changes, &caller.Caller{
 				Name: "client", Nodes: func() []caller.Node { return clientNodes(d.Nodes()) }, Current: changes.Current,
-				Record: d.Record, Seed: seed, Clients: o.clients, Log: log,
+				Record: d.Record, Seed: seed, Clients: s.clients, Log: log,
 			}
 		},
 	}).Run(ctx)
@@ -167,12 +114,12 @@
 func checkRecord(directory string) error {
 	file, err := os.Open(filepath.Join(directory, runner.RecordName))
 	if err != nil {
-		return errors.Mark(err, errInput)
+		return err
 	}
 	defer file.Close()
 	events, err := recorder.Read(file)
 	if err != nil {
-		return errors.Mark(err, errInput)
+		return err
 	}
 	findings, unseen := checker.Check(events)
 	for _, f := range findings {
