Soak: the runner makes its operator and clients itself

Runner uses operator.Operator and caller.Caller in place of interfaces, a struct of callbacks and glue in cmd/soak; runner.Node is gone for caller.Node.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -17,6 +17,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/planner"
@@ -70,7 +71,10 @@
 	case plan.FullCommand():
 		fmt.Print(planner.Format(planner.Plan(s.seed, s.shape, s.length)))
 	case check.FullCommand():
-		err = checkRecord(*checked)
+		var findings int
+		if findings, err = checkRecord(*checked); findings > 0 {
+			err = errors.New("the record breaks rules")
+		}
 	case endpoint.FullCommand():
 		err = runEndpoint(ctx, listen, e, os.Stdout)
 	}
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -10,9 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"github.com/lacewingrelay/lacewingrelay/platform/soak/caller"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/checker"
-	"github.com/lacewingrelay/lacewingrelay/platform/soak/operator"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/planner"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/recorder"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/runner"
@@ -24,9 +22,6 @@
 	logName  = "soak.log"
 )
 
-// errFindings is returned if a record breaks a rule.
-var errFindings = errors.New("the record breaks rules")
-
 // soak is what the flags of the verbs run and plan say.
 type soak struct {
 	seed, runs             uint64
@@ -36,25 +31,25 @@
 	plan, relay, directory string
 }
 
-// run runs the soaks one after the other. It returns errFindings if a record breaks a rule.
+// run runs the soaks one after the other. It returns an error if a record breaks a rule.
 func (s *soak) run(ctx context.Context) error {
 	broken := 0
 	for seed := s.seed; seed < s.seed+s.runs && ctx.Err() == nil; seed++ {
-		directory := filepath.Join(s.directory, fmt.Sprintf("seed-%d", seed))
 		fmt.Println("seed", seed)
-		err := s.runSeed(ctx, seed, directory)
-		if err == nil {
-			err = checkRecord(directory)
+		directory := filepath.Join(s.directory, fmt.Sprintf("seed-%d", seed))
+		if err := s.runSeed(ctx, seed, directory); err != nil {
+			return errors.Wrapf(err, "seed %d", seed)
+		}
+		findings, err := checkRecord(directory)
+		if err != nil {
+			return err
 		}
-		switch {
-		case errors.Is(err, errFindings):
+		if findings > 0 {
 			broken++
-		case err != nil:
-			return errors.Wrapf(err, "seed %d", seed)
 		}
 	}
 	if broken > 0 {
-		return errors.Wrapf(errFindings, "%d of %d seeds", broken, s.runs)
+		return errors.Newf("%d of %d records break rules", broken, s.runs)
 	}
 	return ctx.Err()
 }
@@ -70,14 +65,7 @@
 			return err
 		}
 	}
-	self, err := os.Executable()
-	if err != nil {
-		return err
-	}
-	if err := os.MkdirAll(s.directory, 0o755); err != nil {
-		return err
-	}
-	if err := os.Mkdir(directory, 0o755); err != nil {
+	if err := errors.CombineErrors(os.MkdirAll(s.directory, 0o755), os.Mkdir(directory, 0o755)); err != nil {
 		return err
 	}
 	if err := os.WriteFile(filepath.Join(directory, planName), []byte(planner.Format(steps)), 0o644); err != nil {
@@ -90,36 +78,22 @@
 	defer file.Close()
 	log := zerolog.New(file).Level(zerolog.InfoLevel).With().Timestamp().Logger()
 	return (&runner.Runner{
-		Shape: s.shape, Plan: steps, Length: s.length, Seed: seed,
-		RelayProgram: s.relay, SoakProgram: self, Directory: directory, Log: log,
-		Connect: func(d runner.Deployment) (runner.Operator, runner.Clients) {
-			changes := &operator.Operator{Log: d.Log, Record: d.Record, Seed: seed}
-			return changes, &caller.Caller{
-				Name: "client", Nodes: func() []caller.Node { return clientNodes(d.Nodes()) }, Current: changes.Current,
-				Record: d.Record, Seed: seed, Clients: s.clients, Log: log,
-			}
-		},
+		Shape: s.shape, Plan: steps, Length: s.length, Seed: seed, Clients: s.clients,
+		RelayProgram: s.relay, Directory: directory, Log: log,
 	}).Run(ctx)
 }
 
-func clientNodes(nodes []runner.Node) []caller.Node {
-	list := make([]caller.Node, len(nodes))
-	for i, node := range nodes {
-		list[i] = caller.Node(node)
-	}
-	return list
-}
-
-// checkRecord prints what breaks a rule, and the rules that had nothing to judge.
-func checkRecord(directory string) error {
+// checkRecord prints what breaks a rule, and the rules that had nothing to judge. It returns the
+// number of findings.
+func checkRecord(directory string) (int, error) {
 	file, err := os.Open(filepath.Join(directory, runner.RecordName))
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer file.Close()
 	events, err := recorder.Read(file)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	findings, unseen := checker.Check(events)
 	for _, f := range findings {
@@ -135,8 +109,5 @@
 		}
 	}
 	fmt.Printf("%d events, %d pauses of the host, %d findings\n", len(events), pauses, len(findings))
-	if len(findings) > 0 {
-		return errFindings
-	}
-	return nil
+	return len(findings), nil
 }
