--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -11,17 +11,30 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/planner"
+	"github.com/lacewingrelay/lacewingrelay/platform/soak/recorder"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/responder"
+	"github.com/lacewingrelay/lacewingrelay/platform/soak/runner"
+)
+
+const (
+	// slots is how many requests an endpoint runs at once.
+	slots = 8
+	// loadTime is the usual time in which an engine replaces its weights.
+	loadTime = 600 * time.Millisecond
 )
 
 func main() {
@@ -29,15 +42,17 @@
 	app.HelpFlag.Short('h')
 
 	s := &soak{shape: planner.DefaultShape}
+	s.shape.Services = slices.Clone(s.shape.Services)
 	run := app.Command("run", "Run a soak, and check its record.")
 	plan := app.Command("plan", "Print the plan of a seed.")
 	for _, verb := range []*kingpin.CmdClause{run, plan} {
 		verb.Flag("seed", "The seed.").Default("1").Uint64Var(&s.seed)
 		verb.Flag("length", "How long clients send requests.").Default("60s").DurationVar(&s.length)
-		verb.Flag("nodes", "The number of nodes.").IntVar(&s.shape.Nodes)
+		verb.Flag("nodes", "The number of nodes.").Default(fmt.Sprint(s.shape.Nodes)).IntVar(&s.shape.Nodes)
 		for i := range s.shape.Services {
 			service := &s.shape.Services[i]
-			verb.Flag(service.Name, "The number of endpoints of service "+service.Name+".").IntVar(&service.Endpoints)
+			help := fmt.Sprintf("The number of endpoints of service %s.", service.Name)
+			verb.Flag(service.Name, help).Default(fmt.Sprint(service.Endpoints)).IntVar(&service.Endpoints)
 		}
 	}
 	run.Flag("runs", "The number of runs, each with the seed after that of the one before.").Default("1").Uint64Var(&s.runs)
@@ -83,3 +98,15 @@
 		os.Exit(1)
 	}
 }
+
+// runEndpoint serves as an endpoint until ctx ends, and then until it has left. It writes its
+// events to a writer.
+func runEndpoint(ctx context.Context, listen netip.AddrPort, e *responder.Endpoint, events io.Writer) error {
+	e.Slots, e.Load, e.Drain, e.Heartbeat = slots, loadTime, runner.DrainLimit, runner.Heartbeat
+	e.Events = &recorder.Writer{Out: events, Source: e.Name}
+	listener, err := net.Listen("tcp", listen.String())
+	if err != nil {
+		return errors.Wrap(err, "endpoint")
+	}
+	return e.Run(ctx, listener)
+}
