Soak: one client of the log store, and a smaller stand-in of it

logkeeper.Client goes: endpoints and the operator's tests use platform.LogStore, which follows pages and checks eras, and tests look into the store by Store.Get.

--- a/cmd/soak/standins.go
+++ b/cmd/soak/standins.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/lacewingrelay/lacewingrelay/platform"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/launcher"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/logkeeper"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/recorder"
@@ -30,7 +31,7 @@
 
 	endpoint := app.Command("endpoint", "Run a stand-in of an endpoint until SIGTERM, which begins a planned end.")
 	events := &recorder.Writer{Out: os.Stdout}
-	e := &responder.Endpoint{Load: loadTime, Events: events, Logger: newLogger()}
+	e := &responder.Endpoint{Log: platform.NewLogStore(netip.AddrPort{}), Load: loadTime, Events: events, Logger: newLogger()}
 	endpoint.Flag("name", "The name in the record.").Required().StringVar(&e.Name)
 	address(endpoint, "listen", "The address to listen on.", &listen).Required()
 	address(endpoint, "advertise", "The address in the directory; by default that to listen on.", &e.Advertise)
