--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -6,7 +6,7 @@
 //	soak run --seeds 1-50 --relay ./platformrelay --directory /tmp/soak
 //	soak plan --seed 7
 //	soak check /tmp/soak/seed-7
-//	soak log --listen 127.0.0.1:7001 --retention 500
+//	soak log --listen 127.0.0.1:7001
 //	soak endpoint --name plain-1 --listen 127.0.0.1:7002 --service plain --log 127.0.0.1:7001
 package main
 
--- a/cmd/soak/standins.go
+++ b/cmd/soak/standins.go
@@ -26,7 +26,6 @@
 	var listen netip.AddrPort
 	store := &logkeeper.Store{Log: newLogger()}
 	address(log, "listen", "The address to listen on.", &listen).Required()
-	log.Flag("retention", "How many records of a topic are kept for reads; 0 for all.").Default("0").IntVar(&store.Retention)
 	log.Flag("heartbeat", "The time between the writes of an endpoint.").Default("500ms").DurationVar(&store.Heartbeat)
 
 	endpoint := app.Command("endpoint", "Run a stand-in of an endpoint until SIGTERM, which begins a planned end.")
