--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,6 +24,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/lacewingrelay/lacewingrelay/platform"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/planner"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/recorder"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/responder"
@@ -66,7 +67,7 @@
 
 	endpoint := app.Command("endpoint", "Run an endpoint of a soak until SIGTERM, which begins a planned end.").Hidden()
 	var listen netip.AddrPort
-	e := &responder.Endpoint{Logger: zerolog.New(os.Stderr).With().Timestamp().Logger()}
+	e := &responder.Endpoint{Log: platform.NewLogStore(netip.AddrPort{}), Logger: zerolog.New(os.Stderr).With().Timestamp().Logger()}
 	endpoint.Flag("name", "The name in the record.").Required().StringVar(&e.Name)
 	endpoint.Flag("listen", "The address to listen on.").Required().SetText(&listen)
 	endpoint.Flag("advertise", "The address in the directory.").Required().SetText(&e.Advertise)
--- a/cmd/soak/main_test.go
+++ b/cmd/soak/main_test.go
@@ -13,21 +13,22 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lacewingrelay/lacewingrelay/platform"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/logkeeper"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/recorder"
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/responder"
 )
 
 func TestRunEndpoint(t *testing.T) {
-	store := &logkeeper.Store{Retention: 100, Heartbeat: time.Second, Log: zerolog.Nop()}
+	store := &logkeeper.Store{Heartbeat: time.Second, Log: zerolog.Nop()}
 	server := httptest.NewServer(store)
 	defer server.Close()
-	client := logkeeper.Client{Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
 	ctx, stop := context.WithTimeout(context.Background(), time.Second)
 	defer stop()
 	endpoint := &responder.Endpoint{
 		Name: "llm-1", Advertise: netip.MustParseAddrPort("127.0.0.1:9"), Service: "llm", Domain: "z2", Model: "usta",
-		Log: client, Logger: zerolog.Nop(),
+		Log: platform.NewLogStore(address), Logger: zerolog.Nop(),
 	}
 	var events bytes.Buffer
 	begin := time.Now()
@@ -41,10 +42,8 @@
 		assert.Equal(t, "llm-1", event.Source)
 	}
 	require.Equal(t, "started leaving", strings.Join(kinds, " "))
-	value, err := client.Get(t.Context(), logkeeper.EndpointTopic, read[1].Instance)
-	require.NoError(t, err)
-	assert.Nil(t, value, "entry is removed")
+	assert.Nil(t, store.Get(logkeeper.EndpointTopic, read[1].Instance), "entry is removed")
 	t.Run("the address is in use", func(t *testing.T) {
-		assert.Error(t, runEndpoint(t.Context(), client.Address, endpoint, &events))
+		assert.Error(t, runEndpoint(t.Context(), address, endpoint, &events))
 	})
 }
