One sampler of the heap for the two memory tests

The tests of platform and sender had the same loop that samples the heap, and repaired both in the same way (collect garbage first). The loop stands once now, in internal/standin/sampler, with tests. Bounds, load and period are unchanged.

--- a/internal/transport/sender/memory_test.go
+++ b/internal/transport/sender/memory_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
-	"runtime/metrics"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
+	"github.com/lacewingrelay/lacewingrelay/internal/standin/sampler"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/sender"
 )
@@ -32,31 +32,6 @@
 	soundBodyBytes  = 100 << 10
 )
 
-// heapPeak returns a function that ends the measurement and returns the peak of the heap, in
-// bytes, dead objects included, but for those of earlier tests.
-func heapPeak() func() uint64 {
-	runtime.GC()
-	stop, peak := make(chan struct{}), make(chan uint64)
-	go func() {
-		sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
-		highest := uint64(0)
-		for {
-			metrics.Read(sample)
-			highest = max(highest, sample[0].Value.Uint64())
-			select {
-			case <-stop:
-				peak <- highest
-				return
-			case <-time.After(time.Millisecond):
-			}
-		}
-	}()
-	return func() uint64 {
-		close(stop)
-		return <-peak
-	}
-}
-
 // newPartlyEndlessEndpoint returns an endpoint that answers requests whose id begins with
 // "sound" soundly, and others without end.
 func newPartlyEndlessEndpoint(t *testing.T, head, unit string) *endpoint {
@@ -109,7 +84,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := &sender.Sender{DialTimeout: testTimeout, Memory: &reserver.Pool{Limit: answersBytes}}
 			bad, good := newPartlyEndlessEndpoint(t, answer[0], answer[1]), newEndpoint(t, respondWith(okResponse))
-			peak := heapPeak()
+			peak := sampler.HeapPeak()
 			var group sync.WaitGroup
 			for i := range endlessRequests {
 				group.Go(func() {
@@ -175,7 +150,7 @@
 		<-silent
 		return false
 	})
-	peak := heapPeak()
+	peak := sampler.HeapPeak()
 	var group sync.WaitGroup
 	for range endlessRequests {
 		group.Go(func() {
