One owner of loopback addresses: package allocator

The project had that mechanism twice already, assembler.ownRange and the soak runner's reserveBlock, and the test of responder still had the unlocked form by process id.

internal/standin/allocator serves all four: Lock takes the first range that no process owns, Block gives the addresses of one.

--- a/internal/standin/assembler/ports.go
+++ b/internal/standin/assembler/ports.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/standin/allocator"
 )
 
 const (
@@ -37,11 +39,12 @@
 // ID selects. It returns the listener that owns the range, and its first port.
 func ownRange(pid int) (net.Listener, int) {
 	for {
-		for i := range processRanges {
-			base := firstPort + (pid+i)%processRanges*portsPerProcess
-			if owner, err := net.Listen("tcp", netip.AddrPortFrom(loopback, uint16(base)).String()); err == nil {
-				return owner, base
-			}
+		firstOf := func(i int) int { return firstPort + i*portsPerProcess }
+		owner, i, err := allocator.Lock(pid, processRanges, func(i int) netip.AddrPort {
+			return netip.AddrPortFrom(loopback, uint16(firstOf(i)))
+		})
+		if err == nil {
+			return owner, firstOf(i)
 		}
 		time.Sleep(rangeRetryPause)
 	}
