Streams go on only at the build that began them

Cause: endpoints were chosen for a resume without regard to their build, which was not even decoded, and no node knew which build had begun a stream at another node: what the caller names in Resumes was not read.

Ruled out: the build in the directory's entry as the whole answer. The directory may be out of date, and a process may have the id of an earlier one; the answer itself names no build. Also ruled out: records on the log store, at 70 streams a second.

Change: package resumer. Processes says which process of an id was alive when an answer began, from entries that were just written and from the engines' own event responses; without such a sign the build is not known. Streams holds the builds of recent streams: each node tells all hubs, a tenth of a second later, hubs answer for them, and two periods of half a minute are kept, of 100,000 streams each. A stream goes on at endpoints of its build only; what a resumed attempt answers is checked again by its first event, before any of it is delivered. A caller's resume stays at the service that began the stream. If the build is not known, or no endpoint has it, the answer is a refusal at once that says so, without a Retry-After, or the answer that has begun is broken off. Lines of endpoints and attempts name the build.

Before: TestResumedStreamKeepsItsBuild, 12 of 12 streams in one answer and 6 of 12 at another node had events of two builds. After: it passes, with TestResumeAfterLossOfNode (stopped and started again), TestStreamsThatCanNotGoOn, TestStaleEntryOfResumedStream, TestStreamsKeepTheirBuild, TestBuildOfAnswer; TestStreamsAreKnownAtAllNodes, at 7 and 195 nodes with the first node, all hubs but one or a domain lost. On the way a member whose home was lost found nothing (4 of 193 nodes); it asks all hubs of its domain now.

Changed tests: the stand-in's entries now name a build and are renewed, as the platform's are (TestStreams, TestResumedStreamsWithoutLength, TestResumedOnAnotherConnection, TestResumedStreamKeepsItsBuild); before the first renewal nothing is resumed. What they require of a resumed stream is unchanged.

Conclusion: what may be joined rests on the process that answered, and what is not known is not joined.

--- /dev/null
+++ b/internal/coordination/forwarder/builds.go
@@ -0,0 +1,86 @@
+package forwarder
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/limiter"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/endpointtracker"
+)
+
+var (
+	// ErrBuildUnknown marks a stream that can't be resumed because it is not known which build
+	// of the endpoints' software began it.
+	ErrBuildUnknown = errors.New("build that began the stream is not known")
+	// ErrBuildGone marks a stream that can't be resumed because no endpoint has the build that
+	// began it.
+	ErrBuildGone = errors.New("no endpoint has the build that began the stream any more")
+	// errOtherBuild marks an attempt to resume a stream that was answered by another build, or
+	// by one that is not known, than the one that began it.
+	errOtherBuild = errors.New("stream would go on at another build")
+)
+
+// Builds tells which build of the endpoints' software answers, and which began a stream.
+type Builds interface {
+	// Begin returns the beginning of an answer whose first event has just arrived, and Build
+	// the build of the process that sent it; false if that is not known.
+	Begin(endpoint endpointtracker.Endpoint) resumer.Beginning
+	Build(beginning resumer.Beginning) (resumer.Build, bool)
+	// Announce makes the stream that a request has begun known to all nodes.
+	Announce(id string, beginning resumer.Beginning)
+	// Origin returns the build of the stream that an earlier request has begun at any node;
+	// false if it is not known.
+	Origin(ctx context.Context, id string) (resumer.Build, bool)
+}
+
+// findOrigin finds the build of a stream that the caller wants to be resumed, and the service
+// that it began at.
+func (r *run) findOrigin(ctx context.Context) error {
+	if r.Builds == nil || r.Exchange.LastEventID == "" {
+		return nil
+	}
+	build, known := r.Builds.Origin(ctx, r.Resumes)
+	r.Log.Info().Str("event", "stream origin").Str("request", r.ID).Str("resumes", r.Resumes).Bool("known", known).
+		Str("service", build.Service).Str("build", build.Version).Send()
+	if !known || !r.Route.Allows(build.Service) {
+		return &limiter.Refusal{Cause: ErrBuildUnknown}
+	}
+	r.Service, r.Progress.Build = build.Service, build
+	return nil
+}
+
+// checkBuild is called with the first event of an attempt. It records the beginning of a new
+// stream, and returns an error if a stream would go on at another build.
+func (r *run) checkBuild(attempt Attempt) error {
+	if r.Builds == nil {
+		return nil
+	}
+	now := r.Builds.Begin(attempt.Endpoint)
+	if r.Progress.Build == (resumer.Build{}) {
+		r.beginning = &now
+		r.Builds.Announce(r.ID, now)
+		return nil
+	}
+	if build, known := r.Builds.Build(now); !known || build != r.Progress.Build {
+		// Its entry is wrong, or out of date.
+		r.Misdirected[attempt.Endpoint.ID] = true
+		return errors.Wrapf(errOtherBuild, "began at %s, answer from %q (known: %t)", r.Progress.Build.Version, build.Version, known)
+	}
+	return nil
+}
+
+// keepBuild makes sure that the next attempt at a stream that this run began goes to the same
+// build.
+func (r *run) keepBuild() error {
+	if r.beginning == nil || r.Progress.Build != (resumer.Build{}) {
+		return nil
+	}
+	build, known := r.Builds.Build(*r.beginning)
+	if !known {
+		return ErrBuildUnknown
+	}
+	r.Progress.Build = build
+	return nil
+}
--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -112,8 +112,9 @@
 	// Prompt is nil for requests to plain services.
 	Prompt *Prompt
 	// LastEventID is the ID of the last event that the caller has of a stream to be
-	// resumed.
+	// resumed. Resumes is the ID of the request that brought its first event.
 	LastEventID string
+	Resumes     string
 }
 
 // EffectiveDeadline returns the earlier of the caller's deadline and the route's
--- a/internal/coordination/forwarder/forwarder.go
+++ b/internal/coordination/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 )
 
@@ -41,6 +42,8 @@
 	// of requests at whose endpoint a crash is possible.
 	PartSuspects *retrier.PartSuspects
 	Crashes      *retrier.CrashConfirmer
+	// Builds is nil if endpoints have no builds that differ.
+	Builds Builds
 	// Broadcast announces a new suspect to the peers at once.
 	Broadcast func()
 	// Backoff returns the wait after a failed attempt. Attempts are counted from
@@ -71,6 +74,8 @@
 	probing bool
 	// survived is set once the current attempt has shown that its parts crash no endpoint.
 	survived bool
+	// beginning is that of the stream, if this run began one.
+	beginning *resumer.Beginning
 	// attempts counts all attempts, executed those that may have run.
 	attempts int
 	executed int
@@ -99,8 +104,11 @@
 		ctx, cancel = context.WithDeadlineCause(ctx, deadline, ErrTimeout)
 		defer cancel()
 	}
+	err := r.findOrigin(ctx)
 	f.Budget.CountRequest(f.Now(), exchange.Service)
-	err := r.run(ctx)
+	if err == nil {
+		err = r.run(ctx)
+	}
 	r.recordResult(err)
 	return err
 }
@@ -117,6 +125,9 @@
 		if err := r.checkRetry(ctx, err); err != nil {
 			return r.finalError(err)
 		}
+		if err := r.keepBuild(); err != nil {
+			return r.finalError(err)
+		}
 	}
 }
 
--- a/internal/coordination/forwarder/placement.go
+++ b/internal/coordination/forwarder/placement.go
@@ -1,13 +1,17 @@
 package forwarder
 
-import "context"
+import (
+	"context"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
+)
 
 // Placer chooses the endpoint of each attempt.
 type Placer interface {
 	// Place waits for an endpoint and counts an attempt on it until Release. It
 	// returns an error marked ErrUnavailable if no endpoint can take the request,
-	// a *limiter.Refusal if the wait is too long, an error marked ErrVersionGone
-	// if a started answer can't be resumed, or the error of ctx.
+	// a *limiter.Refusal if the wait is too long, an error marked ErrVersionGone or
+	// ErrBuildGone if a started answer can't be resumed, or the error of ctx.
 	Place(ctx context.Context, exchange *Exchange, progress Progress) (Placement, error)
 }
 
@@ -22,6 +26,8 @@
 	StreamStarted bool
 	// LastEventID is the ID of the last event that the caller has.
 	LastEventID string
+	// Build is the build that began the stream, which it must go on at; zero for a new stream.
+	Build resumer.Build
 	// Exclusive is set once the request is suspected of a crash. It should be
 	// placed on an endpoint that runs no other request.
 	Exclusive bool
--- a/internal/coordination/forwarder/recording.go
+++ b/internal/coordination/forwarder/recording.go
@@ -31,6 +31,9 @@
 		Str("endpoint", attempt.Endpoint.ID).Int("send", r.attempts).Int64("weights", attempt.Weights).
 		Dur("left", attempt.TimeLeft).Float64("cost", reason.Cost).Int("read", reason.Read).
 		Int("fetch", reason.Fetch).Dur("waited", r.queueTime).Dur("elapsed", r.Now().Sub(r.Received))
+	if attempt.Endpoint.Build != "" {
+		line.Str("build", attempt.Endpoint.Build)
+	}
 	if reason.Limit > 0 {
 		line.Float64("limit", reason.Limit)
 	}
--- a/internal/coordination/forwarder/relay.go
+++ b/internal/coordination/forwarder/relay.go
@@ -23,6 +23,12 @@
 			r.executed--
 			return r.handleFailure(ctx, attempt, err)
 		}
+		if events == 0 {
+			if err := r.checkBuild(attempt); err != nil {
+				r.executed--
+				return r.handleFailure(ctx, attempt, errors.Mark(err, ErrMalformed))
+			}
+		}
 		stallTimer.Reset(r.stallTimeout())
 		r.beginTimer.Stop()
 		r.placement.OnEvent(events == 0)
--- a/internal/coordination/forwarder/retry.go
+++ b/internal/coordination/forwarder/retry.go
@@ -15,7 +15,7 @@
 func (r *run) checkRetry(ctx context.Context, cause error) error {
 	var refusal *limiter.Refusal
 	switch {
-	case errors.IsAny(cause, ErrCallerGone, ErrTimeout, ErrUnavailable, ErrVersionGone, ErrPoison), errors.As(cause, &refusal):
+	case errors.IsAny(cause, ErrCallerGone, ErrTimeout, ErrUnavailable, ErrVersionGone, ErrBuildGone, ErrPoison), errors.As(cause, &refusal):
 		return cause
 	case r.attempts >= MaxSends:
 		return cause
@@ -74,6 +74,9 @@
 		return cause
 	case r.executed == 0 && refused:
 		return refusal
+	case r.executed == 0 && errors.Is(cause, ErrBuildGone):
+		// Nobody knows when the build is back.
+		return &limiter.Refusal{Cause: cause}
 	case r.executed == 0:
 		return &limiter.Refusal{Cause: cause, RetryAfter: retryAfter}
 	case refused:
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -23,6 +23,7 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/scheduler"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/throttler"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/endpointtracker"
@@ -74,6 +75,9 @@
 func (p *Placer) Place(ctx context.Context, exchange *forwarder.Exchange, progress forwarder.Progress) (forwarder.Placement, error) {
 	s := &selection{Placer: p, Exchange: exchange, Progress: progress}
 	if !s.hasEligibleEndpoint() {
+		if s.Progress.Build != (resumer.Build{}) {
+			return nil, errors.Wrapf(forwarder.ErrBuildGone, "build %s", s.Progress.Build.Version)
+		}
 		return nil, forwarder.ErrUnavailable
 	}
 	s.awaitPermits(ctx)
@@ -224,10 +228,15 @@
 
 // excluded returns the IDs of the endpoints that must not receive the request.
 func (s *selection) excluded(view View) map[string]bool {
-	if s.Prompt == nil {
-		return s.Progress.Misdirected
+	excluded := map[string]bool{}
+	if s.Prompt != nil {
+		excluded = view.excludedByWeights(s.Service, s.Prompt.Model, s.ageLimits())
+	}
+	if s.Progress.Build != (resumer.Build{}) {
+		for _, endpoint := range view.Endpoints[s.Service] {
+			excluded[endpoint.ID] = excluded[endpoint.ID] || endpoint.Build != s.Progress.Build.Version
+		}
 	}
-	excluded := view.excludedByWeights(s.Service, s.Prompt.Model, s.ageLimits())
 	if len(excluded) == 0 {
 		return s.Progress.Misdirected
 	}
--- a/internal/protocol/packer/lists.go
+++ b/internal/protocol/packer/lists.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -65,6 +66,30 @@
 	return limits, nil
 }
 
+// encodeStreams groups streams by their builds.
+func encodeStreams(streams []peertracker.StreamBuild) []*wire.StreamBuilds {
+	var encoded []*wire.StreamBuilds
+	for _, stream := range streams {
+		i := slices.IndexFunc(encoded, func(e *wire.StreamBuilds) bool { return e.Service == stream.Service && e.Build == stream.Build })
+		if i < 0 {
+			encoded = append(encoded, &wire.StreamBuilds{Service: stream.Service, Build: stream.Build})
+			i = len(encoded) - 1
+		}
+		encoded[i].Streams = append(encoded[i].Streams, stream.Stream)
+	}
+	return encoded
+}
+
+func decodeStreams(encoded []*wire.StreamBuilds) []peertracker.StreamBuild {
+	var streams []peertracker.StreamBuild
+	for _, group := range encoded {
+		for _, stream := range group.Streams {
+			streams = append(streams, peertracker.StreamBuild{Stream: stream, Service: group.Service, Build: group.Build})
+		}
+	}
+	return streams
+}
+
 func encodeParts(updates *peertracker.PartUpdates) *wire.PartUpdates {
 	if updates == nil {
 		return nil
--- a/internal/protocol/packer/packer.go
+++ b/internal/protocol/packer/packer.go
@@ -152,6 +152,7 @@
 		encoded.PartSuspects = append(encoded.PartSuspects, encodePartSuspect(suspect))
 	}
 	encoded.Limits = encodeLimits(heartbeat.Limits)
+	encoded.Streams = encodeStreams(heartbeat.Streams)
 	for _, change := range heartbeat.Changes {
 		encoded.Changes = append(encoded.Changes, &wire.Change{Endpoint: change.Endpoint, Model: change.Model, Version: change.Version})
 	}
@@ -204,6 +205,7 @@
 	if heartbeat.Limits, err = decodeLimits(encoded.Limits); err != nil {
 		return peertracker.Heartbeat{}, err
 	}
+	heartbeat.Streams = decodeStreams(encoded.Streams)
 	for _, change := range encoded.Changes {
 		heartbeat.Changes = append(heartbeat.Changes, peertracker.Change{Endpoint: change.Endpoint, Model: change.Model, Version: change.Version})
 	}
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -33,8 +33,10 @@
 	Key    string
 	Value  []byte
 	Offset int64
-	// Initial is set by a Feed for records of its first listing, which may be of any
-	// age, and Restored for those of its first listing after the log was restored.
+	// Listed is set by a Feed for records of a listing, which may be of any age, Initial for
+	// those of its first listing, and Restored for those of its first listing after the log
+	// was restored.
+	Listed   bool
 	Initial  bool
 	Restored bool
 }
@@ -164,7 +166,7 @@
 	initial := !f.listedBefore
 	f.listedBefore = true
 	for _, record := range batch.Records {
-		record.Initial, record.Restored = initial, restored
+		record.Listed, record.Initial, record.Restored = true, initial, restored
 		keys[record.Key] = record.Value != nil
 		f.apply(record)
 	}
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/organizer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/throttler"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
@@ -118,6 +119,10 @@
 	Issuer *throttler.Issuer
 	// PermitClient calls the issuers of other endpoints.
 	PermitClient PermitClient
+	// Streams are the builds of recent streams; nil if endpoints have none. OriginClient asks
+	// other nodes for them.
+	Streams      *resumer.Streams
+	OriginClient OriginClient
 	// HandleParts is called with changes of the directory of parts from the home.
 	HandleParts func(home netip.AddrPort, updates peertracker.PartUpdates)
 	// ApplyOperatorState applies the operators' records fetched from a peer.
@@ -136,6 +141,8 @@
 	roleChanged chan struct{}
 	peers       map[netip.AddrPort]*peerState
 	announced   []announced
+	// relayed are streams that members have told of and other hubs have not been.
+	relayed []peertracker.StreamBuild
 	// rotation counts heartbeats, to rotate through the models.
 	rotation int
 	// lastContact and lastLogContact are when RecordContact and RecordLogContact were last
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -15,6 +15,10 @@
 // HandleHeartbeat handles a peer's heartbeat. It does not block on network calls.
 func (p *Peers) HandleHeartbeat(message packer.Message) {
 	heartbeat, now := message.Sender, p.Now()
+	if len(heartbeat.Streams) > 0 {
+		p.addStreams(heartbeat)
+		return
+	}
 	if heartbeat.Address == p.Address || !p.accept(heartbeat, now) {
 		return
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -114,6 +114,10 @@
 	}
 }
 
+// Clock returns the time by a clock that counts the time for which the host was suspended and
+// is not affected by adjustments of the wall clock. It is safe for concurrent use.
+func (r *Relayer) Clock() time.Time { return r.now() }
+
 // do queues a change for the control goroutine; it blocks while the queue is full.
 func (r *Relayer) do(change func()) { r.inbox <- change }
 
@@ -157,7 +161,7 @@
 		r.publish()
 		r.OnLoaded(endpoint.ID)
 		r.Log.Info().Str("event", "endpoint").Str("endpoint", endpoint.ID).Str("service", endpoint.Service).
-			Stringer("address", endpoint.Address).Bool("leaving", endpoint.Leaving).Interface("weights", endpoint.Weights).Send()
+			Stringer("address", endpoint.Address).Str("build", endpoint.Build).Bool("leaving", endpoint.Leaving).Interface("weights", endpoint.Weights).Send()
 	})
 }
 
--- a/internal/relayer/size_test.go
+++ b/internal/relayer/size_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/throttler"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
@@ -52,6 +53,7 @@
 	balancer *balancer.Balancer
 	limits   *throttler.Limits
 	permits  *throttler.Permits
+	streams  *resumer.Streams
 	node     *relayer.Relayer
 	sent     atomic.Int64
 	received atomic.Int64
@@ -103,6 +105,21 @@
 	return target.peers.IssuePermits(ctx, request)
 }
 
+// Origin implements relayer.OriginClient.
+func (n *fleetNode) Origin(ctx context.Context, peer netip.AddrPort, stream uint64, forwarded bool) (resumer.Build, bool, error) {
+	n.fleet.mu.Lock()
+	cut := n.fleet.cut
+	n.fleet.mu.Unlock()
+	target, ok := n.fleet.byIP[peer.Addr()]
+	if !ok || cut(n, target) {
+		<-ctx.Done()
+		return resumer.Build{}, false, ctx.Err()
+	}
+	time.Sleep(2 * linkDelay)
+	build, known := target.peers.FindOrigin(ctx, stream, forwarded)
+	return build, known, nil
+}
+
 // lossCounter counts the log lines that say that a peer was lost.
 type lossCounter struct{ n *atomic.Int64 }
 
@@ -133,6 +150,10 @@
 			cores = 0.8
 		}
 		n.limits = &throttler.Limits{}
+		n.streams = &resumer.Streams{
+			Processes: &resumer.Processes{MaxAge: time.Second, Now: time.Now},
+			Ask:       func(ctx context.Context, stream uint64) (resumer.Build, bool) { return n.peers.AskOrigin(ctx, stream) },
+		}
 		n.peers = &relayer.Peers{
 			Name: n.name, Domain: domain, Address: address, GossipPort: 7000, Cores: cores, Domains: domains, Incarnation: 1,
 			Gossip: n, Client: &standinStateClient{}, Node: n.node, Balancer: n.balancer,
@@ -140,7 +161,7 @@
 			PartSuspects:       &retrier.PartSuspects{Node: n.name, Expiry: time.Hour},
 			HandleParts:        func(netip.AddrPort, peertracker.PartUpdates) { n.parts.Add(1) },
 			ApplyOperatorState: func(messenger.OperatorState) {},
-			Limits:             n.limits, Issuer: &throttler.Issuer{Share: func() float64 { return n.peers.IssuerShare() }}, PermitClient: n,
+			Limits:             n.limits, Issuer: &throttler.Issuer{Share: func() float64 { return n.peers.IssuerShare() }}, PermitClient: n, Streams: n.streams, OriginClient: n,
 			Log: zerolog.New(nil).Hook(lossCounter{&n.lost}), Now: time.Now, Stopping: &atomic.Bool{},
 		}
 	}
@@ -157,6 +178,7 @@
 	t.Cleanup(cancel)
 	for _, n := range f.nodes {
 		go n.peers.Run(ctx)
+		go n.peers.RunStreams(ctx)
 	}
 	return f
 }
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -216,6 +216,11 @@
 	return n
 }
 
+// Allows reports whether requests of the route may go to a service.
+func (r Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(share Share) bool { return share.Service == service })
+}
+
 // PickService picks a service in proportion to the route's shares. point is a
 // random number uniform in [0, 1).
 func (r Route) PickService(point float64) string {
--- a/internal/state/endpointtracker/endpointtracker.go
+++ b/internal/state/endpointtracker/endpointtracker.go
@@ -41,6 +41,8 @@
 	Slots int
 	// Renewal counts the entries that the process has written so far; zero if unknown.
 	Renewal int64
+	// Build is the version of the endpoint's software; empty if unknown.
+	Build string
 	// Leaving endpoints receive no new requests.
 	Leaving bool
 	// Weights maps each model to its loaded version.
@@ -212,7 +214,7 @@
 }
 
 func equal(a, b Endpoint) bool {
-	return a.SameProcess(b) && a.Service == b.Service && a.Domain == b.Domain && a.Slots == b.Slots && a.Leaving == b.Leaving &&
+	return a.SameProcess(b) && a.Service == b.Service && a.Domain == b.Domain && a.Slots == b.Slots && a.Leaving == b.Leaving && a.Build == b.Build &&
 		maps.Equal(a.Weights, b.Weights)
 }
 
--- a/internal/state/peertracker/peertracker.go
+++ b/internal/state/peertracker/peertracker.go
@@ -62,6 +62,17 @@
 	Parts *PartUpdates
 	// Limits are limits on requests that endpoints have named.
 	Limits []EndpointLimit
+	// Streams are streams that have begun. A heartbeat with them says nothing else of its
+	// sender, but for Homed.
+	Streams []StreamBuild
+}
+
+// StreamBuild is the build of the endpoint that began a stream.
+type StreamBuild struct {
+	// Stream is a hash of the id of the request that began it.
+	Stream  uint64
+	Service string
+	Build   string
 }
 
 // EndpointLimit is what a process of an endpoint said of the requests that it takes from all
--- a/internal/transport/messenger/relay.go
+++ b/internal/transport/messenger/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/throttler"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/wire"
@@ -87,6 +88,9 @@
 	Parts() PartDirectory
 	// IssuePermits issues permits to send requests to an endpoint, or asks the issuer.
 	IssuePermits(ctx context.Context, request PermitsRequest) (throttler.Grant, error)
+	// FindOrigin returns the build that began a stream; false if it is not known. forwarded is
+	// set if a hub asks: the answer is then what this node itself knows.
+	FindOrigin(ctx context.Context, stream uint64, forwarded bool) (resumer.Build, bool)
 }
 
 // PermitsRequest asks for permits to send requests to a process of an endpoint.
@@ -224,6 +228,22 @@
 	return reply, nil
 }
 
+// Origin implements wire.Relay.
+func (s *relayServer) Origin(ctx context.Context, request *wire.OriginRequest) (*wire.OriginReply, error) {
+	build, known := s.node.FindOrigin(ctx, request.Stream, request.Forwarded)
+	return &wire.OriginReply{Known: known, Service: build.Service, Build: build.Version}, nil
+}
+
+// Origin asks a peer for the build that began a stream.
+func (c *Client) Origin(ctx context.Context, peer netip.AddrPort, stream uint64, forwarded bool) (resumer.Build, bool, error) {
+	request := &wire.OriginRequest{Stream: stream, Forwarded: forwarded}
+	reply, err := wire.NewRelayProtobufClient("http://"+peer.String(), c.http).Origin(ctx, request)
+	if err != nil {
+		return resumer.Build{}, false, errors.Wrapf(err, "ask %s for the build of a stream", peer)
+	}
+	return resumer.Build{Service: reply.Service, Version: reply.Build}, reply.Known, nil
+}
+
 // Permits asks a peer for permits.
 func (c *Client) Permits(ctx context.Context, peer netip.AddrPort, request PermitsRequest) (throttler.Grant, error) {
 	reply, err := wire.NewRelayProtobufClient("http://"+peer.String(), c.http).Permits(ctx, &wire.PermitsRequest{
