Heartbeats with more limits than have room are divided

What callers saw: nothing; found in review of the limits of endpoints. A node with many suspect requests, parts and changes to tell had no room for limits in its first datagram, and the negative room for loads ended the process (slice bounds out of range). Limits beyond four were rotated by a step that could leave some out for good.

Cause: limits were added to the first datagram without being counted in what may follow.

Change: limits for which the first datagram has no room follow in datagrams of their own; all that were learned within a second are in each heartbeat, and four others, at random.

Before: TestFullHeartbeats panics.

--- a/internal/coordination/throttler/limits.go
+++ b/internal/coordination/throttler/limits.go
@@ -22,8 +22,7 @@
 package throttler
 
 import (
-	"cmp"
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,7 +36,7 @@
 	// restatePeriod is the time after which a repeated statement of the same limit is told to
 	// peers again, so that nodes that have just started learn of it.
 	restatePeriod = 2 * time.Second
-	// newsPeriod is how long a new statement comes before all others in heartbeats.
+	// newsPeriod is how long a new statement is in each heartbeat.
 	newsPeriod = time.Second
 	// unlistedTTL is how long the limit of a process that is not in the directory is kept. A
 	// peer may know of the process earlier than this node.
@@ -89,8 +88,6 @@
 	known map[Process]*known
 	// listed holds the processes in the directory.
 	listed map[Process]bool
-	// rotation counts the calls of Known.
-	rotation int
 	// any is set while limits are known, so that Rate costs little while there are none.
 	any atomic.Bool
 }
@@ -216,31 +213,20 @@
 	l.any.Store(len(l.known) > 0)
 }
 
-// Known returns at most n limits for a heartbeat, the latest news first. Successive calls
-// rotate through the others.
+// Known returns limits for a heartbeat: all that were just learned, and n others, chosen at
+// random so that each peer gets all in time.
 func (l *Limits) Known(now time.Time, n int) []peertracker.EndpointLimit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
-	var news, others []*known
+	var news, others []peertracker.EndpointLimit
 	for _, k := range l.known {
 		if now.Sub(k.learnedAt) < newsPeriod {
-			news = append(news, k)
+			news = append(news, k.EndpointLimit)
 		} else {
-			others = append(others, k)
+			others = append(others, k.EndpointLimit)
 		}
 	}
-	slices.SortFunc(news, func(a, b *known) int { return cmp.Compare(b.Stamp, a.Stamp) })
-	slices.SortFunc(others, func(a, b *known) int {
-		return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Started, b.Started))
-	})
-	var limits []peertracker.EndpointLimit
-	for _, k := range news[:min(n, len(news))] {
-		limits = append(limits, k.EndpointLimit)
-	}
-	for i := range min(n-len(limits), len(others)) {
-		limits = append(limits, others[(l.rotation+i)%len(others)].EndpointLimit)
-	}
-	l.rotation += n
-	return limits
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return append(news, others[:min(n, len(others))]...)
 }
--- a/internal/relayer/heartbeats.go
+++ b/internal/relayer/heartbeats.go
@@ -32,10 +32,14 @@
 )
 
 // newHeartbeats returns the heartbeat of a kind, as one or more datagrams. The first one
-// has all but the loads and changes for which it has no room.
+// has all but the loads, changes and limits for which it has no room.
 func (p *Peers) newHeartbeats(now time.Time, kind kind) []peertracker.Heartbeat {
 	base := p.baseHeartbeat(now, kind)
 	changes := p.heartbeatChanges(now, kind)
+	var limits []peertracker.EndpointLimit
+	if p.Limits != nil {
+		limits = p.Limits.Known(now, maxLimits)
+	}
 	var loads []peertracker.Load
 	if kind == toMembers {
 		loads = p.Balancer.Total(now)
@@ -48,11 +52,14 @@
 		heartbeat := base
 		heartbeat.Sequence = p.sequence.Add(1)
 		if len(heartbeats) > 0 {
-			heartbeat.Suspects, heartbeat.PartSuspects, heartbeat.Limits = nil, nil, nil
+			heartbeat.Suspects, heartbeat.PartSuspects = nil, nil
 		}
 		n := min(len(changes), maxChanges)
 		heartbeat.Changes, changes = changes[:n], changes[n:]
-		room := datagramBytes - fixedBytes - len(heartbeat.Suspects)*suspectBytes - partSuspectsSize(heartbeat.PartSuspects) - n*changeBytes - len(heartbeat.Limits)*limitBytes
+		room := datagramBytes - fixedBytes - len(heartbeat.Suspects)*suspectBytes - partSuspectsSize(heartbeat.PartSuspects) - n*changeBytes
+		fit := min(len(limits), room/limitBytes)
+		heartbeat.Limits, limits = limits[:fit], limits[fit:]
+		room -= fit * limitBytes
 		n = min(len(loads), room/loadBytes)
 		heartbeat.Loads = &peertracker.LoadReport{First: next, Last: math.MaxUint32, Loads: loads[:n]}
 		if loads = loads[n:]; len(loads) > 0 {
@@ -60,25 +67,27 @@
 			next = loads[0].Endpoint
 		}
 		heartbeats = append(heartbeats, heartbeat)
-		if len(loads)+len(changes) == 0 {
-			return heartbeats
-		}
 		if len(loads) == 0 {
-			// What follows has changes only, and replaces no load.
-			return append(heartbeats, p.changesOnly(base, changes)...)
+			// What follows replaces no load.
+			return append(heartbeats, p.withoutLoads(base, changes, limits)...)
 		}
 	}
 }
 
-// changesOnly returns datagrams with changes and no loads.
-func (p *Peers) changesOnly(base peertracker.Heartbeat, changes []peertracker.Change) []peertracker.Heartbeat {
+// withoutLoads returns datagrams with changes and limits, and no loads.
+func (p *Peers) withoutLoads(base peertracker.Heartbeat, changes []peertracker.Change, limits []peertracker.EndpointLimit) []peertracker.Heartbeat {
 	var heartbeats []peertracker.Heartbeat
-	base.Suspects, base.PartSuspects, base.Limits = nil, nil, nil
+	base.Suspects, base.PartSuspects = nil, nil
 	for chunk := range slices.Chunk(changes, maxChanges) {
 		heartbeat := base
 		heartbeat.Sequence, heartbeat.Changes = p.sequence.Add(1), chunk
 		heartbeats = append(heartbeats, heartbeat)
 	}
+	for chunk := range slices.Chunk(limits, (datagramBytes-fixedBytes)/limitBytes) {
+		heartbeat := base
+		heartbeat.Sequence, heartbeat.Limits = p.sequence.Add(1), chunk
+		heartbeats = append(heartbeats, heartbeat)
+	}
 	return heartbeats
 }
 
@@ -92,9 +101,6 @@
 	if p.PartSuspects != nil {
 		heartbeat.PartSuspects = p.knownPartSuspects(now)
 	}
-	if p.Limits != nil {
-		heartbeat.Limits = p.Limits.Known(now, maxLimits)
-	}
 	if catalog := p.Node.View().Catalog; catalog != nil {
 		heartbeat.Applied = uint64(catalog.Version)
 	}
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -44,7 +44,8 @@
 	maxSuspects = 8
 	// maxPartSuspectBytes bounds the suspect parts in a heartbeat.
 	maxPartSuspectBytes = 450
-	// maxLimits is the maximum number of limits of endpoints in a heartbeat.
+	// maxLimits is the number of limits of endpoints in a heartbeat, besides those that were
+	// just learned.
 	maxLimits = 4
 	// maxModels and maxChanges bound the models and the announced changes in a datagram.
 	// announcementTTL is how long a change is repeated in heartbeats, so that the loss of
