Streams that a caller does not name go on while there is one build

Cause: a stream without a name counts as one whose build is not known.

Change: if the directory has shown one build of the service only for two minutes, longer than streams last, and its entries are current, a stream without a name goes on at that build. A name that no node knows is still refused: its stream may have begun at a process that this node has not heard of.

--- a/internal/coordination/forwarder/builds.go
+++ b/internal/coordination/forwarder/builds.go
@@ -33,15 +33,25 @@
 	// Origin returns the build of the stream that an earlier request has begun at any node;
 	// false if it is not known.
 	Origin(ctx context.Context, id string) (resumer.Build, bool)
+	// Sole returns the build of a service whose endpoints have all had the same one for as long as
+	// a stream may last; false if they had several, or if that is not known.
+	Sole(service string) (resumer.Build, bool)
 }
 
 // findOrigin finds the build of a stream that the caller wants to be resumed, and the service
-// that it began at.
+// that it began at. A caller that does not say which request began it is served only while there
+// is no choice of builds.
 func (r *run) findOrigin(ctx context.Context) error {
 	if r.Builds == nil || r.Exchange.LastEventID == "" {
 		return nil
 	}
-	build, known := r.Builds.Origin(ctx, r.Resumes)
+	var build resumer.Build
+	var known bool
+	if r.Resumes != "" {
+		build, known = r.Builds.Origin(ctx, r.Resumes)
+	} else {
+		build, known = r.Builds.Sole(r.Service)
+	}
 	r.Log.Info().Str("event", "stream origin").Str("request", r.ID).Str("resumes", r.Resumes).Bool("known", known).
 		Str("service", build.Service).Str("build", build.Version).Send()
 	if !known || !r.Route.Allows(build.Service) {
--- a/internal/coordination/resumer/processes.go
+++ b/internal/coordination/resumer/processes.go
@@ -186,3 +186,26 @@
 	}
 	return build, true
 }
+
+// Sole returns the build of all processes of a service that this node knows of and that may have
+// begun a stream; false if there were several builds, or if none of the processes was seen alive
+// just now, so that this node may not know all of them.
+func (p *Processes) Sole(service string) (Build, bool) {
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	build, current := Build{Service: service}, false
+	for _, known := range p.byID {
+		for _, s := range known {
+			if s.endpoint.Service != service || now.Sub(s.notedAt) >= processTTL {
+				continue
+			}
+			if s.endpoint.Build == "" || build.Version != "" && build.Version != s.endpoint.Build {
+				return Build{}, false
+			}
+			build.Version = s.endpoint.Build
+			current = current || !s.seenAt.IsZero() && now.Sub(s.seenAt) < p.MaxAge
+		}
+	}
+	return build, current
+}
--- a/internal/coordination/resumer/resumer_test.go
+++ b/internal/coordination/resumer/resumer_test.go
@@ -118,6 +118,46 @@
 	})
 }
 
+func TestSoleBuild(t *testing.T) {
+	assertSole := func(t *testing.T, p *resumer.Processes, want string) {
+		t.Helper()
+		build, known := p.Sole("llm")
+		assert.Equal(t, want != "", known)
+		if known {
+			assert.Equal(t, resumer.Build{Service: "llm", Version: want}, build)
+		}
+	}
+	other := func(id, service, build string) endpointtracker.Endpoint {
+		e := entry(build, time.Hour)
+		e.ID, e.Service = id, service
+		return e
+	}
+	run(t, "of all endpoints of the service", func(t *testing.T) {
+		p := newProcesses()
+		p.Observe(other("e1", "llm", "v1"), true)
+		p.Observe(other("e2", "llm", "v1"), false)
+		p.Observe(other("e3", "plain", "v2"), true)
+		assertSole(t, p, "v1")
+	})
+	run(t, "until two minutes after an endpoint of another build was last listed", func(t *testing.T) {
+		p := newProcesses()
+		p.Observe(other("e2", "llm", "v2"), true)
+		time.Sleep(time.Minute)
+		p.Observe(other("e1", "llm", "v1"), true)
+		assertSole(t, p, "")
+		time.Sleep(time.Minute)
+		p.Observe(other("e1", "llm", "v1"), true)
+		assertSole(t, p, "v1")
+	})
+	run(t, "not if nothing was heard of any", func(t *testing.T) {
+		p := newProcesses()
+		assertSole(t, p, "")
+		p.Observe(other("e1", "llm", "v1"), true)
+		time.Sleep(2 * maxAge)
+		assertSole(t, p, "")
+	})
+}
+
 // newStreams returns streams that ask for what they don't know.
 func newStreams(ask func(stream uint64) (resumer.Build, bool)) *resumer.Streams {
 	return &resumer.Streams{Processes: newProcesses(), Ask: func(_ context.Context, stream uint64) (resumer.Build, bool) {
