The build of a stream rests on reads of the directory, not on renewals of entries

Cause: a process counted as the one that answered only if its entry had been renewed just before.

A process writes its entry when it starts, so a read that began later confirms which process answered. Until then the build may be told to other nodes, and if a later read shows another process, the stream counts as not known everywhere. The watch for standstills and the signs of life from event feeds are gone.

Conclusion: a process that is not in what was just read can't have begun the stream.

--- a/internal/coordination/forwarder/builds.go
+++ b/internal/coordination/forwarder/builds.go
@@ -25,9 +25,9 @@
 // Builds tells which build of the endpoints' software answers, and which began a stream.
 type Builds interface {
 	// Begin returns the beginning of an answer whose first event has just arrived, and Build
-	// the build of the process that sent it; false if that is not known.
+	// the build of the process that sent it, whether that is known, and whether it is confirmed.
 	Begin(endpoint endpointtracker.Endpoint) resumer.Beginning
-	Build(beginning resumer.Beginning) (resumer.Build, bool)
+	Build(beginning resumer.Beginning) (build resumer.Build, known, confirmed bool)
 	// Announce makes the stream that a request has begun known to all nodes.
 	Announce(id string, beginning resumer.Beginning)
 	// Origin returns the build of the stream that an earlier request has begun at any node;
@@ -73,7 +73,7 @@
 		r.Builds.Announce(r.ID, now)
 		return nil
 	}
-	if build, known := r.Builds.Build(now); !known || build != r.Progress.Build {
+	if build, known, _ := r.Builds.Build(now); !known || build != r.Progress.Build {
 		// Its entry is wrong, or out of date.
 		r.Misdirected[attempt.Endpoint.ID] = true
 		return errors.Wrapf(errOtherBuild, "began at %s, answer from %q (known: %t)", r.Progress.Build.Version, build.Version, known)
@@ -87,7 +87,7 @@
 	if r.beginning == nil || r.Progress.Build != (resumer.Build{}) {
 		return nil
 	}
-	build, known := r.Builds.Build(*r.beginning)
+	build, known, _ := r.Builds.Build(*r.beginning)
 	if !known {
 		return ErrBuildUnknown
 	}
--- a/internal/coordination/resumer/processes.go
+++ b/internal/coordination/resumer/processes.go
@@ -2,16 +2,18 @@
 // software build that began it, since what two builds write does not fit together.
 //
 // The build of a stream is that of the process that sent its first event. Processes works it
-// out from what the directory and the endpoints say of themselves. The directory may be out
-// of date, and a process may have the id and the address of an earlier one, so a process
-// counts as the one that answered only if it was seen alive about that time. Streams keeps
+// out from the entries of the directory. What a node knows of the directory may be out of date,
+// and a process may have the id and the address of an earlier one, so the build is known only
+// if the directory was read about the time of the answer, and it is confirmed by what is read
+// later. Streams keeps
 // the builds of recent streams of all nodes, so that a caller can take a stream up at any
 // node. A stream whose build is not known does not go on.
 //
 // # Usage
 //
 //	processes := &resumer.Processes{MaxAge: 1800 * time.Millisecond, Now: sinceBoot}
-//	processes.Observe(endpoint, true)
+//	processes.Observe(endpoint)
+//	processes.RecordRead(began)
 //	streams := &resumer.Streams{Processes: processes, Ask: ask}
 //	beginning := streams.Begin(endpoint) // at the first event
 //	streams.Announce(requestID, beginning)
@@ -19,7 +21,6 @@
 package resumer
 
 import (
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -30,15 +31,14 @@
 const (
 	// maxProcesses is the number of processes with one id that are remembered.
 	maxProcesses = 4
-	// processTTL is how long a process that was not seen is remembered. Streams do not last
-	// longer.
+	// processTTL is how long a process that is not listed any more is remembered. Streams do not
+	// last longer.
 	processTTL = 2 * time.Minute
 	// clockSlack bounds the difference between the clocks of endpoints' hosts and of this one.
 	clockSlack = 500 * time.Millisecond
-	// maxTick is the longest time between two calls of Collect of a process that runs. After a
-	// longer one, entries that were read before it still arrive for catchUp.
-	maxTick = 400 * time.Millisecond
-	catchUp = 500 * time.Millisecond
+	// confirmAfter is how long after an answer began the directory must have been read to
+	// confirm which process began it. A process writes its entry when it starts.
+	confirmAfter = 500 * time.Millisecond
 )
 
 // Build is the version of the software of an endpoint of a service.
@@ -56,104 +56,73 @@
 	wall time.Time
 }
 
-// sighting is a process of an endpoint.
-type sighting struct {
+// process is a process of an endpoint, by its newest entry.
+type process struct {
 	endpoint endpointtracker.Endpoint
-	// seenAt is when the process was last seen alive; zero if it never was.
-	seenAt time.Time
-	// notedAt is when anything was last heard of it.
+	// listed is set while the directory has its entry; otherwise notedAt is when it last had.
+	listed  bool
 	notedAt time.Time
 }
 
 // Processes remembers the processes of all endpoints. Its exported fields are set before use,
 // and it is safe for concurrent use.
 type Processes struct {
-	// MaxAge is how long before an answer the process must have been seen alive to count as
-	// the one that answered. It is shorter than the time in which an endpoint starts again.
+	// MaxAge is how old what is known of the directory may be when an answer begins. It is
+	// shorter than the time in which an endpoint starts again.
 	MaxAge time.Duration
 	// Now is a clock that counts the time for which the host was suspended, and that no
 	// adjustment of the wall clock affects.
 	Now func() time.Time
 
-	mu       sync.Mutex
-	byID     map[string][]sighting
-	prunedAt time.Time
-	// tickedAt is when tick was last called, stoodUntil the end of the last time for which this
-	// process did not run.
-	tickedAt   time.Time
-	stoodUntil time.Time
+	mu   sync.Mutex
+	byID map[string][]process
+	// readAt is when the last successful read of the directory began.
+	readAt time.Time
 }
 
-// tick records that this process runs. What it has read may be old if it did not run for a
-// while, because it was stopped or its host was suspended.
-func (p *Processes) tick(now time.Time) {
-	if !p.tickedAt.IsZero() && now.Sub(p.tickedAt) > maxTick {
-		p.stoodUntil = now
-	}
-	p.tickedAt = now
-}
-
-// isCurrent reports whether what this process reads now can't be old.
-func (p *Processes) isCurrent(now time.Time) bool {
-	if p.tickedAt.IsZero() {
-		return true
-	}
-	return now.Sub(p.tickedAt) <= maxTick && (p.stoodUntil.IsZero() || now.Sub(p.stoodUntil) > catchUp)
-}
-
-// Observe records a directory entry. alive is set if the entry was just written, so that its
-// process was alive.
-func (p *Processes) Observe(endpoint endpointtracker.Endpoint, alive bool) {
+// Observe records a directory entry.
+func (p *Processes) Observe(endpoint endpointtracker.Endpoint) {
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.byID == nil {
-		p.byID = map[string][]sighting{}
+		p.byID = map[string][]process{}
 	}
-	p.prune(now)
 	known := p.byID[endpoint.ID]
-	i := slices.IndexFunc(known, func(s sighting) bool { return s.endpoint.SameProcess(endpoint) })
+	i := slices.IndexFunc(known, func(k process) bool { return k.endpoint.SameProcess(endpoint) })
 	if i < 0 {
-		known = append(known, sighting{})
+		known = append(known, process{})
 		i = len(known) - 1
 	}
 	known[i].endpoint, known[i].notedAt = endpoint, now
-	if alive && p.isCurrent(now) {
-		known[i].seenAt = now
-	}
-	slices.SortStableFunc(known, func(a, b sighting) int { return a.endpoint.StartedAt.Compare(b.endpoint.StartedAt) })
+	slices.SortStableFunc(known, func(a, b process) int { return a.endpoint.StartedAt.Compare(b.endpoint.StartedAt) })
 	p.byID[endpoint.ID] = known[max(len(known)-maxProcesses, 0):]
 }
 
-// ObserveAlive records that the process at an address said itself that it is alive and when
-// it started.
-func (p *Processes) ObserveAlive(address netip.AddrPort, startedAt time.Time) {
-	if startedAt.IsZero() {
-		return
-	}
-	now := p.Now()
+// RecordRead records that the directory was read, and that all entries which were written before
+// the read began have been observed.
+func (p *Processes) RecordRead(began time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.isCurrent(now) {
-		return
-	}
-	for _, known := range p.byID {
-		for i, s := range known {
-			if s.endpoint.Address == address && s.endpoint.StartedAt.Equal(startedAt) {
-				known[i].seenAt, known[i].notedAt = now, now
-			}
-		}
+	if began.After(p.readAt) {
+		p.readAt = began
 	}
 }
 
-// prune forgets processes of which nothing was heard for a long time.
-func (p *Processes) prune(now time.Time) {
-	if now.Sub(p.prunedAt) < processTTL {
-		return
-	}
-	p.prunedAt = now
+// SetListed records which endpoints the directory lists. Others are forgotten after a while.
+func (p *Processes) SetListed(services map[string][]endpointtracker.Endpoint) {
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for id, known := range p.byID {
-		known = slices.DeleteFunc(known, func(s sighting) bool { return now.Sub(s.notedAt) >= processTTL })
+		for i := range known {
+			listed := slices.ContainsFunc(services[known[i].endpoint.Service], known[i].endpoint.SameProcess)
+			if listed || known[i].listed {
+				known[i].notedAt = now
+			}
+			known[i].listed = listed
+		}
+		known = slices.DeleteFunc(known, func(k process) bool { return now.Sub(k.notedAt) >= processTTL })
 		if p.byID[id] = known; len(known) == 0 {
 			delete(p.byID, id)
 		}
@@ -166,46 +135,45 @@
 }
 
 // Build returns the build of the process that began an answer; false if it is not known.
-// It may be known later on.
-func (p *Processes) Build(beginning Beginning) (Build, bool) {
+// confirmed is set if the directory has been read since, so that no other process can turn out
+// to have begun it.
+func (p *Processes) Build(beginning Beginning) (build Build, known, confirmed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var latest, former sighting
-	for _, s := range p.byID[beginning.Endpoint.ID] {
-		if !s.endpoint.StartedAt.After(beginning.wall.Add(clockSlack)) {
-			former, latest = latest, s
+	var latest, former process
+	for _, candidate := range p.byID[beginning.Endpoint.ID] {
+		if !candidate.endpoint.StartedAt.After(beginning.wall.Add(clockSlack)) {
+			former, latest = latest, candidate
 		}
 	}
-	build := Build{Service: latest.endpoint.Service, Version: latest.endpoint.Build}
-	seen := !latest.seenAt.IsZero() && beginning.at.Sub(latest.seenAt) < p.MaxAge
+	build = Build{Service: latest.endpoint.Service, Version: latest.endpoint.Build}
+	isCurrent := beginning.at.Sub(p.readAt) < p.MaxAge
 	// By its clock, the latest process may have started only after the answer began.
 	overlaps := latest.endpoint.StartedAt.After(beginning.wall.Add(-clockSlack)) &&
 		former.endpoint.ID != "" && former.endpoint.Build != latest.endpoint.Build
-	if !seen || overlaps || build.Version == "" {
-		return Build{}, false
+	if !isCurrent || overlaps || build.Version == "" {
+		return Build{}, false, false
 	}
-	return build, true
+	return build, true, p.readAt.Sub(beginning.at) >= confirmAfter
 }
 
-// Sole returns the build of all processes of a service that this node knows of and that may have
-// begun a stream; false if there were several builds, or if none of the processes was seen alive
-// just now, so that this node may not know all of them.
+// Sole returns the build of all processes of a service that may have begun a stream; false if
+// there were several builds, or if what is known of the directory may be old.
 func (p *Processes) Sole(service string) (Build, bool) {
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	build, current := Build{Service: service}, false
+	build := Build{Service: service}
 	for _, known := range p.byID {
-		for _, s := range known {
-			if s.endpoint.Service != service || now.Sub(s.notedAt) >= processTTL {
+		for _, k := range known {
+			if k.endpoint.Service != service || !k.listed && now.Sub(k.notedAt) >= processTTL {
 				continue
 			}
-			if s.endpoint.Build == "" || build.Version != "" && build.Version != s.endpoint.Build {
+			if k.endpoint.Build == "" || build.Version != "" && build.Version != k.endpoint.Build {
 				return Build{}, false
 			}
-			build.Version = s.endpoint.Build
-			current = current || !s.seenAt.IsZero() && now.Sub(s.seenAt) < p.MaxAge
+			build.Version = k.endpoint.Build
 		}
 	}
-	return build, current
+	return build, build.Version != "" && now.Sub(p.readAt) < p.MaxAge
 }
--- a/internal/coordination/resumer/streams.go
+++ b/internal/coordination/resumer/streams.go
@@ -19,8 +19,8 @@
 	maxStreams = 100_000
 	// maxBuilds bounds the builds of all kept streams.
 	maxBuilds = 4096
-	// maxPending bounds the streams whose build is not yet known, and pendingTTL how long it
-	// may become known.
+	// maxPending bounds the streams whose build is not confirmed, and pendingTTL how long it may
+	// become known.
 	maxPending = 4096
 	pendingTTL = 10 * time.Second
 )
@@ -36,10 +36,12 @@
 	return sum.Sum64()
 }
 
-// pending is a stream of this node that peers have not been told of.
+// pending is a stream of this node whose build is not confirmed.
 type pending struct {
 	beginning Beginning
 	added     time.Time
+	// told is the build that peers have been told of.
+	told Build
 }
 
 // Streams holds the builds of recent streams. Its exported fields are set before use, and it
@@ -68,27 +70,26 @@
 		s.pending = map[uint64]pending{}
 	}
 	if len(s.pending) < maxPending {
-		s.pending[StreamHash(id)] = pending{beginning, s.Now()}
+		s.pending[StreamHash(id)] = pending{beginning: beginning, added: s.Now()}
 	}
 }
 
-// Collect returns the streams of this node whose build has become known since the last call.
-// It is called more often than every maxTick.
+// Collect returns the streams of this node whose build has become known since the last call, or
+// has turned out to be another one. The latter then count as not known at all nodes.
 func (s *Streams) Collect() []peertracker.StreamBuild {
 	now := s.Now()
-	s.Processes.mu.Lock()
-	s.tick(now)
-	s.Processes.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var collected []peertracker.StreamBuild
 	for stream, p := range s.pending {
-		build, known := s.Build(p.beginning)
-		if known {
+		build, known, confirmed := s.Build(p.beginning)
+		if known && build != p.told {
 			collected = append(collected, peertracker.StreamBuild{Stream: stream, Service: build.Service, Build: build.Version})
 			s.add(now, stream, build)
+			p.told = build
+			s.pending[stream] = p
 		}
-		if known || now.Sub(p.added) >= pendingTTL {
+		if confirmed || now.Sub(p.added) >= pendingTTL {
 			delete(s.pending, stream)
 		}
 	}
@@ -148,7 +149,8 @@
 		return s.builds[index], index != conflicting
 	}
 	if p, ok := s.pending[stream]; ok {
-		return s.Build(p.beginning)
+		build, known, _ := s.Build(p.beginning)
+		return build, known
 	}
 	return Build{}, false
 }
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -33,10 +33,8 @@
 	Key    string
 	Value  []byte
 	Offset int64
-	// Listed is set by a Feed for records of a listing, which may be of any age, Initial for
-	// those of its first listing, and Restored for those of its first listing after the log
-	// was restored.
-	Listed   bool
+	// Initial is set by a Feed for records of its first listing, which may be of any
+	// age, and Restored for those of its first listing after the log was restored.
 	Initial  bool
 	Restored bool
 }
@@ -86,8 +84,13 @@
 	OnListed func(keys map[string]bool, interrupted bool)
 	// RecordContact is called after each successful call; nil if not needed.
 	RecordContact func()
-	Logger        zerolog.Logger
-	Now           func() time.Time
+	// RecordRead is called after the records of a successful call have been applied, unless they
+	// come from a peer that recently had no contact with the log. began is when the call began,
+	// by Clock. Both are nil if not needed.
+	RecordRead func(began time.Time)
+	Clock      func() time.Time
+	Logger     zerolog.Logger
+	Now        func() time.Time
 
 	offsets map[string]int64
 	// sourceInterrupted is Batch.Interrupted of the last call.
@@ -104,11 +107,12 @@
 	f.offsets = map[string]int64{}
 	listed := false
 	for ctx.Err() == nil {
+		began := f.clock()
 		if !listed {
-			listed = f.handleResult(ctx, f.list(ctx))
+			listed = f.handleResult(ctx, f.recordRead(began, f.list(ctx)))
 			continue
 		}
-		err := f.read(ctx)
+		err := f.recordRead(began, f.read(ctx))
 		if errors.IsAny(err, ErrDropped, ErrRestored) {
 			listed = false
 			continue
@@ -119,6 +123,21 @@
 	}
 }
 
+func (f *Feed) clock() time.Time {
+	if f.Clock == nil {
+		return time.Time{}
+	}
+	return f.Clock()
+}
+
+// recordRead calls RecordRead after a successful call, and returns the call's error.
+func (f *Feed) recordRead(began time.Time, err error) error {
+	if err == nil && f.RecordRead != nil && !f.sourceInterrupted {
+		f.RecordRead(began)
+	}
+	return err
+}
+
 // handleResult logs the start and the end of an outage and reports whether the call
 // succeeded. After a failure it waits for the backoff.
 func (f *Feed) handleResult(ctx context.Context, err error) bool {
@@ -166,7 +185,7 @@
 	initial := !f.listedBefore
 	f.listedBefore = true
 	for _, record := range batch.Records {
-		record.Listed, record.Initial, record.Restored = true, initial, restored
+		record.Initial, record.Restored = initial, restored
 		keys[record.Key] = record.Value != nil
 		f.apply(record)
 	}
