Nodes that are gone take no share of the limits of endpoints

What callers saw: nothing; found in review. The part of a limit that an issuer may use was that of the live nodes among all ever known. Nodes that are replaced stay known, so that after some months an endpoint with a limit would have got a small part of it.

Cause: a count that never falls, made for budgets where too little is safe, was used for a limit that must also be used.

Change: the part is that of the live nodes among the most in the last one to two minutes.

--- a/internal/coordination/resumer/processes.go
+++ b/internal/coordination/resumer/processes.go
@@ -5,9 +5,8 @@
 // out from the entries of the directory. What a node knows of the directory may be out of date,
 // and a process may have the id and the address of an earlier one, so the build is known only
 // if the directory was read about the time of the answer, and it is confirmed by what is read
-// later. Streams keeps
-// the builds of recent streams of all nodes, so that a caller can take a stream up at any
-// node. A stream whose build is not known does not go on.
+// later. Streams keeps the builds of recent streams of all nodes, so that a caller can take a
+// stream up at any node. A stream whose build is not known does not go on.
 //
 // # Usage
 //
--- a/internal/coordination/throttler/issuer.go
+++ b/internal/coordination/throttler/issuer.go
@@ -46,7 +46,7 @@
 	// next is the time from which the next permit may be used.
 	next   time.Time
 	usedAt time.Time
-	// denied counts the calls without a permit since denyFrom, lastDenied those in the window
+	// denied counts the calls without a permit since deniedFrom, lastDenied those in the window
 	// before.
 	denied     int
 	lastDenied int
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -22,6 +22,9 @@
 	// otherIssuerPause is the time after which a node asks again that asked through a hub
 	// with another view of which hubs are live.
 	otherIssuerPause = 300 * time.Millisecond
+	// liveMemory is how long, and up to twice as long, nodes that are out of reach count for
+	// IssuerShare. After that they are taken for gone.
+	liveMemory = time.Minute
 	// PermitTimeout bounds a call for permits, with that of a hub to the issuer.
 	PermitTimeout = 300 * time.Millisecond
 )
@@ -122,11 +125,33 @@
 	return best, best.IsValid()
 }
 
+// liveHigh is the largest number of live nodes in the present period of liveMemory and in the one
+// before.
+type liveHigh struct {
+	since    time.Time
+	present  int
+	previous int
+}
+
+func (h *liveHigh) note(now time.Time, live int) {
+	if now.Sub(h.since) >= liveMemory {
+		h.since, h.previous, h.present = now, h.present, 0
+	}
+	h.present = max(h.present, live)
+}
+
 // IssuerShare returns the part of each limit that this node may issue permits for: that of
-// the nodes it knows to be live among all ever known. Nodes that are out of reach may have
-// an issuer of their own.
+// the nodes it knows to be live among the most in the last two minutes. Nodes that are out of
+// reach may have an issuer of their own.
 func (p *Peers) IssuerShare() float64 {
-	return min(float64(p.Live())/float64(p.Count()), 1)
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	live := p.liveNodes(now)
+	p.liveHigh.note(now, live)
+	// While roles are being settled, members are counted more than once.
+	most := min(max(p.liveHigh.present, p.liveHigh.previous), p.count())
+	return min(float64(live)/float64(most), 1)
 }
 
 // LogPermitError logs that the issuer of a process could not be asked.
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -286,6 +286,10 @@
 func (p *Peers) Count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.count()
+}
+
+func (p *Peers) count() int {
 	n := 1
 	for _, m := range p.peers {
 		if m.listed || !m.lastReceived.IsZero() {
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -142,6 +142,7 @@
 	roleChanged chan struct{}
 	peers       map[netip.AddrPort]*peerState
 	announced   []announced
+	liveHigh    liveHigh
 	// relayed are streams that members have told of and other hubs have not been.
 	relayed []peertracker.StreamBuild
 	// rotation counts heartbeats, to rotate through the models.
@@ -225,6 +226,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.markDead(now)
+	p.liveHigh.note(now, p.liveNodes(now))
 	var due due
 	take := func(address netip.AddrPort, period time.Duration) bool {
 		m := p.peerState(address)
