Streams that callers take up go first and past a full engine

All refusals were for full endpoints; no build was unknown.

Cause: only the endpoints of one build can go on with a stream, and a caller's resume queued for them like a new request, while a stream that is resumed in one answer goes first.

Change: a request whose stream has begun is urgent, also if an earlier request began it: it starts before others and goes to a full engine. Unlike one whose answer has begun, it is refused when it can't start in time, so that its caller is told.

Before: TestResumeInOverload fails (refused as busy). After: it passes.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -83,7 +83,7 @@
 	s.awaitPermits(ctx)
 	choice, err := p.Scheduler.Acquire(ctx, scheduler.Request{
 		Service: s.Service, Rank: s.Rank(), Received: s.Received, Objective: s.Route.Objective,
-		Deadline: s.EffectiveDeadline(), Urgent: s.StreamStarted, Tokens: s.tokens(), Pick: s.pick,
+		Deadline: s.EffectiveDeadline(), Urgent: s.isUrgent(), Begun: s.StreamStarted, Tokens: s.tokens(), Pick: s.pick,
 		Hold: s.hold,
 	})
 	if err != nil {
@@ -159,6 +159,12 @@
 	return false
 }
 
+// isUrgent reports whether the caller has a part of the answer already, also from an earlier
+// request. Only some of the endpoints can go on with it, and to refuse it wastes what was done.
+func (s *selection) isUrgent() bool {
+	return s.StreamStarted || s.Progress.Build != (resumer.Build{})
+}
+
 // hold returns how long all endpoints that may run the request take no requests.
 func (s *selection) hold() time.Duration {
 	view, now := s.View(), s.Now()
@@ -177,7 +183,7 @@
 		Endpoints: view.Endpoints[s.Service],
 		Tokens:    s.tokens(),
 		Capacity:  capacity(view.Catalog, s.Service),
-		Urgent:    s.StreamStarted,
+		Urgent:    s.isUrgent(),
 		Work:      s.work(view),
 		Stale:     s.hasReplacedWeights(view),
 		Tried:     s.Tried,
--- a/internal/coordination/scheduler/order.go
+++ b/internal/coordination/scheduler/order.go
@@ -88,10 +88,10 @@
 
 // maxQueueTime is the longest time for which a request is queued. It ends before
 // the request would miss its objective, so that the caller is told early when to
-// retry. An urgent request is queued until its deadline.
+// retry. A request whose answer has begun is queued until its deadline.
 func maxQueueTime(request Request) time.Duration {
 	timeout := request.Deadline.Sub(request.Received)
-	if request.Urgent {
+	if request.Begun {
 		return max(timeout, 0)
 	}
 	wait := maxWait
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -45,9 +45,11 @@
 	// must be set: without it, a request that can't start at once is refused.
 	Objective time.Duration
 	Deadline  time.Time
-	// Urgent requests start before all others and are never refused for a long
-	// queue, because their callers already have a part of the answer.
+	// Urgent requests start before all others, because their callers already have a part of
+	// the answer. Begun is set for those whose answer has begun, so that a refusal is of no use
+	// to the caller: they wait until the deadline.
 	Urgent bool
+	Begun  bool
 	// Hold returns how long all endpoints take no requests, because they asked for none or
 	// limit them; zero if one takes some now. It is called with the Scheduler's lock held;
 	// nil if endpoints never ask for that.
@@ -140,7 +142,7 @@
 		result := <-w.result
 		return nil, result.choice, result.err
 	}
-	if wait := q.expectedWait(w, now); !request.Urgent && wait > maxQueueTime(request) {
+	if wait := q.expectedWait(w, now); !request.Begun && wait > maxQueueTime(request) {
 		return nil, balancer.Choice{}, q.refuse(w, wait)
 	}
 	return w, balancer.Choice{}, nil
@@ -177,7 +179,7 @@
 // can still wait.
 func refuseHeld(request Request, patience time.Duration) error {
 	hold := request.hold()
-	if request.Urgent || hold <= patience {
+	if request.Begun || hold <= patience {
 		return nil
 	}
 	return &limiter.Refusal{
