--- a/internal/relayer/directory_age_test.go
+++ b/internal/relayer/directory_age_test.go
@@ -131,7 +131,7 @@
 // is nil.
 func follow(t *testing.T, log *datedLog, home *directoryReader) *directoryReader {
 	t.Helper()
-	r := &directoryReader{log: log, replica: &relayer.Replica{}}
+	r := &directoryReader{log: log, replica: &relayer.Replica{Clock: time.Now, Prompt: true}}
 	r.changeSource()
 	shared := &relayer.SharedLog{
 		Topic: "x", Direct: log, IsHub: func() bool { return home == nil }, RecordLogContact: func() {}, RecordFed: func() {},
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -50,6 +50,9 @@
 	// Interrupted is set if the records come from a peer that recently had no contact with
 	// the log.
 	Interrupted bool
+	// Since is the time after the call reached the log as of which the records are complete.
+	// It is negative if they come from a peer that read the log longer ago.
+	Since time.Duration
 }
 
 // KeyedLog is a compacted log: it retains at least the newest record of each key.
@@ -85,21 +88,24 @@
 	// RecordContact is called after each successful call; nil if not needed.
 	RecordContact func()
 	// RecordRead is called after the records of a successful call have been applied, unless they
-	// come from a peer that recently had no contact with the log. began is when the call began,
-	// by Clock. Both are nil if not needed.
-	RecordRead func(began time.Time)
-	Clock      func() time.Time
-	Logger     zerolog.Logger
-	Now        func() time.Time
+	// come from a peer that recently had no contact with the log. All records that were
+	// appended before at, by Clock, have been applied; nil if not needed.
+	RecordRead func(at time.Time)
+	// Clock counts the time for which the host was suspended.
+	Clock  func() time.Time
+	Logger zerolog.Logger
+	Now    func() time.Time
 
 	offsets map[string]int64
 	// sourceInterrupted is Batch.Interrupted of the last call.
 	sourceInterrupted bool
 	listedBefore      bool
 	next              Position
-	lastFailure       time.Time
-	down              bool
-	tries             int
+	// readAt is the time by Clock as of which the log was last read.
+	readAt      time.Time
+	lastFailure time.Time
+	down        bool
+	tries       int
 }
 
 // Run follows the log until ctx ends.
@@ -107,12 +113,11 @@
 	f.offsets = map[string]int64{}
 	listed := false
 	for ctx.Err() == nil {
-		began := f.clock()
 		if !listed {
-			listed = f.handleResult(ctx, f.recordRead(began, f.list(ctx)))
+			listed = f.handleResult(ctx, f.list(ctx))
 			continue
 		}
-		err := f.recordRead(began, f.read(ctx))
+		err := f.read(ctx)
 		if errors.IsAny(err, ErrDropped, ErrRestored) {
 			listed = false
 			continue
@@ -123,19 +128,24 @@
 	}
 }
 
-func (f *Feed) clock() time.Time {
-	if f.Clock == nil {
-		return time.Time{}
+// recordRead records that all records which were appended before a time have been applied.
+func (f *Feed) recordRead(at time.Time) {
+	if at.After(f.readAt) {
+		f.readAt = at
+	}
+	if f.RecordRead != nil && !f.sourceInterrupted {
+		f.RecordRead(at)
 	}
-	return f.Clock()
 }
 
-// recordRead calls RecordRead after a successful call, and returns the call's error.
-func (f *Feed) recordRead(began time.Time, err error) error {
-	if err == nil && f.RecordRead != nil && !f.sourceInterrupted {
-		f.RecordRead(began)
+// wait returns how long the next read waits for new records: less than Wait if the log was
+// read longer ago than Period, so that what has been read gets no older than both together.
+func (f *Feed) wait() time.Duration {
+	if f.RecordRead == nil {
+		return f.Wait
 	}
-	return err
+	late := f.Clock().Sub(f.readAt) - f.Period
+	return min(max(f.Wait-late, 0), f.Wait)
 }
 
 // handleResult logs the start and the end of an outage and reports whether the call
@@ -172,6 +182,7 @@
 }
 
 func (f *Feed) list(ctx context.Context) error {
+	began := f.Clock()
 	batch, err := f.Log.Newest(ctx)
 	if err != nil {
 		return err
@@ -180,7 +191,7 @@
 	if restored {
 		f.restart(batch.Next)
 	}
-	f.share(batch, true)
+	f.share(batch, began, true)
 	keys := map[string]bool{}
 	initial := !f.listedBefore
 	f.listedBefore = true
@@ -193,6 +204,7 @@
 		f.OnListed(keys, f.interrupted())
 	}
 	f.next = batch.Next
+	f.recordRead(began.Add(batch.Since))
 	return nil
 }
 
@@ -206,25 +218,27 @@
 }
 
 func (f *Feed) read(ctx context.Context) error {
-	batch, err := f.Log.Read(ctx, f.next, f.Wait)
+	began := f.Clock()
+	batch, err := f.Log.Read(ctx, f.next, f.wait())
 	if err != nil {
 		return err
 	}
-	f.share(batch, false)
+	f.share(batch, began, false)
 	for _, record := range batch.Records {
 		f.apply(record)
 	}
 	f.next = batch.Next
+	f.recordRead(began.Add(batch.Since))
 	return nil
 }
 
-// share passes a batch on to the replica.
-func (f *Feed) share(batch Batch, listing bool) {
+// share passes a batch of a call that began at a time on to the replica.
+func (f *Feed) share(batch Batch, began time.Time, listing bool) {
 	f.sourceInterrupted = batch.Interrupted
 	if f.Replica == nil {
 		return
 	}
-	f.Replica.Put(batch, listing)
+	f.Replica.Put(batch, began.Add(batch.Since), listing)
 	if batch.Interrupted {
 		f.Replica.SetInterrupted(f.Now())
 	}
--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -19,8 +19,15 @@
 const maxDeletions = 2000
 
 // Replica keeps the newest record of each key of a log, for peers that follow the log
-// through this node. It implements KeyedLog, and is safe for concurrent use.
+// through this node. It implements KeyedLog, and is safe for concurrent use. Its exported
+// fields are set before use.
 type Replica struct {
+	// Clock is that of the Feed that fills the replica.
+	Clock func() time.Time
+	// Prompt is set if a read also ends when this node has read the log and found nothing
+	// new: its peers need to know that too.
+	Prompt bool
+
 	mu      sync.Mutex
 	listed  bool
 	records map[string]Record
@@ -28,13 +35,15 @@
 	from      Position
 	next      Position
 	deletions int
+	// readAt is the time as of which this node has read the log.
+	readAt time.Time
 	// interrupted is when this node last had no contact with the log.
 	interrupted time.Time
 	changed     chan struct{}
 }
 
-// Put adds a batch. A full listing replaces all records.
-func (r *Replica) Put(batch Batch, listing bool) {
+// Put adds a batch that is complete as of a time. A full listing replaces all records.
+func (r *Replica) Put(batch Batch, at time.Time, listing bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if listing {
@@ -51,7 +60,10 @@
 	}
 	moved := r.next != batch.Next
 	r.next = batch.Next
-	if moved && r.changed != nil {
+	if at.After(r.readAt) {
+		r.readAt = at
+	}
+	if (moved || r.Prompt) && r.changed != nil {
 		close(r.changed)
 		r.changed = nil
 	}
@@ -80,7 +92,7 @@
 	if !r.listed {
 		return Batch{}, ErrUnavailable
 	}
-	batch := r.batch()
+	batch := r.batch(r.Clock())
 	for _, record := range r.records {
 		if record.Value != nil {
 			batch.Records = append(batch.Records, record)
@@ -93,11 +105,12 @@
 // Read implements KeyedLog. Of several records of one key it returns the last one. It
 // returns ErrUnavailable if this node is still in an earlier era.
 func (r *Replica) Read(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
+	arrived := r.Clock()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for over := false; ; {
-		batch, changed, err := r.read(from)
-		if err != nil || over || len(batch.Records) > 0 || batch.Next.Offset > from.Offset {
+		batch, changed, err := r.read(from, arrived)
+		if err != nil || over || len(batch.Records) > 0 || batch.Next.Offset > from.Offset || r.Prompt && batch.Since > 0 {
 			return batch, err
 		}
 		select {
@@ -110,9 +123,9 @@
 	}
 }
 
-// read returns the records from a position on, and a channel that is closed when there
-// are more.
-func (r *Replica) read(from Position) (Batch, <-chan struct{}, error) {
+// read returns the records from a position on for a call that arrived at a time, and a channel
+// that is closed when there are more.
+func (r *Replica) read(from Position, arrived time.Time) (Batch, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -123,7 +136,7 @@
 	case from.Offset < r.from.Offset:
 		return Batch{}, nil, ErrDropped
 	}
-	batch := r.batch()
+	batch := r.batch(arrived)
 	// A peer that has read the log itself may be ahead of this node.
 	batch.Next.Offset = max(batch.Next.Offset, from.Offset)
 	for _, record := range r.records {
@@ -138,9 +151,12 @@
 	return batch, r.changed, nil
 }
 
-// batch returns a batch without records.
-func (r *Replica) batch() Batch {
-	return Batch{Next: r.next, Interrupted: !r.interrupted.IsZero() && time.Since(r.interrupted) < interruptionWindow}
+// batch returns a batch without records for a call that arrived at a time.
+func (r *Replica) batch(arrived time.Time) Batch {
+	return Batch{
+		Next: r.next, Interrupted: !r.interrupted.IsZero() && time.Since(r.interrupted) < interruptionWindow,
+		Since: r.readAt.Sub(arrived),
+	}
 }
 
 func sortByOffset(records []Record) {
--- a/internal/relayer/shared_log.go
+++ b/internal/relayer/shared_log.go
@@ -21,6 +21,8 @@
 	// all then, and hundreds of members must not call it again and again.
 	directPause  = 3 * time.Second
 	directJitter = 3 * time.Second
+	// nothingRead is the Batch.Since of a call that ended before it read anything.
+	nothingRead = -time.Hour
 )
 
 // PeerLog reads a log through a peer.
@@ -74,14 +76,25 @@
 		}
 		batch, err := s.Peer.Read(peerCtx, peer, s.Topic, from, wait)
 		if err != nil && ctx.Err() == nil && peerCtx.Err() != nil {
-			return Batch{Next: from}, nil
+			return Batch{Next: from, Since: nothingRead}, nil
 		}
 		return s.recordFed(batch, err)
 	}
 	if err := s.awaitTurn(ctx); err != nil {
 		return Batch{}, err
 	}
-	return s.recordDirect(s.Direct.Read(ctx, from, wait))
+	return s.recordDirect(s.readDirect(ctx, from, wait))
+}
+
+// readDirect reads the log. It answers without records only at the end of the wait, so that
+// there were none until then.
+func (s *SharedLog) readDirect(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
+	began := time.Now()
+	batch, err := s.Direct.Read(ctx, from, wait)
+	if err == nil && batch.Next == from && time.Since(began) >= wait {
+		batch.Since = wait
+	}
+	return batch, err
 }
 
 // source returns the peer to use for the next call. A hub that has lost contact with the
--- a/internal/relayer/sharing_test.go
+++ b/internal/relayer/sharing_test.go
@@ -37,8 +37,8 @@
 }
 
 func listedReplica(records ...relayer.Record) *relayer.Replica {
-	replica := &relayer.Replica{}
-	replica.Put(relayer.Batch{Records: records, Next: position(1, 10)}, true)
+	replica := &relayer.Replica{Clock: time.Now}
+	replica.Put(relayer.Batch{Records: records, Next: position(1, 10)}, time.Now(), true)
 	return replica
 }
 
@@ -55,11 +55,11 @@
 	run("says nothing before the first listing", func(t *testing.T) {
 		_, err := (&relayer.Replica{}).Newest(t.Context())
 		assert.True(t, errors.Is(err, relayer.ErrUnavailable), "%v", err)
-		assertReadError(t, &relayer.Replica{}, position(1, 0), relayer.ErrUnavailable)
+		assertReadError(t, &relayer.Replica{Clock: time.Now}, position(1, 0), relayer.ErrUnavailable)
 	})
 	run("lists the newest records without deleted keys", func(t *testing.T) {
 		replica := listedReplica(record("a", "1", 3), record("b", "2", 7))
-		replica.Put(relayer.Batch{Records: []relayer.Record{record("a", "", 10), record("b", "3", 11)}, Next: position(1, 12)}, false)
+		replica.Put(relayer.Batch{Records: []relayer.Record{record("a", "", 10), record("b", "3", 11)}, Next: position(1, 12)}, time.Now(), false)
 		batch, err := replica.Newest(t.Context())
 		require.NoError(t, err)
 		assert.Equal(t, []relayer.Record{record("b", "3", 11)}, batch.Records)
@@ -67,7 +67,7 @@
 	})
 	run("returns changes and deletions from a position on", func(t *testing.T) {
 		replica := listedReplica(record("a", "1", 3), record("b", "2", 7))
-		replica.Put(relayer.Batch{Records: []relayer.Record{record("a", "", 10), record("b", "3", 11)}, Next: position(1, 12)}, false)
+		replica.Put(relayer.Batch{Records: []relayer.Record{record("a", "", 10), record("b", "3", 11)}, Next: position(1, 12)}, time.Now(), false)
 		batch, err := replica.Read(t.Context(), position(1, 10), 0)
 		require.NoError(t, err)
 		assert.Equal(t, []relayer.Record{record("a", "", 10), record("b", "3", 11)}, batch.Records)
@@ -75,7 +75,7 @@
 	run("a read waits for the next change", func(t *testing.T) {
 		replica := listedReplica()
 		time.AfterFunc(time.Second, func() {
-			replica.Put(relayer.Batch{Records: []relayer.Record{record("a", "1", 10)}, Next: position(1, 11)}, false)
+			replica.Put(relayer.Batch{Records: []relayer.Record{record("a", "1", 10)}, Next: position(1, 11)}, time.Now(), false)
 		})
 		started := time.Now()
 		batch, err := replica.Read(t.Context(), position(1, 10), 4*time.Second)
@@ -95,7 +95,7 @@
 	})
 	run("a restored log makes its readers list it anew", func(t *testing.T) {
 		replica := listedReplica(record("a", "1", 3))
-		replica.Put(relayer.Batch{Next: position(2, 4)}, true)
+		replica.Put(relayer.Batch{Next: position(2, 4)}, time.Now(), true)
 		assertReadError(t, replica, position(1, 10), relayer.ErrRestored)
 	})
 	run("a reader in a later era gets nothing of an earlier one", func(t *testing.T) {
@@ -188,7 +188,7 @@
 		Topic: "x", Direct: &r.direct, Peer: &r.peer, Source: r.source, IsHub: r.hub.Load,
 		RecordLogContact: func() { r.contact.Add(1) }, RecordFed: func() {},
 	}
-	feed := &relayer.Feed{Name: "x", Log: shared, Wait: time.Second, Apply: func(relayer.Record, bool) {}, Logger: zerolog.Nop(), Now: time.Now}
+	feed := &relayer.Feed{Name: "x", Log: shared, Wait: time.Second, Apply: func(relayer.Record, bool) {}, Logger: zerolog.Nop(), Now: time.Now, Clock: time.Now}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go feed.Run(ctx)
--- a/internal/relayer/topics.go
+++ b/internal/relayer/topics.go
@@ -43,7 +43,7 @@
 	case err != nil:
 		return messenger.TopicBatch{}, messenger.ErrTopicUnavailable
 	}
-	encoded := messenger.TopicBatch{Next: messenger.TopicPosition(batch.Next), Interrupted: batch.Interrupted}
+	encoded := messenger.TopicBatch{Next: messenger.TopicPosition(batch.Next), Interrupted: batch.Interrupted, Since: batch.Since}
 	for _, record := range batch.Records {
 		encoded.Records = append(encoded.Records, messenger.TopicRecord{Key: record.Key, Value: record.Value, Offset: record.Offset})
 	}
@@ -78,7 +78,7 @@
 	case err != nil:
 		return Batch{}, err
 	}
-	decoded := Batch{Next: Position(batch.Next), Interrupted: batch.Interrupted}
+	decoded := Batch{Next: Position(batch.Next), Interrupted: batch.Interrupted, Since: batch.Since}
 	for _, record := range batch.Records {
 		decoded.Records = append(decoded.Records, Record{Key: record.Key, Value: record.Value, Offset: record.Offset})
 	}
--- a/internal/transport/messenger/relay.go
+++ b/internal/transport/messenger/relay.go
@@ -46,6 +46,9 @@
 	Next    TopicPosition
 	// Interrupted is set if the peer recently had no contact with the log.
 	Interrupted bool
+	// Since is the time after the call reached the peer as of which the records are complete;
+	// negative if the peer read the log longer ago.
+	Since time.Duration
 }
 
 // Errors of reading a keyed log at a peer.
@@ -160,7 +163,7 @@
 
 func encodeTopicBatch(batch TopicBatch) *wire.TopicReply {
 	reply := &wire.TopicReply{
-		Result: wire.TopicResult_TOPIC_RESULT_OK, Era: batch.Next.Era, Next: batch.Next.Offset, Interrupted: batch.Interrupted,
+		Result: wire.TopicResult_TOPIC_RESULT_OK, Era: batch.Next.Era, Next: batch.Next.Offset, Interrupted: batch.Interrupted, SinceNs: int64(batch.Since),
 	}
 	for _, record := range batch.Records {
 		reply.Records = append(reply.Records, &wire.TopicRecord{
@@ -195,7 +198,7 @@
 	default:
 		return TopicBatch{}, errors.Wrapf(ErrTopicUnavailable, "%s at %s", request.Topic, peer)
 	}
-	batch := TopicBatch{Next: TopicPosition{Era: reply.Era, Offset: reply.Next}, Interrupted: reply.Interrupted}
+	batch := TopicBatch{Next: TopicPosition{Era: reply.Era, Offset: reply.Next}, Interrupted: reply.Interrupted, Since: time.Duration(reply.SinceNs)}
 	for _, record := range reply.Records {
 		decoded := TopicRecord{Key: record.Key, Offset: record.Offset}
 		if !record.Deleted {
