--- a/internal/coordination/throttler/permits.go
+++ b/internal/coordination/throttler/permits.go
@@ -60,9 +60,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.holding(process)
-	h.expire(now)
-	return len(h.usable) > 0 && !h.usable[0].After(now)
+	return p.holding(process).ready(now)
 }
 
 // Take uses a permit for a request to an endpoint, if there is a limit. It reports false if
@@ -75,8 +73,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.holding(process)
-	h.expire(now)
-	if len(h.usable) == 0 || h.usable[0].After(now) {
+	if !h.ready(now) {
 		return false
 	}
 	h.usable = h.usable[1:]
@@ -191,6 +188,12 @@
 	return h
 }
 
+// ready reports whether there is a permit that may be used now.
+func (h *holding) ready(now time.Time) bool {
+	h.expire(now)
+	return len(h.usable) > 0 && !h.usable[0].After(now)
+}
+
 // expire drops permits that can't be used any more.
 func (h *holding) expire(now time.Time) {
 	h.usable = slices.DeleteFunc(h.usable, func(at time.Time) bool { return now.Sub(at) >= permitTTL })
--- a/internal/relayer/streams.go
+++ b/internal/relayer/streams.go
@@ -53,10 +53,7 @@
 	if len(streams) == 0 {
 		return
 	}
-	to := p.hubAddresses()
-	if !isHub {
-		to = p.domainHubs()
-	}
+	to := p.streamHubs(isHub)
 	if len(to) == 0 {
 		return
 	}
@@ -89,10 +86,7 @@
 	ctx, cancel := context.WithTimeout(ctx, OriginTimeout)
 	defer cancel()
 	isHub := p.IsHub()
-	to := p.hubAddresses()
-	if !isHub {
-		to = p.domainHubs()
-	}
+	to := p.streamHubs(isHub)
 	type answer struct {
 		build resumer.Build
 		known bool
@@ -125,6 +119,14 @@
 	return p.AskOrigin(ctx, stream)
 }
 
+// streamHubs returns the hubs that this node tells of streams and asks for them.
+func (p *Peers) streamHubs(isHub bool) []netip.AddrPort {
+	if isHub {
+		return p.hubAddresses()
+	}
+	return p.domainHubs()
+}
+
 // hubAddresses returns the addresses of the other live hubs.
 func (p *Peers) hubAddresses() []netip.AddrPort {
 	now := p.Now()
