The log says how old the directory is by which a build is not known

`stream origin` lines have the age, and there is one for streams that break off. Shown by TestBuildOfAnswer for the age.

--- a/internal/coordination/forwarder/builds.go
+++ b/internal/coordination/forwarder/builds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -36,6 +37,8 @@
 	// Sole returns the build of a service whose endpoints have all had the same one for as long as
 	// a stream may last; false if they had several, or if that is not known.
 	Sole(service string) (resumer.Build, bool)
+	// Age returns how old the directory of endpoints is by which builds are known.
+	Age() time.Duration
 }
 
 // findOrigin finds the build of a stream that the caller wants to be resumed, and the service
@@ -52,8 +55,7 @@
 	} else {
 		build, known = r.Builds.Sole(r.Service)
 	}
-	r.Log.Info().Str("event", "stream origin").Str("request", r.ID).Str("resumes", r.Resumes).Bool("known", known).
-		Str("service", build.Service).Str("build", build.Version).Send()
+	r.logOrigin(build, known)
 	if !known || !r.Route.Allows(build.Service) {
 		return &limiter.Refusal{Cause: ErrBuildUnknown}
 	}
@@ -76,7 +78,8 @@
 	if build, known, _ := r.Builds.Build(now); !known || build != r.Progress.Build {
 		// Its entry is wrong, or out of date.
 		r.Misdirected[attempt.Endpoint.ID] = true
-		return errors.Wrapf(errOtherBuild, "began at %s, answer from %q (known: %t)", r.Progress.Build.Version, build.Version, known)
+		return errors.Wrapf(errOtherBuild, "began at %s, answer from %q (known: %t, directory read %s ago)",
+			r.Progress.Build.Version, build.Version, known, r.Builds.Age().Round(time.Millisecond))
 	}
 	return nil
 }
@@ -89,8 +92,14 @@
 	}
 	build, known, _ := r.Builds.Build(*r.beginning)
 	if !known {
+		r.logOrigin(build, known)
 		return ErrBuildUnknown
 	}
 	r.Progress.Build = build
 	return nil
 }
+
+func (r *run) logOrigin(build resumer.Build, known bool) {
+	r.Log.Info().Str("event", "stream origin").Str("request", r.ID).Str("resumes", r.Resumes).Bool("known", known).
+		Str("service", build.Service).Str("build", build.Version).Dur("age", r.Builds.Age()).Send()
+}
--- a/internal/coordination/forwarder/builds_test.go
+++ b/internal/coordination/forwarder/builds_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
@@ -31,6 +32,9 @@
 	return resumer.Build{Service: service, Version: s.sole}, s.sole != ""
 }
 
+// Age implements forwarder.Builds.
+func (s *standinBuilds) Age() time.Duration { return time.Second }
+
 // Begin implements forwarder.Builds.
 func (s *standinBuilds) Begin(endpoint endpointtracker.Endpoint) resumer.Beginning {
 	return resumer.Beginning{Endpoint: endpoint}
--- a/internal/coordination/resumer/processes.go
+++ b/internal/coordination/resumer/processes.go
@@ -108,6 +108,14 @@
 	}
 }
 
+// Age returns how long ago the state of the directory was read that this node knows.
+func (p *Processes) Age() time.Duration {
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.readAt)
+}
+
 // SetListed records which endpoints the directory lists. Others are forgotten after a while.
 func (p *Processes) SetListed(services map[string][]endpointtracker.Endpoint) {
 	now := p.Now()
--- a/internal/coordination/resumer/resumer_test.go
+++ b/internal/coordination/resumer/resumer_test.go
@@ -61,6 +61,7 @@
 		p, e := newProcesses(), entry("v1", time.Hour)
 		observe(p, e)
 		time.Sleep(2 * maxAge)
+		assert.Equal(t, 2*maxAge, p.Age())
 		beginning := p.Begin(e)
 		assertBuild(t, p, beginning, "", false)
 		time.Sleep(time.Second)
