A node no longer stands still when a peer joins while it places a request

What callers saw: a node that answered nothing any more, neither callers nor peers nor its stop.

Cause, from the code and the time of the last line: Balancer.Pick asked for the number of live nodes while it held its lock, which takes the lock of the membership; the membership, holding its own, tells the Balancer to forget a peer that reports to another hub now. That happens with the first heartbeats of a node that starts: node-4 was started again at that moment. There are no stacks of the killed process, so that this was the cause there is inferred; the deadlock itself is shown by TestNodesMayWait, which fails without the change (Pick and WantPermits, 5 s each).

Why it works: the number of nodes is asked for before the lock is taken, so that the locks are only ever taken in one order.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -108,7 +108,8 @@
 	// Domain is the node's own failure domain, and Name the node's name.
 	Domain string
 	Name   string
-	// Nodes returns the number of live nodes; nil if there are few.
+	// Nodes returns the number of live nodes; nil if there are few. It is called without the
+	// Balancer's lock, as it takes one whose holders report to the Balancer.
 	Nodes func() int
 	// Permits holds permits for the endpoints that limit their requests; nil if none do.
 	Permits Permits
@@ -132,10 +133,11 @@
 // Pick chooses the endpoint with the lowest cost and counts the request on it
 // until Done. It returns false when no endpoint accepts the request.
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, bool) {
+	samples := b.samples()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	best, limited, ok := b.find(now, request)
+	best, limited, ok := b.find(now, request, samples)
 	if !ok {
 		for _, c := range limited {
 			b.Permits.Want(now, request.Endpoints[c.index], true)
@@ -165,9 +167,10 @@
 	if b.Permits == nil || !b.Permits.Any() {
 		return nil
 	}
+	samples := b.samples()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, limited, ok := b.find(now, request)
+	best, limited, ok := b.find(now, request, samples)
 	var answered <-chan struct{}
 	for _, c := range limited {
 		if !ok || c.cost <= best.cost {
@@ -179,11 +182,11 @@
 	return answered
 }
 
-// find returns the cheapest endpoint of those that this node compares or, if none of them
-// accepts the request, of all.
-func (b *Balancer) find(now time.Time, request Request) (best candidate, limited []candidate, ok bool) {
-	if indices, sampled := b.sample(request.Endpoints); sampled {
-		if best, limited, ok = b.cheapest(now, request, indices); ok {
+// find returns the cheapest endpoint of those that this node compares, which are a sample if
+// that is set, or of all if none of them accepts the request.
+func (b *Balancer) find(now time.Time, request Request, samples bool) (best candidate, limited []candidate, ok bool) {
+	if samples && len(request.Endpoints) > ownSample+otherSample {
+		if best, limited, ok = b.cheapest(now, request, b.sample(request.Endpoints)); ok {
 			return best, limited, ok
 		}
 	}
--- /dev/null
+++ b/internal/coordination/balancer/lock_test.go
@@ -0,0 +1,50 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/endpointtracker"
+)
+
+// TestNodesMayWait guards against a deadlock: Nodes may wait for a goroutine that reports to the
+// Balancer meanwhile.
+func TestNodesMayWait(t *testing.T) {
+	request := balancer.Request{Endpoints: []endpointtracker.Endpoint{{ID: "e"}}}
+	for name, choose := range map[string]func(b *balancer.Balancer){
+		"Pick":        func(b *balancer.Balancer) { b.Pick(time.Now(), request) },
+		"WantPermits": func(b *balancer.Balancer) { b.WantPermits(time.Now(), request) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &balancer.Balancer{Permits: noPermits{}}
+			b.Nodes = func() int {
+				b.Forget("peer")
+				return 100
+			}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				choose(b)
+			}()
+			select {
+			case <-done:
+			case <-time.After(5 * time.Second):
+				assert.Fail(t, "deadlock")
+			}
+		})
+	}
+}
+
+// noPermits limits an endpoint that never gets a permit.
+type noPermits struct{}
+
+func (noPermits) Ready(time.Time, endpointtracker.Endpoint) bool         { return false }
+func (noPermits) Wait(time.Time, endpointtracker.Endpoint) time.Duration { return 0 }
+func (noPermits) Take(time.Time, endpointtracker.Endpoint) bool          { return false }
+func (noPermits) Any() bool                                              { return true }
+func (noPermits) Want(time.Time, endpointtracker.Endpoint, bool) <-chan struct{} {
+	return nil
+}
--- a/internal/coordination/balancer/sample.go
+++ b/internal/coordination/balancer/sample.go
@@ -25,12 +25,12 @@
 	otherSample = 2
 )
 
-// sample returns the indices of the endpoints to compare. ok is false if all are to be
-// compared.
-func (b *Balancer) sample(endpoints []endpointtracker.Endpoint) (indices []int, ok bool) {
-	if b.Nodes == nil || b.Nodes() <= maxNodesComparingAll || len(endpoints) <= ownSample+otherSample {
-		return nil, false
-	}
+// samples reports whether this node compares a sample of the endpoints. It is called without
+// the lock.
+func (b *Balancer) samples() bool { return b.Nodes != nil && b.Nodes() > maxNodesComparingAll }
+
+// sample returns the indices of the endpoints to compare.
+func (b *Balancer) sample(endpoints []endpointtracker.Endpoint) []int {
 	var own, others []int
 	for i, endpoint := range endpoints {
 		switch {
@@ -42,7 +42,7 @@
 		}
 	}
 	own = b.subset(endpoints, own)
-	return append(pickRandom(own, ownSample), pickRandom(b.subset(endpoints, others), otherSample)...), true
+	return append(pickRandom(own, ownSample), pickRandom(b.subset(endpoints, others), otherSample)...)
 }
 
 // subset returns the endpoints of this node's subset.
