--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -133,11 +133,11 @@
 // Pick chooses the endpoint with the lowest cost and counts the request on it
 // until Done. It returns false when no endpoint accepts the request.
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, bool) {
-	samples := b.samples()
+	sampled := b.comparesSample()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	best, limited, ok := b.find(now, request, samples)
+	best, limited, ok := b.find(now, request, sampled)
 	if !ok {
 		for _, c := range limited {
 			b.Permits.Want(now, request.Endpoints[c.index], true)
@@ -167,10 +167,10 @@
 	if b.Permits == nil || !b.Permits.Any() {
 		return nil
 	}
-	samples := b.samples()
+	sampled := b.comparesSample()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, limited, ok := b.find(now, request, samples)
+	best, limited, ok := b.find(now, request, sampled)
 	var answered <-chan struct{}
 	for _, c := range limited {
 		if !ok || c.cost <= best.cost {
@@ -183,9 +183,9 @@
 }
 
 // find returns the cheapest endpoint of those that this node compares, which are a sample if
-// that is set, or of all if none of them accepts the request.
-func (b *Balancer) find(now time.Time, request Request, samples bool) (best candidate, limited []candidate, ok bool) {
-	if samples && len(request.Endpoints) > ownSample+otherSample {
+// sampled is set, or of all if none of them accepts the request.
+func (b *Balancer) find(now time.Time, request Request, sampled bool) (best candidate, limited []candidate, ok bool) {
+	if sampled && len(request.Endpoints) > ownSample+otherSample {
 		if best, limited, ok = b.cheapest(now, request, b.sample(request.Endpoints)); ok {
 			return best, limited, ok
 		}
--- a/internal/coordination/balancer/sample.go
+++ b/internal/coordination/balancer/sample.go
@@ -25,9 +25,9 @@
 	otherSample = 2
 )
 
-// samples reports whether this node compares a sample of the endpoints. It is called without
-// the lock.
-func (b *Balancer) samples() bool { return b.Nodes != nil && b.Nodes() > maxNodesComparingAll }
+// comparesSample reports whether this node compares a sample of the endpoints. It is called
+// without the lock.
+func (b *Balancer) comparesSample() bool { return b.Nodes != nil && b.Nodes() > maxNodesComparingAll }
 
 // sample returns the indices of the endpoints to compare.
 func (b *Balancer) sample(endpoints []endpointtracker.Endpoint) []int {
--- a/internal/relayer/shared_log.go
+++ b/internal/relayer/shared_log.go
@@ -86,7 +86,7 @@
 	return s.recordDirect(s.readDirect(ctx, from, wait))
 }
 
-// readDirect reads the log. It answers without records only at the end of the wait, so that
+// readDirect reads the log, which answers without records only at the end of the wait, so that
 // there were none until then.
 func (s *SharedLog) readDirect(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
 	began := time.Now()
