A change of the hub that a node follows does not make what it has read old

Cause, from the logs of nodes in a scratch copy under the same load: nodes change their role or hub then. A read at the former hub ended without anything, the next one began after the pause of 0.4 s, and the new hub answers only when it has read the log again: up to 1.2 s, 0.4 s and 1.2 s together.

Change: after such a change a member reads without waiting, every 0.1 s, until the hub's answer is fresh, and only then waits for the next.

Tried and not kept: going on at the next source within one read (what the answer says counts from the wrong begin, 2.7 s), and one read without waiting (2.4 s, if the hub reads the log just after it).

--- a/internal/relayer/directory_age_test.go
+++ b/internal/relayer/directory_age_test.go
@@ -214,6 +214,15 @@
 			assertCurrent(t, time.Minute, hub, member)
 		})
 	}
+	run("the member's source changes again and again", func(t *testing.T, _ *datedLog, hub, member *directoryReader) {
+		random := rand.New(rand.NewPCG(26, 1))
+		go func() {
+			for retrier.Sleep(t.Context(), time.Duration(random.Float64()*float64(3*time.Second))) == nil {
+				member.changeSource()
+			}
+		}()
+		assertCurrent(t, time.Minute, member)
+	})
 	run("the log does not answer the hub", func(t *testing.T, log *datedLog, hub, member *directoryReader) {
 		log.silent.Store(true)
 		time.Sleep(maxDirectoryAge + directoryWait)
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -101,8 +101,10 @@
 	sourceInterrupted bool
 	listedBefore      bool
 	next              Position
-	// readAt is the time by Clock as of which the log was last read.
+	// readAt is the time by Clock as of which the log was last read, and since Batch.Since of the
+	// last call.
 	readAt      time.Time
+	since       time.Duration
 	lastFailure time.Time
 	down        bool
 	tries       int
@@ -123,7 +125,7 @@
 			continue
 		}
 		if f.handleResult(ctx, err) {
-			_ = retrier.Sleep(ctx, f.Period)
+			_ = retrier.Sleep(ctx, f.pause())
 		}
 	}
 }
@@ -138,6 +140,15 @@
 	}
 }
 
+// pause returns the pause before the next read. It is short if a peer read the log so long ago that
+// it may read it again in the pause: the next read would then wait for the one after that.
+func (f *Feed) pause() time.Duration {
+	if f.RecordRead != nil && f.since < -freshAnswer {
+		return min(hurriedPause, f.Period)
+	}
+	return f.Period
+}
+
 // wait returns how long the next read waits for new records: less than Wait if the log was
 // read longer ago than Period, so that what has been read gets no older than both together.
 func (f *Feed) wait() time.Duration {
@@ -234,7 +245,7 @@
 
 // share passes a batch of a call that began at a time on to the replica.
 func (f *Feed) share(batch Batch, began time.Time, listing bool) {
-	f.sourceInterrupted = batch.Interrupted
+	f.sourceInterrupted, f.since = batch.Interrupted, batch.Since
 	if f.Replica == nil {
 		return
 	}
--- a/internal/relayer/shared_log.go
+++ b/internal/relayer/shared_log.go
@@ -21,6 +21,10 @@
 	// all then, and hundreds of members must not call it again and again.
 	directPause  = 3 * time.Second
 	directJitter = 3 * time.Second
+	// freshAnswer is the age up to which a peer's answer is taken for fresh: the peer does not read
+	// the log again within the pause that follows. hurriedPause is the pause after others.
+	freshAnswer  = 400 * time.Millisecond
+	hurriedPause = 100 * time.Millisecond
 	// nothingRead is the Batch.Since of a call that ended before it read anything.
 	nothingRead = -time.Hour
 )
@@ -49,6 +53,9 @@
 
 	mu         sync.Mutex
 	lastDirect time.Time
+	// hurries is set from a read that ended since the source may have changed until a peer
+	// answers that has just read the log.
+	hurries bool
 }
 
 // Newest implements KeyedLog.
@@ -64,26 +71,42 @@
 	return s.recordDirect(s.Direct.Newest(ctx))
 }
 
-// Read implements KeyedLog. A read at a peer ends without records when the source
-// changes.
+// Read implements KeyedLog. A read at a peer ends without records when the source changes.
+// The next ones wait for nothing, since what this node knows may be old by then. Reads must not
+// overlap.
 func (s *SharedLog) Read(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
-	if peer, ok, changed := s.source(); ok {
-		peerCtx, cancel := cancelOn(ctx, changed)
-		defer cancel()
-		wait := peerWait
-		if s.IsHub() {
-			wait = hubPause
+	hurries := s.hurries
+	peer, ok, changed := s.source()
+	if !ok {
+		if hurries {
+			s.hurries, wait = false, 0
 		}
-		batch, err := s.Peer.Read(peerCtx, peer, s.Topic, from, wait)
-		if err != nil && ctx.Err() == nil && peerCtx.Err() != nil {
-			return Batch{Next: from, Since: nothingRead}, nil
+		if err := s.awaitTurn(ctx); err != nil {
+			return Batch{}, err
 		}
-		return s.recordFed(batch, err)
+		return s.recordDirect(s.readDirect(ctx, from, wait))
 	}
-	if err := s.awaitTurn(ctx); err != nil {
-		return Batch{}, err
+	peerCtx, cancel := cancelOn(ctx, changed)
+	defer cancel()
+	batch, err := s.Peer.Read(peerCtx, peer, s.Topic, from, s.peerWait(hurries))
+	if err != nil && ctx.Err() == nil && peerCtx.Err() != nil {
+		s.hurries = true
+		return Batch{Next: from, Since: nothingRead}, nil
+	}
+	s.hurries = hurries && batch.Since < -freshAnswer
+	return s.recordFed(batch, err)
+}
+
+// peerWait returns how long a read at a peer waits.
+func (s *SharedLog) peerWait(hurries bool) time.Duration {
+	switch {
+	case hurries:
+		return 0
+	case s.IsHub():
+		return hubPause
+	default:
+		return peerWait
 	}
-	return s.recordDirect(s.readDirect(ctx, from, wait))
 }
 
 // readDirect reads the log, which answers without records only at the end of the wait, so that
