Reads do not hurry after a change of hub for longer than 2 s, nor where age does not matter

What would have been seen: let every log that a member follows be read without waiting after a change of its hub, until the hub's answer is fresh. Logs whose readers pause for nothing would have been read without end while the hub is cut off from the log. Found in review, before a landing.

--- a/internal/relayer/directory_age_test.go
+++ b/internal/relayer/directory_age_test.go
@@ -97,8 +97,11 @@
 	return batch, retrier.Sleep(ctx, linkDelay)
 }
 
-// replicaPeer reads a log at a peer that follows it.
-type replicaPeer struct{ *relayer.Replica }
+// replicaPeer reads a log at a peer that follows it, and counts the reads.
+type replicaPeer struct {
+	*relayer.Replica
+	reads *atomic.Int64
+}
 
 // Newest implements relayer.PeerLog.
 func (p replicaPeer) Newest(ctx context.Context, _ netip.AddrPort, _ string) (relayer.Batch, error) {
@@ -110,6 +113,7 @@
 
 // Read implements relayer.PeerLog.
 func (p replicaPeer) Read(ctx context.Context, _ netip.AddrPort, _ string, from relayer.Position, wait time.Duration) (relayer.Batch, error) {
+	p.reads.Add(1)
 	time.Sleep(linkDelay)
 	batch, err := p.Replica.Read(ctx, from, wait)
 	time.Sleep(linkDelay)
@@ -125,6 +129,8 @@
 	applied atomic.Int64
 	readAt  atomic.Int64
 	changed atomic.Pointer[chan struct{}]
+	// peerReads counts the reads at the home.
+	peerReads atomic.Int64
 }
 
 // follow starts a node that follows a log until the test ends: through home, or itself if that
@@ -134,11 +140,11 @@
 	r := &directoryReader{log: log, replica: &relayer.Replica{Clock: time.Now, Prompt: true}}
 	r.changeSource()
 	shared := &relayer.SharedLog{
-		Topic: "x", Direct: log, IsHub: func() bool { return home == nil }, RecordLogContact: func() {}, RecordFed: func() {},
+		Topic: "x", Direct: log, IsHub: func() bool { return home == nil }, RecordLogContact: func() {}, RecordFed: func() {}, Prompt: true,
 		Source: func() (netip.AddrPort, bool, <-chan struct{}) { return store, home != nil, *r.changed.Load() },
 	}
 	if home != nil {
-		shared.Peer = replicaPeer{home.replica}
+		shared.Peer = replicaPeer{home.replica, &r.peerReads}
 	}
 	feed := &relayer.Feed{
 		Name: "x", Log: shared, Wait: directoryWait, Period: directoryPeriod, Replica: r.replica, Logger: zerolog.Nop(), Now: time.Now, Clock: time.Now,
@@ -230,6 +236,10 @@
 		time.Sleep(5 * time.Second)
 		assert.Greater(t, hub.age(), maxDirectoryAge)
 		assert.Greater(t, member.age(), maxDirectoryAge)
+		before := member.peerReads.Load()
+		member.changeSource()
+		time.Sleep(20 * time.Second)
+		assert.LessOrEqual(t, member.peerReads.Load()-before, int64(30), "reads at the hub in 20 s")
 	})
 	run("a read ends since the source may have changed", func(t *testing.T, log *datedLog, hub, member *directoryReader) {
 		log.silent.Store(true)
--- a/internal/relayer/shared_log.go
+++ b/internal/relayer/shared_log.go
@@ -25,6 +25,9 @@
 	// the log again within the pause that follows. hurriedPause is the pause after others.
 	freshAnswer  = 400 * time.Millisecond
 	hurriedPause = 100 * time.Millisecond
+	// maxHurry bounds the time after a change of the source in which reads do not wait: the log
+	// may be out of reach for the peer too.
+	maxHurry = 2 * time.Second
 	// nothingRead is the Batch.Since of a call that ended before it read anything.
 	nothingRead = -time.Hour
 )
@@ -50,12 +53,14 @@
 	// each to a peer.
 	RecordLogContact func()
 	RecordFed        func()
+	// Prompt is set if it matters how old what was read is.
+	Prompt bool
 
 	mu         sync.Mutex
 	lastDirect time.Time
-	// hurries is set from a read that ended since the source may have changed until a peer
-	// answers that has just read the log.
-	hurries bool
+	// hurryUntil is set when a read ends since the source may have changed, until a peer answers
+	// that has just read the log. Reads do not wait before it.
+	hurryUntil time.Time
 }
 
 // Newest implements KeyedLog.
@@ -72,14 +77,14 @@
 }
 
 // Read implements KeyedLog. A read at a peer ends without records when the source changes.
-// The next ones wait for nothing, since what this node knows may be old by then. Reads must not
-// overlap.
+// With Prompt the next ones wait for nothing, since what this node knows may be old by then.
+// Reads must not overlap.
 func (s *SharedLog) Read(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
-	hurries := s.hurries
+	hurries := time.Now().Before(s.hurryUntil)
 	peer, ok, changed := s.source()
 	if !ok {
 		if hurries {
-			s.hurries, wait = false, 0
+			s.hurryUntil, wait = time.Time{}, 0
 		}
 		if err := s.awaitTurn(ctx); err != nil {
 			return Batch{}, err
@@ -90,10 +95,14 @@
 	defer cancel()
 	batch, err := s.Peer.Read(peerCtx, peer, s.Topic, from, s.peerWait(hurries))
 	if err != nil && ctx.Err() == nil && peerCtx.Err() != nil {
-		s.hurries = true
+		if s.Prompt {
+			s.hurryUntil = time.Now().Add(maxHurry)
+		}
 		return Batch{Next: from, Since: nothingRead}, nil
 	}
-	s.hurries = hurries && batch.Since < -freshAnswer
+	if err == nil && batch.Since >= -freshAnswer {
+		s.hurryUntil = time.Time{}
+	}
 	return s.recordFed(batch, err)
 }
 
