Balancer: one place says whether a sample is compared

The condition stood in two places since, and the number of nodes, which takes the lock of the membership, was asked for on each choice, also among fewer endpoints than a sample has. Now it is asked for only where it matters. The result is the same. TestNodesMayWait has enough endpoints for that, checks that Nodes was called, and still fails with a deadlock if it is called under the lock (run).

--- a/internal/coordination/balancer/lock_test.go
+++ b/internal/coordination/balancer/lock_test.go
@@ -13,14 +13,17 @@
 // TestNodesMayWait guards against a deadlock: Nodes may wait for a goroutine that reports to the
 // Balancer meanwhile.
 func TestNodesMayWait(t *testing.T) {
-	request := balancer.Request{Endpoints: []endpointtracker.Endpoint{{ID: "e"}}}
+	// Nodes is called only if there are more endpoints than a sample has.
+	request := balancer.Request{Endpoints: make([]endpointtracker.Endpoint, 20)}
 	for name, choose := range map[string]func(b *balancer.Balancer){
 		"Pick":        func(b *balancer.Balancer) { b.Pick(time.Now(), request) },
 		"WantPermits": func(b *balancer.Balancer) { b.WantPermits(time.Now(), request) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := &balancer.Balancer{Permits: noPermits{}}
+			called := false
 			b.Nodes = func() int {
+				called = true
 				b.Forget("peer")
 				return 100
 			}
@@ -31,6 +34,7 @@
 			}()
 			select {
 			case <-done:
+				assert.True(t, called)
 			case <-time.After(5 * time.Second):
 				assert.Fail(t, "deadlock")
 			}
--- a/internal/coordination/balancer/sample.go
+++ b/internal/coordination/balancer/sample.go
@@ -27,7 +27,9 @@
 
 // comparesSample reports whether this node compares a sample of the endpoints. It is called
 // without the lock.
-func (b *Balancer) comparesSample() bool { return b.Nodes != nil && b.Nodes() > maxNodesComparingAll }
+func (b *Balancer) comparesSample(endpoints []endpointtracker.Endpoint) bool {
+	return b.Nodes != nil && len(endpoints) > ownSample+otherSample && b.Nodes() > maxNodesComparingAll
+}
 
 // sample returns the indices of the endpoints to compare.
 func (b *Balancer) sample(endpoints []endpointtracker.Endpoint) []int {
