--- a/internal/coordination/resumer/processes.go
+++ b/internal/coordination/resumer/processes.go
@@ -12,7 +12,7 @@
 //
 //	processes := &resumer.Processes{MaxAge: 1800 * time.Millisecond, Now: sinceBoot}
 //	processes.Observe(endpoint)
-//	processes.RecordRead(began)
+//	processes.RecordRead(at)
 //	streams := &resumer.Streams{Processes: processes, Ask: ask}
 //	beginning := streams.Begin(endpoint) // at the first event
 //	streams.Announce(requestID, beginning)
@@ -75,7 +75,7 @@
 
 	mu   sync.Mutex
 	byID map[string][]process
-	// readAt is when the last successful read of the directory began.
+	// readAt is the time as of which the directory was read.
 	readAt time.Time
 }
 
@@ -98,17 +98,16 @@
 	p.byID[endpoint.ID] = known[max(len(known)-maxProcesses, 0):]
 }
 
-// RecordRead records that the directory was read, and that all entries which were written before
-// the read began have been observed.
-func (p *Processes) RecordRead(began time.Time) {
+// RecordRead records that all entries which were written before at have been observed.
+func (p *Processes) RecordRead(at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if began.After(p.readAt) {
-		p.readAt = began
+	if at.After(p.readAt) {
+		p.readAt = at
 	}
 }
 
-// Age returns how long ago the state of the directory was read that this node knows.
+// Age returns how old what has been read of the directory is.
 func (p *Processes) Age() time.Duration {
 	now := p.Now()
 	p.mu.Lock()
--- a/internal/relayer/directory_age_test.go
+++ b/internal/relayer/directory_age_test.go
@@ -122,7 +122,6 @@
 
 // directoryReader is a node that follows a log, itself or through a peer.
 type directoryReader struct {
-	log     *datedLog
 	replica *relayer.Replica
 	// applied is the number of records that the node has applied, and readAt the time as of
 	// which it has read the log.
@@ -137,7 +136,7 @@
 // is nil.
 func follow(t *testing.T, log *datedLog, home *directoryReader) *directoryReader {
 	t.Helper()
-	r := &directoryReader{log: log, replica: &relayer.Replica{Clock: time.Now, Prompt: true}}
+	r := &directoryReader{replica: &relayer.Replica{Clock: time.Now, Prompt: true}}
 	r.changeSource()
 	shared := &relayer.SharedLog{
 		Topic: "x", Direct: log, IsHub: func() bool { return home == nil }, RecordLogContact: func() {}, RecordFed: func() {}, Prompt: true,
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -202,7 +202,8 @@
 	if restored {
 		f.restart(batch.Next)
 	}
-	f.share(batch, began, true)
+	at := began.Add(batch.Since)
+	f.share(batch, at, true)
 	keys := map[string]bool{}
 	initial := !f.listedBefore
 	f.listedBefore = true
@@ -215,7 +216,7 @@
 		f.OnListed(keys, f.interrupted())
 	}
 	f.next = batch.Next
-	f.recordRead(began.Add(batch.Since))
+	f.recordRead(at)
 	return nil
 }
 
@@ -234,22 +235,23 @@
 	if err != nil {
 		return err
 	}
-	f.share(batch, began, false)
+	at := began.Add(batch.Since)
+	f.share(batch, at, false)
 	for _, record := range batch.Records {
 		f.apply(record)
 	}
 	f.next = batch.Next
-	f.recordRead(began.Add(batch.Since))
+	f.recordRead(at)
 	return nil
 }
 
-// share passes a batch of a call that began at a time on to the replica.
-func (f *Feed) share(batch Batch, began time.Time, listing bool) {
+// share passes a batch that is complete as of a time on to the replica.
+func (f *Feed) share(batch Batch, at time.Time, listing bool) {
 	f.sourceInterrupted, f.since = batch.Interrupted, batch.Since
 	if f.Replica == nil {
 		return
 	}
-	f.Replica.Put(batch, began.Add(batch.Since), listing)
+	f.Replica.Put(batch, at, listing)
 	if batch.Interrupted {
 		f.Replica.SetInterrupted(f.Now())
 	}
