--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,6 +54,8 @@
 	// Since is the time after the call reached the log as of which the records are complete.
 	// It is negative if they come from a peer that read the log longer ago.
 	Since time.Duration
+	// Peer is the peer that answered; invalid for the log itself.
+	Peer netip.AddrPort
 }
 
 // KeyedLog is a compacted log: it retains at least the newest record of each key.
@@ -91,6 +94,8 @@
 	// come from a peer that recently had no contact with the log. All records that were
 	// appended before at, by Clock, have been applied; nil if not needed.
 	RecordRead func(at time.Time)
+	// MaxAge is the age of what was read over which the log says that it is old; zero for none.
+	MaxAge time.Duration
 	// Clock counts the time for which the host was suspended.
 	Clock  func() time.Time
 	Logger zerolog.Logger
@@ -108,6 +113,8 @@
 	lastFailure time.Time
 	down        bool
 	tries       int
+	// old is set while what was last read is older than MaxAge.
+	old bool
 }
 
 // Run follows the log until ctx ends.
@@ -130,16 +137,29 @@
 	}
 }
 
-// recordRead records that all records which were appended before a time have been applied.
-func (f *Feed) recordRead(at time.Time) {
+// recordRead records that all records which were appended before a time have been applied, as
+// a peer or the log itself said.
+func (f *Feed) recordRead(at time.Time, peer netip.AddrPort) {
 	if at.After(f.readAt) {
 		f.readAt = at
 	}
+	f.logAge(peer)
 	if f.RecordRead != nil && !f.sourceInterrupted {
 		f.RecordRead(at)
 	}
 }
 
+// logAge logs when what has been read became older than MaxAge, and when it is current again.
+func (f *Feed) logAge(peer netip.AddrPort) {
+	age := f.Clock().Sub(f.readAt)
+	old := f.MaxAge > 0 && age > f.MaxAge
+	if old != f.old {
+		f.Logger.Warn().Str("event", "topic age").Str("feed", f.Name).Bool("old", old).Dur("age", age).Stringer("peer", peer).
+			Int64("era", f.next.Era).Int64("next", f.next.Offset).Send()
+	}
+	f.old = old
+}
+
 // pause returns the pause before the next read. It is short if a peer read the log so long ago that
 // it may read it again in the pause: the next read would then wait for the one after that.
 func (f *Feed) pause() time.Duration {
@@ -216,7 +236,7 @@
 		f.OnListed(keys, f.interrupted())
 	}
 	f.next = batch.Next
-	f.recordRead(at)
+	f.recordRead(at, batch.Peer)
 	return nil
 }
 
@@ -241,7 +261,7 @@
 		f.apply(record)
 	}
 	f.next = batch.Next
-	f.recordRead(at)
+	f.recordRead(at, batch.Peer)
 	return nil
 }
 
--- a/internal/relayer/shared_log.go
+++ b/internal/relayer/shared_log.go
@@ -68,7 +68,8 @@
 	if peer, ok, changed := s.source(); ok {
 		ctx, cancel := cancelOn(ctx, changed)
 		defer cancel()
-		return s.recordFed(s.Peer.Newest(ctx, peer, s.Topic))
+		batch, err := s.Peer.Newest(ctx, peer, s.Topic)
+		return s.recordFed(peer, batch, err)
 	}
 	if err := s.awaitTurn(ctx); err != nil {
 		return Batch{}, err
@@ -103,7 +104,7 @@
 	if err == nil && batch.Since >= -freshAnswer {
 		s.hurryUntil = time.Time{}
 	}
-	return s.recordFed(batch, err)
+	return s.recordFed(peer, batch, err)
 }
 
 // peerWait returns how long a read at a peer waits.
@@ -160,8 +161,9 @@
 	return nil
 }
 
-func (s *SharedLog) recordFed(batch Batch, err error) (Batch, error) {
+func (s *SharedLog) recordFed(peer netip.AddrPort, batch Batch, err error) (Batch, error) {
 	if err == nil {
+		batch.Peer = peer
 		s.RecordFed()
 	}
 	return batch, err
