--- a/internal/relayer/size_test.go
+++ b/internal/relayer/size_test.go
@@ -36,24 +36,62 @@
 
 // fleet is a site with many nodes in one process, connected by simulated links.
 type fleet struct {
-	nodes []*fleetNode
-	byIP  map[netip.Addr]*fleetNode
+	nodes   []*fleetNode
+	domains int
+	byIP    map[netip.Addr]*fleetNode
 	// cut reports whether datagrams from a to b are lost.
 	cut func(a, b *fleetNode) bool
+	// lag returns how much longer a node's messages and answers take; nil for none.
+	lag func(n *fleetNode) time.Duration
 	mu  sync.Mutex
 }
 
+// link returns the node at an address and the delay of a message to it, or false if messages
+// do not arrive.
+func (f *fleet) link(from *fleetNode, to netip.AddrPort) (*fleetNode, time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	target, ok := f.byIP[to.Addr()]
+	if !ok || f.cut(from, target) {
+		return nil, 0, false
+	}
+	delay := linkDelay
+	if f.lag != nil {
+		delay += f.lag(from)
+	}
+	return target, delay, true
+}
+
+// roundTrip waits for the time that a call to a peer takes. It fails when ctx ends if the call
+// or its answer is lost.
+func (f *fleet) roundTrip(ctx context.Context, from *fleetNode, to netip.AddrPort) (*fleetNode, error) {
+	target, delay, ok := f.link(from, to)
+	if ok {
+		if err := retrier.Sleep(ctx, delay); err != nil {
+			return nil, err
+		}
+		_, delay, ok = f.link(target, from.peers.Address)
+	}
+	if !ok {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return target, retrier.Sleep(ctx, delay)
+}
+
 // fleetNode is one node of a fleet.
 type fleetNode struct {
 	fleet    *fleet
 	name     string
 	domain   string
+	address  netip.AddrPort
 	large    bool
 	peers    *relayer.Peers
 	balancer *balancer.Balancer
 	limits   *throttler.Limits
 	permits  *throttler.Permits
 	streams  *resumer.Streams
+	replica  *relayer.Replica
 	node     *relayer.Relayer
 	sent     atomic.Int64
 	received atomic.Int64
@@ -72,17 +110,14 @@
 		n.tooLarge.Add(1)
 		return err
 	}
-	n.fleet.mu.Lock()
-	cut := n.fleet.cut
-	n.fleet.mu.Unlock()
 	for _, address := range to {
 		n.sent.Add(1)
 		n.bytes.Add(int64(len(datagram)))
-		target, ok := n.fleet.byIP[address.Addr()]
-		if !ok || cut(n, target) {
+		target, delay, ok := n.fleet.link(n, address)
+		if !ok {
 			continue
 		}
-		time.AfterFunc(linkDelay, func() {
+		time.AfterFunc(delay, func() {
 			target.received.Add(1)
 			target.peers.HandleHeartbeat(message)
 		})
@@ -92,30 +127,20 @@
 
 // Permits implements relayer.PermitClient.
 func (n *fleetNode) Permits(ctx context.Context, peer netip.AddrPort, request messenger.PermitsRequest) (throttler.Grant, error) {
-	n.fleet.mu.Lock()
-	cut := n.fleet.cut
-	n.fleet.mu.Unlock()
 	n.asked.Add(1)
-	target, ok := n.fleet.byIP[peer.Addr()]
-	if !ok || cut(n, target) {
-		<-ctx.Done()
-		return throttler.Grant{}, ctx.Err()
+	target, err := n.fleet.roundTrip(ctx, n, peer)
+	if err != nil {
+		return throttler.Grant{}, err
 	}
-	time.Sleep(2 * linkDelay)
 	return target.peers.IssuePermits(ctx, request)
 }
 
 // Origin implements relayer.OriginClient.
 func (n *fleetNode) Origin(ctx context.Context, peer netip.AddrPort, stream uint64, forwarded bool) (resumer.Build, bool, error) {
-	n.fleet.mu.Lock()
-	cut := n.fleet.cut
-	n.fleet.mu.Unlock()
-	target, ok := n.fleet.byIP[peer.Addr()]
-	if !ok || cut(n, target) {
-		<-ctx.Done()
-		return resumer.Build{}, false, ctx.Err()
+	target, err := n.fleet.roundTrip(ctx, n, peer)
+	if err != nil {
+		return resumer.Build{}, false, err
 	}
-	time.Sleep(2 * linkDelay)
 	build, known := target.peers.FindOrigin(ctx, stream, forwarded)
 	return build, known, nil
 }
@@ -135,52 +160,69 @@
 // largeHosts of each domain on large hosts.
 func newFleet(t *testing.T, nodes, domains int) *fleet {
 	t.Helper()
-	f := &fleet{byIP: map[netip.Addr]*fleetNode{}, cut: func(a, b *fleetNode) bool { return false }}
+	f := buildFleet(t, nodes, domains)
+	for _, n := range f.nodes {
+		n.run(t.Context())
+	}
+	return f
+}
+
+// buildFleet is newFleet for nodes that do not run yet.
+func buildFleet(t *testing.T, nodes, domains int) *fleet {
+	t.Helper()
+	f := &fleet{domains: domains, byIP: map[netip.Addr]*fleetNode{}, cut: func(a, b *fleetNode) bool { return false }}
 	perDomain := map[string]int{}
 	for i := range nodes {
 		domain := fmt.Sprintf("d%d", i%domains)
-		n := &fleetNode{fleet: f, name: fmt.Sprintf("n%d", i), domain: domain, large: perDomain[domain] < largeHosts, balancer: &balancer.Balancer{Domain: domain}}
+		n := &fleetNode{fleet: f, name: fmt.Sprintf("n%d", i), domain: domain, large: perDomain[domain] < largeHosts}
 		perDomain[domain]++
 		f.nodes = append(f.nodes, n)
-		n.node = newNode(t)
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(1 + i%250)}), 80)
-		f.byIP[address.Addr()] = n
-		cores := 0.2
-		if n.large {
-			cores = 0.8
-		}
-		n.limits = &throttler.Limits{}
-		n.streams = &resumer.Streams{
-			Processes: &resumer.Processes{MaxAge: time.Second, Now: time.Now},
-			Ask:       func(ctx context.Context, stream uint64) (resumer.Build, bool) { return n.peers.AskOrigin(ctx, stream) },
-		}
-		n.peers = &relayer.Peers{
-			Name: n.name, Domain: domain, Address: address, GossipPort: 7000, Cores: cores, Domains: domains, Incarnation: 1,
-			Gossip: n, Client: &standinStateClient{}, Node: n.node, Balancer: n.balancer,
-			Suspects:           &retrier.Suspects{Node: n.name, Expiry: time.Hour},
-			PartSuspects:       &retrier.PartSuspects{Node: n.name, Expiry: time.Hour},
-			HandleParts:        func(netip.AddrPort, peertracker.PartUpdates) { n.parts.Add(1) },
-			ApplyOperatorState: func(messenger.OperatorState) {},
-			Limits:             n.limits, Issuer: &throttler.Issuer{Share: func() float64 { return n.peers.IssuerShare() }}, PermitClient: n, Streams: n.streams, OriginClient: n,
-			Log: zerolog.New(nil).Hook(lossCounter{&n.lost}), Now: time.Now, Stopping: &atomic.Bool{},
-		}
+		n.address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(1 + i%250)}), 80)
+		f.byIP[n.address.Addr()] = n
+		n.build(t, 1)
 	}
-	for _, n := range f.nodes {
-		n.permits = &throttler.Permits{
-			Limits: n.limits, Ask: n.peers.AskPermits, OnChange: func() {}, OnError: func(throttler.Process, error) {}, Now: time.Now,
-		}
-		n.balancer.Permits = n.permits
-		for _, other := range f.nodes {
-			n.peers.AddPeer(other.peers.Address, other.domain, other.peers.Cores)
-		}
+	return f
+}
+
+// build gives a node the state of a process that has just started.
+func (n *fleetNode) build(t *testing.T, incarnation uint64) {
+	t.Helper()
+	n.node, n.balancer, n.limits = newNode(t), &balancer.Balancer{Domain: n.domain}, &throttler.Limits{}
+	n.streams = &resumer.Streams{
+		Processes: &resumer.Processes{MaxAge: time.Second, Now: time.Now},
+		Ask:       func(ctx context.Context, stream uint64) (resumer.Build, bool) { return n.peers.AskOrigin(ctx, stream) },
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
-	for _, n := range f.nodes {
-		go n.peers.Run(ctx)
-		go n.peers.RunStreams(ctx)
+	n.peers = &relayer.Peers{
+		Name: n.name, Domain: n.domain, Address: n.address, GossipPort: 7000, Cores: n.cores(), Domains: n.fleet.domains, Incarnation: incarnation,
+		Gossip: n, Client: &standinStateClient{}, Node: n.node, Balancer: n.balancer,
+		Suspects:           &retrier.Suspects{Node: n.name, Expiry: time.Hour},
+		PartSuspects:       &retrier.PartSuspects{Node: n.name, Expiry: time.Hour},
+		HandleParts:        func(netip.AddrPort, peertracker.PartUpdates) { n.parts.Add(1) },
+		ApplyOperatorState: func(messenger.OperatorState) {},
+		Limits:             n.limits, Issuer: &throttler.Issuer{Share: func() float64 { return n.peers.IssuerShare() }}, PermitClient: n, Streams: n.streams, OriginClient: n,
+		Log: zerolog.New(nil).Hook(lossCounter{&n.lost}), Now: time.Now, Stopping: &atomic.Bool{},
 	}
-	return f
+	n.permits = &throttler.Permits{
+		Limits: n.limits, Ask: n.peers.AskPermits, OnChange: func() {}, OnError: func(throttler.Process, error) {}, Now: time.Now,
+	}
+	n.balancer.Permits = n.permits
+}
+
+// run runs a node until ctx ends.
+func (n *fleetNode) run(ctx context.Context) {
+	for _, other := range n.fleet.nodes {
+		n.peers.AddPeer(other.address, other.domain, other.cores())
+	}
+	go n.peers.Run(ctx)
+	go n.peers.RunStreams(ctx)
+}
+
+// cores returns the share of processors of the node's host.
+func (n *fleetNode) cores() float64 {
+	if n.large {
+		return 0.8
+	}
+	return 0.2
 }
 
 func (f *fleet) setCut(cut func(a, b *fleetNode) bool) {
