The age of what a node has read is bounded for all topics, whatever its home does

Cause: a member learned of changes through its home alone. It left a home that was silent or had lost the log, but not one that lives and is late: a host under load, or slowed. Such a home is not in touch, its members are. How old the home's word is was bounded for the directory of endpoints only, and there it was not acted on either, so the leaving of endpoints and named weights were late in the same way.

Change: all answers of a home say as of when they hold, also for the operators' records, and a node that is no hub and whose knowledge is older than 0.7 of the time within which changes must be in force reads the log itself, once in that time, until its home is current again; calls to the home end then. After a failed call it leaves the log alone for 3 to 6 s, as before. A hub that follows a peer does not wait at the log while it tries it, and a pause before a call ends when there is another source.

--- a/internal/relayer/configuration_age_test.go
+++ b/internal/relayer/configuration_age_test.go
@@ -23,8 +23,10 @@
 const (
 	// logTimeout is how long a call to the log may take beyond its wait, as on the platform.
 	logTimeout = 900 * time.Millisecond
-	// readWaitShare is the share of the limit for configurations that one read waits.
+	// readWaitShare and maxAgeShare are the shares of the limit for configurations that one read
+	// waits, and for which what was read counts as current.
 	readWaitShare = 0.4
+	maxAgeShare   = 0.7
 	logRoundTrip  = 4 * time.Millisecond
 	// fetchTime bounds the fetch of a peer's configuration, with the pause before it.
 	fetchTime = 2 * time.Second
@@ -231,8 +233,9 @@
 // start runs a node that has been built.
 func (s *configurationSite) start(t *testing.T, n *fleetNode) {
 	t.Helper()
+	maxAge := time.Duration(maxAgeShare * float64(s.apply))
 	node, peers, link := n.node, n.peers, nodeLog{s, n}
-	n.replica = &relayer.Replica{Clock: time.Now}
+	n.replica = &relayer.Replica{Clock: time.Now, Prompt: true}
 	peers.Client = link
 	peers.ApplyOperatorState = func(state messenger.OperatorState) {
 		if state.Version > 0 {
@@ -241,10 +244,10 @@
 	}
 	n.run(t.Context())
 	feed := &relayer.Feed{
-		Name: "operators", Wait: time.Duration(readWaitShare * float64(s.apply)), Replica: n.replica, RecordContact: peers.RecordContact,
+		Name: "operators", Wait: time.Duration(readWaitShare * float64(s.apply)), MaxAge: maxAge, Replica: n.replica, RecordContact: peers.RecordContact,
 		Log: &relayer.SharedLog{
 			Topic: "operators", Direct: link, Peer: peerTopic{link}, Source: peers.Source, IsHub: peers.IsHub,
-			RecordLogContact: peers.RecordLogContact, RecordFed: peers.RecordFed,
+			RecordLogContact: peers.RecordLogContact, RecordFed: peers.RecordFed, MaxAge: maxAge, Clock: time.Now,
 		},
 		Apply: func(record relayer.Record, _ bool) {
 			version, err := strconv.ParseInt(string(record.Value), 10, 64)
--- a/internal/relayer/directory_age_test.go
+++ b/internal/relayer/directory_age_test.go
@@ -24,6 +24,8 @@
 	directoryWait   = 800 * time.Millisecond
 	directoryPeriod = 400 * time.Millisecond
 	maxDirectoryAge = 1800 * time.Millisecond
+	// readMaxAge is the age after which a member reads the log itself.
+	readMaxAge = 1400 * time.Millisecond
 )
 
 // datedLog is a log that knows when each of its records was appended.
@@ -139,14 +141,14 @@
 	r := &directoryReader{replica: &relayer.Replica{Clock: time.Now, Prompt: true}}
 	r.changeSource()
 	shared := &relayer.SharedLog{
-		Topic: "x", Direct: log, IsHub: func() bool { return home == nil }, RecordLogContact: func() {}, RecordFed: func() {}, Prompt: true,
+		Topic: "x", Direct: log, IsHub: func() bool { return home == nil }, RecordLogContact: func() {}, RecordFed: func() {}, MaxAge: readMaxAge, Clock: time.Now,
 		Source: func() (netip.AddrPort, bool, <-chan struct{}) { return store, home != nil, *r.changed.Load() },
 	}
 	if home != nil {
 		shared.Peer = replicaPeer{home.replica, &r.peerReads}
 	}
 	feed := &relayer.Feed{
-		Name: "x", Log: shared, Wait: directoryWait, Period: directoryPeriod, Replica: r.replica, Logger: zerolog.Nop(), Now: time.Now, Clock: time.Now,
+		Name: "x", Log: shared, Wait: directoryWait, Period: directoryPeriod, Replica: r.replica, Logger: zerolog.Nop(), Now: time.Now, Clock: time.Now, MaxAge: readMaxAge,
 		Apply: func(record relayer.Record, _ bool) { r.applied.Store(max(r.applied.Load(), record.Offset+1)) },
 		RecordRead: func(at time.Time) {
 			assert.LessOrEqual(t, log.before(at), r.applied.Load(), "records applied, of those appended by %s", at)
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -94,7 +94,8 @@
 	// come from a peer that recently had no contact with the log. All records that were
 	// appended before at, by Clock, have been applied; nil if not needed.
 	RecordRead func(at time.Time)
-	// MaxAge is the age of what was read over which the log says that it is old; zero for none.
+	// MaxAge is the age of what was read over which it is old. Reads are made so that it gets no
+	// older than Wait and Period together while the log answers. Zero if any age will do.
 	MaxAge time.Duration
 	// Clock counts the time for which the host was suspended.
 	Clock  func() time.Time
@@ -163,7 +164,7 @@
 // pause returns the pause before the next read. It is short if a peer read the log so long ago that
 // it may read it again in the pause: the next read would then wait for the one after that.
 func (f *Feed) pause() time.Duration {
-	if f.RecordRead != nil && f.since < -freshAnswer {
+	if f.MaxAge > 0 && f.since < -freshAnswer {
 		return min(hurriedPause, f.Period)
 	}
 	return f.Period
@@ -172,7 +173,7 @@
 // wait returns how long the next read waits for new records: less than Wait if the log was
 // read longer ago than Period, so that what has been read gets no older than both together.
 func (f *Feed) wait() time.Duration {
-	if f.RecordRead == nil {
+	if f.MaxAge == 0 {
 		return f.Wait
 	}
 	late := f.Clock().Sub(f.readAt) - f.Period
--- a/internal/relayer/shared_log.go
+++ b/internal/relayer/shared_log.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -16,9 +17,9 @@
 	// hubPause is the time between calls to the log of a hub that has lost contact with it and
 	// follows it through a peer.
 	hubPause = 1200 * time.Millisecond
-	// directPause is the minimum time between calls to the log of a member whose hubs have no
-	// contact with it; directJitter spreads these calls. Mostly the log is out of reach for
-	// all then, and hundreds of members must not call it again and again.
+	// directPause is the minimum time after a failed call to the log of a member, and between
+	// calls if any age will do; directJitter spreads these calls. Mostly the log is out of reach
+	// for all then, and hundreds of members must not call it again and again.
 	directPause  = 3 * time.Second
 	directJitter = 3 * time.Second
 	// freshAnswer is the age up to which a peer's answer is taken for fresh: the peer does not read
@@ -30,6 +31,8 @@
 	maxHurry = 2 * time.Second
 	// nothingRead is the Batch.Since of a call that ended before it read anything.
 	nothingRead = -time.Hour
+	// minPeerCall is the least time of a call to a peer.
+	minPeerCall = 10 * time.Millisecond
 )
 
 // PeerLog reads a log through a peer.
@@ -53,50 +56,68 @@
 	// each to a peer.
 	RecordLogContact func()
 	RecordFed        func()
-	// Prompt is set if it matters how old what was read is.
-	Prompt bool
+	// MaxAge bounds the age of what is read through a peer: beyond it, the node reads the log
+	// itself. Zero for no bound.
+	MaxAge time.Duration
+	// Clock counts the time for which the host was suspended.
+	Clock func() time.Time
 
 	mu         sync.Mutex
 	lastDirect time.Time
-	// hurryUntil is set when a read ends since the source may have changed, until a peer answers
-	// that has just read the log. Reads do not wait before it.
+	// nextDirect is the time before which a node that is no hub does not call the log.
+	nextDirect time.Time
+	// readAt is the time by Clock as of which the log was last read; before that, of the first call.
+	readAt time.Time
+	// hurryUntil is set when a read ends since the source may have changed or is late, until a
+	// peer answers that has just read the log. Reads do not wait before it.
 	hurryUntil time.Time
 }
 
 // Newest implements KeyedLog.
 func (s *SharedLog) Newest(ctx context.Context) (Batch, error) {
-	if peer, ok, changed := s.source(); ok {
-		ctx, cancel := cancelOn(ctx, changed)
-		defer cancel()
-		batch, err := s.Peer.Newest(ctx, peer, s.Topic)
-		return s.recordFed(peer, batch, err)
-	}
-	if err := s.awaitTurn(ctx); err != nil {
-		return Batch{}, err
+	source := s.source()
+	for source.direct {
+		ended, err := s.awaitTurn(ctx, source.changed)
+		if err != nil {
+			return Batch{}, err
+		}
+		if !ended {
+			began := s.Clock()
+			batch, err := s.Direct.Newest(ctx)
+			return s.recordDirect(began, batch, err)
+		}
+		source = s.source()
 	}
-	return s.recordDirect(s.Direct.Newest(ctx))
+	began := s.Clock()
+	ctx, cancel := s.peerContext(ctx, source.changed)
+	defer cancel()
+	batch, err := s.Peer.Newest(ctx, source.peer, s.Topic)
+	return s.recordFed(began, source.peer, batch, err)
 }
 
-// Read implements KeyedLog. A read at a peer ends without records when the source changes.
-// With Prompt the next ones wait for nothing, since what this node knows may be old by then.
-// Reads must not overlap.
+// Read implements KeyedLog. A read at a peer ends without records when the source changes, or
+// when what this node knows is too old. With MaxAge the next ones wait for nothing then. Reads
+// must not overlap.
 func (s *SharedLog) Read(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
 	hurries := time.Now().Before(s.hurryUntil)
-	peer, ok, changed := s.source()
-	if !ok {
-		if hurries {
+	source := s.source()
+	if source.direct {
+		if hurries || source.fallback {
 			s.hurryUntil, wait = time.Time{}, 0
 		}
-		if err := s.awaitTurn(ctx); err != nil {
-			return Batch{}, err
+		if ended, err := s.awaitTurn(ctx, source.changed); ended || err != nil {
+			return Batch{Next: from, Since: nothingRead}, err
 		}
-		return s.recordDirect(s.readDirect(ctx, from, wait))
+		began := s.Clock()
+		batch, err := s.readDirect(ctx, from, wait)
+		return s.recordDirect(began, batch, err)
 	}
-	peerCtx, cancel := cancelOn(ctx, changed)
+	began := s.Clock()
+	peerCtx, cancel := s.peerContext(ctx, source.changed)
 	defer cancel()
-	batch, err := s.Peer.Read(peerCtx, peer, s.Topic, from, s.peerWait(hurries))
+	batch, err := s.Peer.Read(peerCtx, source.peer, s.Topic, from, s.peerWait(hurries))
 	if err != nil && ctx.Err() == nil && peerCtx.Err() != nil {
-		if s.Prompt {
+		if s.MaxAge > 0 {
 			s.hurryUntil = time.Now().Add(maxHurry)
 		}
 		return Batch{Next: from, Since: nothingRead}, nil
@@ -104,7 +125,32 @@
 	if err == nil && batch.Since >= -freshAnswer {
 		s.hurryUntil = time.Time{}
 	}
-	return s.recordFed(peer, batch, err)
+	return s.recordFed(began, source.peer, batch, err)
+}
+
+// peerContext returns the context of a call to a peer. It ends when the source changes, and at a
+// node that is no hub when what it has read is too old and it may call the log.
+func (s *SharedLog) peerContext(ctx context.Context, changed <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancelSource := cancelOn(ctx, changed)
+	if s.MaxAge == 0 || s.IsHub() {
+		return ctx, cancelSource
+	}
+	s.mu.Lock()
+	left := max(s.MaxAge-s.age(), time.Until(s.nextDirect), minPeerCall)
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, left)
+	return ctx, func() {
+		cancel()
+		cancelSource()
+	}
+}
+
+// age returns the age of what was last read, or the time since the first call.
+func (s *SharedLog) age() time.Duration {
+	if s.readAt.IsZero() {
+		s.readAt = s.Clock()
+	}
+	return s.Clock().Sub(s.readAt)
 }
 
 // peerWait returns how long a read at a peer waits.
@@ -130,50 +176,88 @@
 	return batch, err
 }
 
-// source returns the peer to use for the next call. A hub that has lost contact with the
-// log tries it itself now and then.
-func (s *SharedLog) source() (netip.AddrPort, bool, <-chan struct{}) {
+// topicSource is where the next call goes: to the log itself if direct is set, or to a peer.
+type topicSource struct {
+	direct bool
+	peer   netip.AddrPort
+	// fallback is set if the log is called although there is a peer.
+	fallback bool
+	// changed is closed when the source may have changed.
+	changed <-chan struct{}
+}
+
+// source returns the source of the next call. With a peer, a hub that has lost contact with the
+// log tries it itself now and then, and other nodes call it when what they have read is too old.
+func (s *SharedLog) source() topicSource {
 	peer, ok, changed := s.Source()
-	if !ok || !s.IsHub() {
-		return peer, ok, changed
+	if !ok {
+		return topicSource{direct: true, changed: changed}
 	}
+	isHub := s.IsHub()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return peer, time.Since(s.lastDirect) < hubPause, changed
+	var direct bool
+	if isHub {
+		direct = time.Since(s.lastDirect) >= hubPause
+	} else {
+		direct = s.MaxAge > 0 && s.age() >= s.MaxAge && !time.Now().Before(s.nextDirect)
+	}
+	return topicSource{direct: direct, peer: peer, fallback: direct, changed: changed}
 }
 
-// awaitTurn keeps a node that is no hub from calling the log often.
-func (s *SharedLog) awaitTurn(ctx context.Context) error {
+// awaitTurn keeps a node that is no hub from calling the log often. It returns true if the source
+// changed meanwhile.
+func (s *SharedLog) awaitTurn(ctx context.Context, changed <-chan struct{}) (ended bool, err error) {
 	s.mu.Lock()
-	pause := time.Duration(0)
-	if !s.IsHub() {
-		pause = time.Until(s.lastDirect.Add(directPause + retrier.UniformJitter(directJitter)))
-	}
+	pause := time.Until(s.nextDirect)
 	s.mu.Unlock()
-	if pause > 0 {
-		if err := retrier.Sleep(ctx, pause); err != nil {
-			return err
+	if pause > 0 && !s.IsHub() {
+		timer := time.NewTimer(pause)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-changed:
+			return true, nil
+		case <-ctx.Done():
+			return false, ctx.Err()
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastDirect = time.Now()
-	return nil
+	s.nextDirect = s.lastDirect.Add(cmp.Or(s.MaxAge, directPause))
+	return false, nil
 }
 
-func (s *SharedLog) recordFed(peer netip.AddrPort, batch Batch, err error) (Batch, error) {
+func (s *SharedLog) recordFed(began time.Time, peer netip.AddrPort, batch Batch, err error) (Batch, error) {
 	if err == nil {
 		batch.Peer = peer
+		s.recordRead(began.Add(batch.Since))
 		s.RecordFed()
 	}
 	return batch, err
 }
 
-func (s *SharedLog) recordDirect(batch Batch, err error) (Batch, error) {
-	if err == nil {
-		s.RecordLogContact()
+// recordDirect records the result of a call to the log. After a failure a node that is no hub
+// leaves it alone for some time.
+func (s *SharedLog) recordDirect(began time.Time, batch Batch, err error) (Batch, error) {
+	if err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.nextDirect = time.Now().Add(directPause + retrier.UniformJitter(directJitter))
+		return batch, err
+	}
+	s.recordRead(began.Add(batch.Since))
+	s.RecordLogContact()
+	return batch, nil
+}
+
+func (s *SharedLog) recordRead(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.readAt) {
+		s.readAt = at
 	}
-	return batch, err
 }
 
 // cancelOn returns a context that ends when changed is closed.
--- a/internal/relayer/sharing_test.go
+++ b/internal/relayer/sharing_test.go
@@ -186,7 +186,7 @@
 	r.hub.Store(hub)
 	shared := &relayer.SharedLog{
 		Topic: "x", Direct: &r.direct, Peer: &r.peer, Source: r.source, IsHub: r.hub.Load,
-		RecordLogContact: func() { r.contact.Add(1) }, RecordFed: func() {},
+		RecordLogContact: func() { r.contact.Add(1) }, RecordFed: func() {}, Clock: time.Now,
 	}
 	feed := &relayer.Feed{Name: "x", Log: shared, Wait: time.Second, Apply: func(relayer.Record, bool) {}, Logger: zerolog.Nop(), Now: time.Now, Clock: time.Now}
 	ctx, cancel := context.WithCancel(t.Context())
