--- a/internal/transport/sender/sender.go
+++ b/internal/transport/sender/sender.go
@@ -63,6 +63,8 @@
 type Sender struct {
 	// DialTimeout limits the time to open a connection.
 	DialTimeout time.Duration
+	// Dial opens connections; nil for those of the operating system.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Memory limits the memory for answers; nil for no limit.
 	Memory *reserver.Pool
 
@@ -116,14 +118,24 @@
 }
 
 func (s *Sender) dial(ctx context.Context, target Target) (*conn, error) {
-	dialer := net.Dialer{Timeout: s.DialTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", target.Address.String())
+	ctx, cancel := context.WithTimeout(ctx, s.DialTimeout)
+	defer cancel()
+	dial := s.Dial
+	if dial == nil {
+		dial = dialDirect
+	}
+	raw, err := dial(ctx, target.Address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", target.Address)
 	}
 	return newConn(target, raw), nil
 }
 
+func dialDirect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	dialer := net.Dialer{KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", address.String())
+}
+
 func (s *Sender) putIdle(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
