A node that has lost its links to the endpoints reaches them through peers

Cause: a node sent requests over its own links only. When these are gone, each failed connection counted against the endpoint that it was for, until all were in backoff and the node said that all endpoints are busy, while its peers served.

The deadline is now written when the connection is open: opening it may take longer by way of a peer.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -121,6 +121,8 @@
 	// pickSequence counts the picks; on equal cost the endpoint that was picked
 	// least recently wins.
 	pickSequence uint64
+	// pathLost is set while this node has lost its links to all endpoints.
+	pathLost bool
 }
 
 // candidate is an endpoint that may be picked.
--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -69,7 +69,8 @@
 // accepts reports whether the request may be sent to the endpoint now.
 func (b *Balancer) accepts(now time.Time, endpoint endpointtracker.Endpoint, request Request) bool {
 	state := b.endpointState(endpoint.ID)
-	if now.Before(state.backoffUntil) || now.Before(state.holdUntil) || state.running > 0 && now.Sub(state.lastActivity) > stallTimeout {
+	stalled := !b.pathLost && state.running > 0 && now.Sub(state.lastActivity) > stallTimeout
+	if now.Before(state.backoffUntil) || now.Before(state.holdUntil) || stalled {
 		return false
 	}
 	peerLoad := b.peerLoad(state.hash)
--- a/internal/coordination/balancer/reports.go
+++ b/internal/coordination/balancer/reports.go
@@ -236,6 +236,13 @@
 	}
 }
 
+// Held reports whether an endpoint has asked for no requests from this node now.
+func (b *Balancer) Held(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Before(b.endpointState(id).holdUntil)
+}
+
 // HoldLeft returns how long all endpoints that may take a request have asked for no
 // requests, or take no more by their limits: the time until the first of them may get one;
 // zero if one may get it now.
@@ -278,6 +285,21 @@
 	b.backoff(id, now.Add(backoff))
 }
 
+// SetPathLost records that this node has lost its links to all endpoints, or has them back. Then
+// its failures say nothing of the endpoints. While they are lost, the silence of an endpoint
+// says nothing either, since older requests may wait for answers that can't arrive.
+func (b *Balancer) SetPathLost(lost bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pathLost = lost
+	for _, state := range b.states {
+		state.lastActivity = now
+		if state.failures > 0 {
+			state.backoffUntil, state.failures = time.Time{}, 0
+		}
+	}
+}
+
 // ResetBackoff ends an endpoint's backoff and resets its failure count.
 func (b *Balancer) ResetBackoff(id string) {
 	b.mu.Lock()
--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -31,6 +31,9 @@
 	// ErrNotSent marks an attempt of which no byte can have been sent. Senders
 	// mark their errors with it, ErrBroken or ErrStalled.
 	ErrNotSent = errors.New("attempt was not sent")
+	// ErrNoPath marks an attempt that was not sent since this node has lost its links to the
+	// endpoints, and no peer can help. It is used together with ErrNotSent.
+	ErrNoPath = errors.New("no path to the endpoints")
 	// ErrBroken marks an answer that was interrupted or malformed.
 	ErrBroken = errors.New("answer broke off")
 	// ErrMalformed marks an answer whose bytes are no answer, or too many, although the
--- a/internal/coordination/organizer/probes.go
+++ b/internal/coordination/organizer/probes.go
@@ -22,6 +22,20 @@
 	return own, others
 }
 
+// Nodes returns the other nodes whose domain is known, without those that said that they are
+// leaving.
+func (o *Organizer) Nodes(now time.Time) []Node {
+	var nodes []Node
+	for _, peers := range o.domains {
+		for _, p := range peers {
+			if !p.leaving || now.Sub(p.heard) >= HubTimeout {
+				nodes = append(nodes, p.Node)
+			}
+		}
+	}
+	return nodes
+}
+
 // LiveHubs returns the hubs of this node's domain that were heard lately enough to call
 // them live.
 func (o *Organizer) LiveHubs(now time.Time) []netip.AddrPort {
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -335,9 +335,9 @@
 
 // OnFailure implements forwarder.Placement. ErrBroken is not counted as a
 // failure of the endpoint, which may work for other requests: the request is
-// suspected instead, see retrier.Suspects.
+// suspected instead, see retrier.Suspects. ErrNoPath says nothing of the endpoint.
 func (p *placement) OnFailure(err error) {
-	if errors.IsAny(err, forwarder.ErrNotSent, forwarder.ErrStalled) {
+	if errors.IsAny(err, forwarder.ErrNotSent, forwarder.ErrStalled) && !errors.Is(err, forwarder.ErrNoPath) {
 		p.Balancer.RecordFailure(p.attempt.Endpoint.ID, p.Now())
 	}
 }
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/organizer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/pathfinder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/peertracker"
 )
 
@@ -131,6 +132,22 @@
 	}
 }
 
+// Detours returns the nodes through which requests may be sent: those of the directory whose
+// domain is known and that are not known to be stopping or gone.
+func (p *Peers) Detours() []pathfinder.Peer {
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var peers []pathfinder.Peer
+	for _, node := range p.hubOrganizer().Nodes(now) {
+		if m, ok := p.peers[node.Address]; ok && !m.lastReceived.IsZero() && !m.alive {
+			continue
+		}
+		peers = append(peers, pathfinder.Peer{Address: node.Address, Domain: node.Domain})
+	}
+	return peers
+}
+
 func (p *Peers) peerState(address netip.AddrPort) *peerState {
 	if p.peers == nil {
 		p.peers = map[netip.AddrPort]*peerState{}
--- a/internal/transport/sender/conn.go
+++ b/internal/transport/sender/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"syscall"
@@ -36,11 +37,34 @@
 	reader *bufio.Reader
 	// expires is the time after which an idle connection is not reused.
 	expires time.Time
+	// via is the node that the connection leads through; invalid if it is direct.
+	via netip.AddrPort
 }
 
 func newConn(target Target, raw net.Conn) *conn {
 	source := &source{raw: raw}
-	return &conn{target: target, raw: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	c := &conn{target: target, raw: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	if relayed, ok := raw.(Relayed); ok {
+		c.via = relayed.Via()
+	}
+	return c
+}
+
+// begin tells path of a request over a direct connection, and of the bytes of its answer, until
+// end.
+func (c *conn) begin(path Path) {
+	if path == nil || c.via.IsValid() {
+		return
+	}
+	path.Begin(time.Now())
+	c.source.path = path
+}
+
+func (c *conn) end() {
+	if c.source.path != nil {
+		c.source.path.End()
+		c.source.path = nil
+	}
 }
 
 func (c *conn) close() { _ = c.raw.Close() }
@@ -156,10 +180,14 @@
 // the endpoint is about to close the connection too or does not know where its answers end.
 func (r *Reply) Discard() { r.complete = false }
 
+// Via returns the node that the connection leads through; invalid if it is direct.
+func (r *Reply) Via() netip.AddrPort { return r.conn.via }
+
 // Close returns the connection to the pool if the response is complete and the
 // endpoint keeps the connection open, and closes it otherwise.
 func (r *Reply) Close() {
 	r.memory.Release()
+	r.conn.end()
 	notCancelled := r.stopCancel()
 	if notCancelled && r.reusable() {
 		r.conn.expires = time.Now().Add(idleTimeout(r.Header))
@@ -175,6 +203,9 @@
 	default:
 		return false
 	}
+	if r.conn.via.IsValid() {
+		return false
+	}
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 	if r.memory.Revoked() {
 		// Its connection is closed, or about to be.
--- a/internal/transport/sender/probe_test.go
+++ b/internal/transport/sender/probe_test.go
@@ -13,13 +13,14 @@
 )
 
 func TestRefusesConnections(t *testing.T) {
+	s := &sender.Sender{DialTimeout: testTimeout}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	address := netip.MustParseAddrPort(listener.Addr().String())
-	assert.False(t, sender.RefusesConnections(t.Context(), address, testTimeout), "a process listens")
+	assert.False(t, s.RefusesConnections(t.Context(), address), "a process listens")
 	require.NoError(t, listener.Close())
-	assert.True(t, sender.RefusesConnections(t.Context(), address, testTimeout), "no process listens")
+	assert.True(t, s.RefusesConnections(t.Context(), address), "no process listens")
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	assert.False(t, sender.RefusesConnections(ctx, address, testTimeout), "the host was not asked")
+	assert.False(t, s.RefusesConnections(ctx, address), "the host was not asked")
 }
--- a/internal/transport/sender/sender.go
+++ b/internal/transport/sender/sender.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	s := &sender.Sender{DialTimeout: time.Second}
-//	reply, err := s.Send(ctx, target, request, matches)
+//	reply, err := s.Send(ctx, target, func() *http.Request { return request }, matches)
 //	if err != nil {
 //		return err
 //	}
@@ -58,13 +58,33 @@
 // sent.
 type ResponseMatcher func(response *http.Response) bool
 
+// Relayed is a connection that leads through another node.
+type Relayed interface {
+	// Via returns the address of that node.
+	Via() netip.AddrPort
+}
+
+// Path follows the requests over this node's own links to the endpoints.
+type Path interface {
+	// Lost reports whether the links are lost. Idle connections are not used then.
+	Lost() bool
+	// Begin is called when a request is sent, RecordBytes when bytes have come from an endpoint,
+	// and End when the request has ended.
+	Begin(now time.Time)
+	RecordBytes(now time.Time)
+	End()
+}
+
 // Sender pools idle connections by target. Its fields are set before use, and it
 // is safe for concurrent use.
 type Sender struct {
-	// DialTimeout limits the time to open a connection.
+	// DialTimeout limits the time to open a connection if Dial is nil.
 	DialTimeout time.Duration
-	// Dial opens connections; nil for those of the operating system.
+	// Dial opens connections; nil for those of the operating system. One that implements Relayed
+	// carries one request.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Path is told of requests over connections that are not Relayed; nil if nobody asks.
+	Path Path
 	// Memory limits the memory for answers; nil for no limit.
 	Memory *reserver.Pool
 
@@ -73,17 +93,19 @@
 }
 
 // Send sends a request and returns its response, whose body has not been read
-// yet. Errors are marked with forwarder.ErrNotSent if no byte of the request can
+// yet. encode returns the request once there is a connection. Errors are marked with forwarder.ErrNotSent if no byte of the request can
 // have been sent, and with forwarder.ErrBroken otherwise. A malformed answer, or one whose
 // head is over maxHeadBytes, is also marked with forwarder.ErrMalformed; its connection is
 // closed.
-func (s *Sender) Send(ctx context.Context, target Target, r *http.Request, matches ResponseMatcher) (*Reply, error) {
+func (s *Sender) Send(ctx context.Context, target Target, encode func() *http.Request, matches ResponseMatcher) (*Reply, error) {
 	c, err := s.connect(ctx, target)
 	if err != nil {
 		return nil, errors.Mark(err, forwarder.ErrNotSent)
 	}
-	reply, err := c.roundTrip(ctx, r, matches)
+	c.begin(s.Path)
+	reply, err := c.roundTrip(ctx, encode(), matches)
 	if err != nil {
+		c.end()
 		c.close()
 		return nil, errors.Mark(err, forwarder.ErrBroken)
 	}
@@ -94,7 +116,10 @@
 
 func (s *Sender) connect(ctx context.Context, target Target) (*conn, error) {
 	for {
-		c := s.takeIdle(target)
+		var c *conn
+		if s.Path == nil || !s.Path.Lost() {
+			c = s.takeIdle(target)
+		}
 		if c == nil {
 			return s.dial(ctx, target)
 		}
@@ -118,11 +143,9 @@
 }
 
 func (s *Sender) dial(ctx context.Context, target Target) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.DialTimeout)
-	defer cancel()
 	dial := s.Dial
 	if dial == nil {
-		dial = dialDirect
+		dial = s.dialDirect
 	}
 	raw, err := dial(ctx, target.Address)
 	if err != nil {
@@ -131,8 +154,8 @@
 	return newConn(target, raw), nil
 }
 
-func dialDirect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	dialer := net.Dialer{KeepAlive: -1}
+func (s *Sender) dialDirect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: s.DialTimeout, KeepAlive: -1}
 	return dialer.DialContext(ctx, "tcp", address.String())
 }
 
@@ -160,6 +183,19 @@
 	}
 }
 
+// CloseAllIdle closes all idle connections.
+func (s *Sender) CloseAllIdle() {
+	s.mu.Lock()
+	idle := s.idle
+	s.idle = nil
+	s.mu.Unlock()
+	for _, conns := range idle {
+		for _, c := range conns {
+			c.close()
+		}
+	}
+}
+
 // CloseExpired closes idle connections that have expired, were closed by the endpoint, or
 // have unread bytes. The socket's buffer bounds what may arrive between calls.
 func (s *Sender) CloseExpired(now time.Time) {
--- a/internal/transport/sender/sender_test.go
+++ b/internal/transport/sender/sender_test.go
@@ -104,7 +104,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
-	return s.Send(ctx, e.target, request(method, id, size), matchID(id))
+	return s.Send(ctx, e.target, func() *http.Request { return request(method, id, size) }, matchID(id))
 }
 
 func assertBody(t *testing.T, s *sender.Sender, e *endpoint, id string) {
@@ -262,7 +262,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := newSender().Send(ctx, e.target, request(http.MethodGet, "1", 0), matchID("1"))
+	_, err := newSender().Send(ctx, e.target, func() *http.Request { return request(http.MethodGet, "1", 0) }, matchID("1"))
 	assert.Error(t, err)
 	select {
 	case <-closed:
--- a/internal/transport/sender/source.go
+++ b/internal/transport/sender/source.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -71,6 +72,8 @@
 	bytes int64
 	// ended is set once a read has failed.
 	ended bool
+	// path is told of the bytes that are read; nil if nobody asks.
+	path Path
 }
 
 // Read implements io.Reader.
@@ -82,6 +85,9 @@
 		p = p[:min(int64(len(p)), s.left)]
 	}
 	n, err := s.raw.Read(p)
+	if n > 0 && s.path != nil {
+		s.path.RecordBytes(time.Now())
+	}
 	s.left -= int64(n)
 	s.bytes += int64(n)
 	s.ended = s.ended || err != nil
