The places of a brittle endpoint are given out as leases, to all nodes together

Cause: each node places requests by load that others reported 0.15 to 0.6 s ago, so that all of them see the last free place, and relies on the endpoint's queue and its refusals for the rest. What an endpoint says of the refusals that it bears was not read.

Change: it is kept and shared like a limit (throttler). While an endpoint is brittle, each request to it, first or repeated, needs a lease from the hub that issues its permits; the hub gives out as many as the endpoint has slots, and fewer for 2 s after a refusal, and gets each back when its request has ended. Leases of nodes that are gone are found by the load that is reported.

Ruled out by trials: limiting the rate after a refusal (design/platform.md).

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -100,6 +100,8 @@
 	Want(now time.Time, endpoint endpointtracker.Endpoint, patient bool) <-chan struct{}
 	// Any reports whether any endpoint limits its requests.
 	Any() bool
+	// Release is called when a request for which Take was called has ended.
+	Release(endpoint endpointtracker.Endpoint)
 }
 
 // Balancer tracks the load of all endpoints. Its fields are set before use, and
@@ -264,6 +266,9 @@
 
 // Done ends a request that Pick counted.
 func (b *Balancer) Done(choice Choice) {
+	if b.Permits != nil {
+		defer b.Permits.Release(choice.Endpoint)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state := b.endpointState(choice.Endpoint.ID)
@@ -272,6 +277,16 @@
 	state.prefillTokens -= choice.prefillTokens
 }
 
+// Running returns the number of requests on an endpoint that the nodes have reported, with those of
+// this node.
+func (b *Balancer) Running(now time.Time, id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire(now)
+	state := b.endpointState(id)
+	return b.peerLoad(state.hash).Running + state.running
+}
+
 // RemoveUnlisted removes endpoints that are not listed and have no running
 // requests.
 func (b *Balancer) RemoveUnlisted(listed map[string]bool) {
--- a/internal/coordination/balancer/lock_test.go
+++ b/internal/coordination/balancer/lock_test.go
@@ -49,6 +49,7 @@
 func (noPermits) Wait(time.Time, endpointtracker.Endpoint) time.Duration { return 0 }
 func (noPermits) Take(time.Time, endpointtracker.Endpoint) bool          { return false }
 func (noPermits) Any() bool                                              { return true }
+func (noPermits) Release(endpointtracker.Endpoint)                       {}
 func (noPermits) Want(time.Time, endpointtracker.Endpoint, bool) <-chan struct{} {
 	return nil
 }
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -49,6 +49,8 @@
 	// that it takes from all nodes together; sentAt is when the request was sent. OnLimit and
 	// Limit are nil if endpoints name no limits.
 	OnLimit func(request string, endpoint endpointtracker.Endpoint, limit throttler.Statement, sentAt time.Time)
+	// OnFull is called when an endpoint refused a request; nil if that matters to no one.
+	OnFull func(request string, endpoint endpointtracker.Endpoint)
 	// Limit returns the limit that an endpoint has named, in requests a second; zero for none.
 	Limit func(endpoint endpointtracker.Endpoint) float64
 	// Nodes returns the number of nodes that are alive. They share the links of
@@ -316,6 +318,9 @@
 		p.Balancer.ResetBackoff(id)
 	case forwarder.RunRefused:
 		p.Balancer.RecordRefusal(id, now)
+		if p.OnFull != nil {
+			p.OnFull(p.attempt.ID, p.attempt.Endpoint)
+		}
 	case forwarder.RunMisdirected:
 		model := ""
 		if p.attempt.Prompt != nil {
--- a/internal/coordination/throttler/issuer.go
+++ b/internal/coordination/throttler/issuer.go
@@ -63,6 +63,7 @@
 
 	mu        sync.Mutex
 	schedules map[Process]*schedule
+	leases    map[Process]*leased
 }
 
 // Demand is what a node asks for.
--- a/internal/coordination/throttler/limits.go
+++ b/internal/coordination/throttler/limits.go
@@ -8,6 +8,9 @@
 // the limits, and Permits the permits that it holds. Package relayer carries both between
 // the nodes and chooses the Issuer.
 //
+// An endpoint may also be brittle: it bears few refusals, so that the nodes need leases for its
+// places, see brittle.go.
+//
 // A limit belongs to a process. A later process with the same id or address has none until
 // it names one.
 //
@@ -104,6 +107,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	brittle := Statement{Known: true, Limited: statement.Brittle > 0, Rate: statement.Brittle}
+	changed := l.learn(now, process.brittleness(), brittle, sentAt)
+	return l.learn(now, process, statement, sentAt) || changed
+}
+
+func (l *Limits) learn(now time.Time, process Process, statement Statement, sentAt time.Time) bool {
 	k, ok := l.known[process]
 	limited := ok && !k.Ended
 	switch {
@@ -209,7 +218,7 @@
 
 func (l *Limits) expire(now time.Time) {
 	for process, k := range l.known {
-		if !l.listed[process] && now.Sub(k.statedAt) >= unlistedTTL {
+		if !l.listed[process.Base()] && now.Sub(k.statedAt) >= unlistedTTL || process.isFullness() && now.Sub(k.statedAt) >= penaltyTime {
 			delete(l.known, process)
 		}
 	}
--- a/internal/coordination/throttler/permits.go
+++ b/internal/coordination/throttler/permits.go
@@ -46,37 +46,41 @@
 
 	mu       sync.Mutex
 	holdings map[Process]*holding
+	leases   map[Process]*lease
 }
 
 // Any implements balancer.Permits.
 func (p *Permits) Any() bool { return p.Limits.any.Load() }
 
 // Ready reports whether a request may be sent to an endpoint: it has no limit, or there is a
-// permit.
+// permit, and it is not brittle, or there is a lease.
 func (p *Permits) Ready(now time.Time, endpoint endpointtracker.Endpoint) bool {
-	process, _, limited := p.limit(endpoint)
-	if !limited {
+	if !p.Any() {
 		return true
 	}
+	process, _, limited := p.limit(endpoint)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.holding(process).ready(now)
+	return (!limited || p.holding(process).ready(now)) && p.leaseReady(now, endpoint)
 }
 
-// Take uses a permit for a request to an endpoint, if there is a limit. It reports false if
-// there is no permit.
+// Take uses a permit for a request to an endpoint, if there is a limit, and a lease if it is
+// brittle. It reports false if there is none.
 func (p *Permits) Take(now time.Time, endpoint endpointtracker.Endpoint) bool {
-	process, _, limited := p.limit(endpoint)
-	if !limited {
+	if !p.Any() {
 		return true
 	}
+	process, _, limited := p.limit(endpoint)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.holding(process)
-	if !h.ready(now) {
+	if limited && !p.holding(process).ready(now) || !p.leaseReady(now, endpoint) {
 		return false
 	}
-	h.usable = h.usable[1:]
+	if limited {
+		h := p.holding(process)
+		h.usable = h.usable[1:]
+	}
+	p.takeLease(endpoint)
 	return true
 }
 
@@ -102,14 +106,18 @@
 }
 
 // Want implements balancer.Permits. A node asks for as many permits as were wanted since it
-// last asked.
+// last asked, and for one lease.
 func (p *Permits) Want(now time.Time, endpoint endpointtracker.Endpoint, patient bool) <-chan struct{} {
 	process, rate, limited := p.limit(endpoint)
+	key, brittle := p.needsLease(endpoint)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if brittle && (!limited || p.holding(process).ready(now)) {
+		return p.wantLease(now, key)
+	}
 	if !limited {
 		return nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	h := p.holding(process)
 	h.expire(now)
 	if patient {
@@ -128,8 +136,13 @@
 	return h.answered
 }
 
+// callContext returns the context of a call to the issuer.
+func (p *Permits) callContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), askTimeout)
+}
+
 func (p *Permits) ask(demand Demand) {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	ctx, cancel := p.callContext()
 	defer cancel()
 	grant, err := p.Ask(ctx, demand)
 	if err != nil {
@@ -164,6 +177,11 @@
 			delete(p.holdings, process)
 		}
 	}
+	for key, l := range p.leases {
+		if !p.Limits.isBrittle(key.Base()) && l.answered == nil && l.inUse == 0 && !l.releasing {
+			delete(p.leases, key)
+		}
+	}
 }
 
 // limit returns the limit of an endpoint's process.
--- a/internal/relayer/brittle_test.go
+++ b/internal/relayer/brittle_test.go
@@ -26,6 +26,9 @@
 	brittleWaiting = 1
 	// fallTime is how long an endpoint that fell over is away.
 	fallTime = 3 * time.Second
+	// brittlePatience is how long a request waits for an endpoint.
+	brittlePatience = 250 * time.Millisecond
+	pickPeriod      = 10 * time.Millisecond
 	// brittleTries is the number of endpoints at which a request is tried.
 	brittleTries = 2
 )
@@ -39,17 +42,22 @@
 	falls     int
 }
 
-// arrive reports whether the endpoint takes a request; alive is unset if it is down.
-func (e *brittleEndpoint) arrive(now time.Time) (taken, alive bool) {
+// arrive reports whether the endpoint takes a request; alive is unset if it is down. It lets fewer
+// wait, and falls over, only if it is brittle.
+func (e *brittleEndpoint) arrive(now time.Time, brittle bool) (taken, alive bool) {
 	if now.Before(e.downUntil) {
 		return false, false
 	}
-	if e.running < brittleSlots+brittleWaiting {
+	waiting := brittleSlots
+	if brittle {
+		waiting = brittleWaiting
+	}
+	if e.running < brittleSlots+waiting {
 		e.running++
 		return true, true
 	}
 	e.refusedAt = append(slices.DeleteFunc(e.refusedAt, func(at time.Time) bool { return now.Sub(at) >= time.Second }), now)
-	if len(e.refusedAt) > brittleRefusals {
+	if brittle && len(e.refusedAt) > brittleRefusals {
 		e.falls++
 		e.running, e.refusedAt, e.downUntil = 0, nil, now.Add(fallTime)
 	}
@@ -64,9 +72,11 @@
 
 	mu        sync.Mutex
 	endpoints []*brittleEndpoint
-	says      bool
-	served    int
-	refused   int
+	// says is set while the endpoints say that they are brittle, and brittle while they are.
+	says    bool
+	brittle bool
+	served  int
+	refused int
 }
 
 func newBrittleSite(t *testing.T, nodes, domains, endpoints int, work time.Duration) *brittleSite {
@@ -77,6 +87,11 @@
 			ID: fmt.Sprint("e", i), Service: "plain", Domain: fmt.Sprintf("d%d", i%domains), Slots: brittleSlots, StartedAt: time.UnixMilli(1000),
 		}})
 	}
+	for _, n := range s.nodes {
+		for _, e := range s.endpoints {
+			n.node.PutEndpoint(e.Endpoint, false)
+		}
+	}
 	s.wait(membershipBound)
 	return s
 }
@@ -105,8 +120,7 @@
 		if answered := n.balancer.WantPermits(time.Now(), request); answered != nil {
 			<-answered
 		}
-		sentAt := time.Now()
-		choice, ok := n.balancer.Pick(sentAt, request)
+		choice, sentAt, ok := s.pick(n, request)
 		if !ok {
 			return
 		}
@@ -117,13 +131,23 @@
 	}
 }
 
+// pick waits for an endpoint for a while.
+func (s *brittleSite) pick(n *fleetNode, request balancer.Request) (balancer.Choice, time.Time, bool) {
+	for began := time.Now(); time.Since(began) < brittlePatience; time.Sleep(pickPeriod) {
+		if choice, ok := n.balancer.Pick(time.Now(), request); ok {
+			return choice, time.Now(), true
+		}
+	}
+	return balancer.Choice{}, time.Time{}, false
+}
+
 // try runs a request at the endpoint of its choice and reports whether it was served.
 func (s *brittleSite) try(n *fleetNode, choice balancer.Choice, sentAt time.Time) bool {
 	defer n.balancer.Done(choice)
 	time.Sleep(linkDelay)
 	s.mu.Lock()
 	e := s.endpoints[slices.IndexFunc(s.endpoints, func(e *brittleEndpoint) bool { return e.ID == choice.Endpoint.ID })]
-	taken, alive := e.arrive(time.Now())
+	taken, alive := e.arrive(time.Now(), s.brittle)
 	statement := throttler.Statement{Known: true}
 	if s.says {
 		statement.Brittle = brittleRefusals
@@ -165,11 +189,14 @@
 		// load is the number of requests as a share of what the endpoints can run.
 		load float64
 	}{
+		{7, 3, 3, 60 * time.Millisecond, 0.1},
+		{7, 3, 3, 60 * time.Millisecond, 0.3},
 		{7, 3, 3, 60 * time.Millisecond, 0.6},
 		{7, 3, 3, 60 * time.Millisecond, 1.5},
 		{7, 3, 3, 480 * time.Millisecond, 1.5},
 		{7, 3, 9, 480 * time.Millisecond, 3},
-		{195, 5, 5, 120 * time.Millisecond, 0.6},
+		{195, 5, 5, 15 * time.Millisecond, 0.12},
+		{195, 5, 5, 120 * time.Millisecond, 0.3},
 		{195, 5, 5, 120 * time.Millisecond, 1.5},
 		{195, 5, 5, 480 * time.Millisecond, 3},
 	} {
@@ -189,10 +216,7 @@
 				s.mu.Unlock()
 				s.wait(limitContact)
 				s.mu.Lock()
-				for _, e := range s.endpoints {
-					e.falls = 0
-				}
-				s.served, s.refused = 0, 0
+				s.brittle, s.served, s.refused = true, 0, 0
 				s.mu.Unlock()
 				const d = 20 * time.Second
 				s.wait(d)
--- a/internal/relayer/limits.go
+++ b/internal/relayer/limits.go
@@ -43,13 +43,19 @@
 		return
 	}
 	p.Log.Info().Str("event", "endpoint limit").Str("request", request).Str("endpoint", endpoint.ID).Time("started", endpoint.StartedAt).
-		Bool("limited", statement.Limited).Float64("rate", statement.Rate).Str("source", "endpoint").Send()
+		Bool("limited", statement.Limited).Float64("rate", statement.Rate).Float64("brittle", statement.Brittle).Str("source", "endpoint").Send()
 	p.Broadcast()
 }
 
-// LearnRefusal records that an endpoint had no room for a request, and tells the peers if that
-// matters to them.
-func (p *Peers) LearnRefusal(string, endpointtracker.Endpoint) {}
+// LearnRefusal records that an endpoint had no room for a request, and tells the peers if it
+// bears few refusals.
+func (p *Peers) LearnRefusal(request string, endpoint endpointtracker.Endpoint) {
+	if !p.Limits.RecordFull(p.Now(), throttler.ProcessOf(endpoint)) {
+		return
+	}
+	p.Log.Info().Str("event", "endpoint full").Str("request", request).Str("endpoint", endpoint.ID).Time("started", endpoint.StartedAt).Send()
+	p.Broadcast()
+}
 
 // mergeLimits records the limits that a peer knows. A hub passes on changes at once.
 func (p *Peers) mergeLimits(heartbeat peertracker.Heartbeat, now time.Time) {
@@ -58,7 +64,8 @@
 	}
 	changed := p.Limits.Merge(now, heartbeat.Limits)
 	for _, limit := range changed {
-		p.Log.Info().Str("event", "endpoint limit").Uint32("endpoint hash", limit.Endpoint).Int64("started", limit.Started).
+		process := throttler.Process{Endpoint: limit.Endpoint, Started: limit.Started}
+		p.Log.Info().Str("event", "endpoint limit").Str("kind", process.Kind()).Uint32("endpoint hash", limit.Endpoint).Int64("started", process.Base().Started).
 			Bool("limited", !limit.Ended).Float64("rate", limit.Rate).Str("source", "peer").Str("peer", heartbeat.Name).Send()
 	}
 	if len(changed) > 0 && p.IsHub() {
@@ -87,10 +94,12 @@
 
 // issueOrForward issues permits if this node is the issuer, and otherwise asks the issuer.
 func (p *Peers) issueOrForward(ctx context.Context, request messenger.PermitsRequest) (throttler.Grant, error) {
-	issuer, ok := p.issuer(request.Process)
+	issuer, ok := p.issuer(request.Process.Base())
 	switch {
 	case !ok:
 		return throttler.Grant{}, errNoIssuer
+	case issuer == p.Address && request.Process.IsLease():
+		return p.issueLeases(request.Demand), nil
 	case issuer == p.Address:
 		rate := request.Rate
 		if known, limited := p.Limits.Rate(request.Process); limited {
@@ -105,6 +114,34 @@
 	return p.PermitClient.Permits(ctx, issuer, request)
 }
 
+// defaultRoom is the room of an endpoint that does not say how many requests it runs at once.
+const defaultRoom = 8
+
+// issueLeases gives out leases for an endpoint's places.
+func (p *Peers) issueLeases(demand throttler.Demand) throttler.Grant {
+	now, process := p.Now(), demand.Process.Base()
+	room, running := defaultRoom, 0
+	if endpoint, ok := p.Node.findProcess(process); ok {
+		running = p.Balancer.Running(now, endpoint.ID)
+		if endpoint.Slots > 0 {
+			room = endpoint.Slots
+		}
+	}
+	return p.Issuer.Lease(now, demand, room-p.Limits.Penalty(now, process), running)
+}
+
+// findProcess returns the endpoint whose process has a key.
+func (r *Relayer) findProcess(process throttler.Process) (endpointtracker.Endpoint, bool) {
+	for _, endpoints := range r.View().Endpoints {
+		for _, endpoint := range endpoints {
+			if throttler.ProcessOf(endpoint) == process {
+				return endpoint, true
+			}
+		}
+	}
+	return endpointtracker.Endpoint{}, false
+}
+
 // issuer returns the hub that issues the permits for a process. All hubs that know of the
 // same live hubs name the same one.
 func (p *Peers) issuer(process throttler.Process) (netip.AddrPort, bool) {
