A refusal belongs to a request only if nothing else can have been answered

Cause: on a kept connection an answer was matched to its request by the id of the caller's try only. A refusal without an id matched any request, and that of an earlier send of the same try matched the next one. The check for unread bytes before a connection is reused can't see bytes that come after it.

Change: a refusal without an id counts on a connection that carried nothing else. A try is not sent again over a connection on which it was refused or failed; the sender remembers up to 64 tries for a connection.

--- a/internal/transport/sender/conn.go
+++ b/internal/transport/sender/conn.go
@@ -37,6 +37,10 @@
 	reader *bufio.Reader
 	// expires is the time after which an idle connection is not reused.
 	expires time.Time
+	// used is set once a response has come over the connection, and answered has the ids of the
+	// tries that were answered and may be sent again.
+	used     bool
+	answered []string
 	// via is the node that the connection leads through; invalid if it is direct.
 	via netip.AddrPort
 }
@@ -102,8 +106,9 @@
 // roundTrip writes a request and reads the head of its response. A large body
 // is written in the background, so the response may arrive before the body has
 // been written.
-func (c *conn) roundTrip(ctx context.Context, r *http.Request, matches ResponseMatcher) (*Reply, error) {
-	reply := &Reply{conn: c, writeDone: make(chan struct{})}
+func (c *conn) roundTrip(ctx context.Context, request Request) (*Reply, error) {
+	r := request.Encode()
+	reply := &Reply{conn: c, id: request.ID, writeDone: make(chan struct{})}
 	reply.stopCancel = context.AfterFunc(ctx, c.close)
 	c.source.bytes = 0
 	if r.ContentLength <= inlineBodyBytes {
@@ -114,7 +119,7 @@
 	} else {
 		go func() { _ = reply.writeRequest(r) }()
 	}
-	response, err := c.readResponseHead(r, matches)
+	response, err := c.readResponseHead(r, request.Matches)
 	if err != nil {
 		reply.stopCancel()
 		return nil, err
@@ -126,7 +131,9 @@
 // readResponseHead reads the head of the response that belongs to the request.
 // It skips interim responses and responses to other requests, and fails after
 // maxMismatches of them.
-func (c *conn) readResponseHead(r *http.Request, matches ResponseMatcher) (*http.Response, error) {
+func (c *conn) readResponseHead(r *http.Request, matches func(response *http.Response, first bool) bool) (*http.Response, error) {
+	first := !c.used
+	c.used = true
 	for range maxMismatches {
 		if err := c.source.beginHead(c.reader); err != nil {
 			return nil, err
@@ -135,7 +142,7 @@
 		if err != nil {
 			return nil, c.source.markHead(err)
 		}
-		if response.StatusCode >= 200 && matches(response) {
+		if response.StatusCode >= 200 && matches(response, first) {
 			c.source.beginStream()
 			return response, nil
 		}
@@ -160,6 +167,7 @@
 
 	sender     *Sender
 	conn       *conn
+	id         string
 	memory     *reserver.Buffer
 	stopCancel func() bool
 	// writeDone is closed once the request has been written; writeErr is valid
@@ -180,6 +188,10 @@
 // the endpoint is about to close the connection too or does not know where its answers end.
 func (r *Reply) Discard() { r.complete = false }
 
+// MayRepeat records that the try may be sent again: not over this connection, where this answer
+// could be taken for the one to come.
+func (r *Reply) MayRepeat() { r.conn.answered = append(r.conn.answered, r.id) }
+
 // Via returns the node that the connection leads through; invalid if it is direct.
 func (r *Reply) Via() netip.AddrPort { return r.conn.via }
 
@@ -203,7 +215,7 @@
 	default:
 		return false
 	}
-	if r.conn.via.IsValid() {
+	if r.conn.via.IsValid() || len(r.conn.answered) > maxAnswered {
 		return false
 	}
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
--- a/internal/transport/sender/sender.go
+++ b/internal/transport/sender/sender.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	s := &sender.Sender{DialTimeout: time.Second}
-//	reply, err := s.Send(ctx, target, func() *http.Request { return request }, matches)
+//	reply, err := s.Send(ctx, target, sender.Request{ID: id, Encode: encode, Matches: matches})
 //	if err != nil {
 //		return err
 //	}
@@ -22,6 +22,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,9 @@
 	idleMargin = 700 * time.Millisecond
 	// maxIdlePerTarget is the largest number of idle connections to one target.
 	maxIdlePerTarget = 64
+	// maxAnswered is the number of tries that may be sent again, and are remembered for a
+	// connection. One with more is not kept.
+	maxAnswered = 64
 	// maxMismatches is the number of responses that are skipped, interim ones
 	// included, after which the connection is closed.
 	maxMismatches = 4
@@ -54,9 +58,16 @@
 	ID      string
 }
 
-// ResponseMatcher reports whether a response belongs to the request that was
-// sent.
-type ResponseMatcher func(response *http.Response) bool
+// Request is one try of a caller's request.
+type Request struct {
+	// ID is the same for all sends of a try.
+	ID string
+	// Encode returns the request once there is a connection for it.
+	Encode func() *http.Request
+	// Matches reports whether a response belongs to the request. first is set if the connection
+	// carried no other request, so that nothing else can have been answered.
+	Matches func(response *http.Response, first bool) bool
+}
 
 // Relayed is a connection that leads through another node.
 type Relayed interface {
@@ -93,17 +104,18 @@
 }
 
 // Send sends a request and returns its response, whose body has not been read
-// yet. encode returns the request once there is a connection. Errors are marked with forwarder.ErrNotSent if no byte of the request can
+// yet. It uses no connection over which the same try was answered already, as the endpoint may
+// say that answer again. Errors are marked with forwarder.ErrNotSent if no byte of the request can
 // have been sent, and with forwarder.ErrBroken otherwise. A malformed answer, or one whose
 // head is over maxHeadBytes, is also marked with forwarder.ErrMalformed; its connection is
 // closed.
-func (s *Sender) Send(ctx context.Context, target Target, encode func() *http.Request, matches ResponseMatcher) (*Reply, error) {
-	c, err := s.connect(ctx, target)
+func (s *Sender) Send(ctx context.Context, target Target, request Request) (*Reply, error) {
+	c, err := s.connect(ctx, target, request.ID)
 	if err != nil {
 		return nil, errors.Mark(err, forwarder.ErrNotSent)
 	}
 	c.begin(s.Path)
-	reply, err := c.roundTrip(ctx, encode(), matches)
+	reply, err := c.roundTrip(ctx, request)
 	if err != nil {
 		c.end()
 		c.close()
@@ -114,11 +126,11 @@
 	return reply, nil
 }
 
-func (s *Sender) connect(ctx context.Context, target Target) (*conn, error) {
+func (s *Sender) connect(ctx context.Context, target Target, id string) (*conn, error) {
 	for {
 		var c *conn
 		if s.Path == nil || !s.Path.Lost() {
-			c = s.takeIdle(target)
+			c = s.takeIdle(target, id)
 		}
 		if c == nil {
 			return s.dial(ctx, target)
@@ -130,16 +142,19 @@
 	}
 }
 
-func (s *Sender) takeIdle(target Target) *conn {
+// takeIdle returns the idle connection that was used last, of those that did not carry an answer
+// to a request; nil if there is none.
+func (s *Sender) takeIdle(target Target, id string) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conns := s.idle[target]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if !slices.Contains(c.answered, id) {
+			s.idle[target] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	s.idle[target] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 func (s *Sender) dial(ctx context.Context, target Target) (*conn, error) {
--- a/internal/transport/sender/sender_test.go
+++ b/internal/transport/sender/sender_test.go
@@ -96,15 +96,18 @@
 	return r
 }
 
-func matchID(id string) sender.ResponseMatcher {
-	return func(response *http.Response) bool { return response.Header.Get("Id") == id }
+func sendable(method, id string, size int) sender.Request {
+	return sender.Request{
+		ID: id, Encode: func() *http.Request { return request(method, id, size) },
+		Matches: func(response *http.Response, _ bool) bool { return response.Header.Get("Id") == id },
+	}
 }
 
 func send(t *testing.T, s *sender.Sender, e *endpoint, method, id string, size int) (*sender.Reply, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
-	return s.Send(ctx, e.target, func() *http.Request { return request(method, id, size) }, matchID(id))
+	return s.Send(ctx, e.target, sendable(method, id, size))
 }
 
 func assertBody(t *testing.T, s *sender.Sender, e *endpoint, id string) {
@@ -262,7 +265,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := newSender().Send(ctx, e.target, func() *http.Request { return request(http.MethodGet, "1", 0) }, matchID("1"))
+	_, err := newSender().Send(ctx, e.target, sendable(http.MethodGet, "1", 0))
 	assert.Error(t, err)
 	select {
 	case <-closed:
