Odd entries of another writer are passed over, and keep no hub from answering

What operators of similar systems saw: one odd entry among those of the endpoints ended the nodes that read it, or they stopped following.

Here: no process ended (TestOddEntries). A record whose key is not UTF-8 could not be sent to the nodes that follow a hub, since keys are text between nodes and bytes in the log; it is left out now, as it names nothing.

--- a/internal/relayer/topics.go
+++ b/internal/relayer/topics.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -45,6 +46,10 @@
 	}
 	encoded := messenger.TopicBatch{Next: messenger.TopicPosition(batch.Next), Interrupted: batch.Interrupted, Since: batch.Since}
 	for _, record := range batch.Records {
+		if !utf8.ValidString(record.Key) {
+			// It can't be sent, and names nothing.
+			continue
+		}
 		encoded.Records = append(encoded.Records, messenger.TopicRecord{Key: record.Key, Value: record.Value, Offset: record.Offset})
 	}
 	return encoded, nil
