A broken connection is no crash of its endpoint while the node's own links fail

Cause: each request that was under way broke, and counted as one that crashes endpoints. Equal requests, as callers make that ask for the same thing again, broke at several nodes; that is what poison looks like. Parts were safe, as their crashes are confirmed.

Change: before a break counts, the node opens a connection to the endpoint and, if that fails, to others: if none answers, its links are gone, and the request is not to blame. Connections through a peer count as before. For a crash that costs two round trips before the request is tried again.

--- a/internal/coordination/forwarder/forwarder.go
+++ b/internal/coordination/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/endpointtracker"
 )
 
 const (
@@ -44,6 +45,9 @@
 	Crashes      *retrier.CrashConfirmer
 	// Builds is nil if endpoints have no builds that differ.
 	Builds Builds
+	// LinksWork reports whether this node's own links work, after a connection to an endpoint
+	// broke: otherwise the endpoint is not to blame. It may try others. Nil if links don't fail.
+	LinksWork func(ctx context.Context, endpoint endpointtracker.Endpoint) bool
 	// Broadcast announces a new suspect to the peers at once.
 	Broadcast func()
 	// Backoff returns the wait after a failed attempt. Attempts are counted from
--- a/internal/transport/tunneler/frames.go
+++ b/internal/transport/tunneler/frames.go
@@ -6,6 +6,10 @@
 	"io"
 	"net"
 	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
 )
 
 // What a peer carries from an endpoint comes in frames: two bytes with the length, and as many
@@ -38,7 +42,8 @@
 // Via returns the peer.
 func (t *tunnel) Via() netip.AddrPort { return t.peer }
 
-// Read implements net.Conn. It returns io.ErrUnexpectedEOF if the peer is gone.
+// Read implements net.Conn. It returns io.ErrUnexpectedEOF if the peer is gone. All errors but
+// io.EOF are marked with forwarder.ErrRelayed.
 func (t *tunnel) Read(p []byte) (int, error) {
 	for t.left == 0 && !t.ended {
 		var head [frameHeadBytes]byte
@@ -58,9 +63,12 @@
 
 func unexpected(err error) error {
 	if err == io.EOF {
-		return io.ErrUnexpectedEOF
+		err = io.ErrUnexpectedEOF
+	}
+	if err == nil {
+		return nil
 	}
-	return err
+	return errors.Mark(err, forwarder.ErrRelayed)
 }
 
 // copyFrames copies what an endpoint sends in frames until the endpoint ends its connection; the
--- a/internal/transport/tunneler/tunneler.go
+++ b/internal/transport/tunneler/tunneler.go
@@ -146,6 +146,19 @@
 	return nil, err
 }
 
+// LinksWork reports whether this node's own links work, after a connection to an endpoint broke.
+func (d *Dialer) LinksWork(ctx context.Context, address netip.AddrPort) bool {
+	if d.Path.Lost() {
+		return false
+	}
+	conn, err := d.direct(ctx, address)
+	if err == nil {
+		_ = conn.Close()
+		return true
+	}
+	return ctx.Err() != nil || d.judge(address) != linksLost
+}
+
 // Help opens a connection for a peer, over this node's own links only. An error is marked with
 // forwarder.ErrNoPath if they are lost.
 func (d *Dialer) Help(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
--- a/internal/transport/tunneler/tunneler_test.go
+++ b/internal/transport/tunneler/tunneler_test.go
@@ -230,7 +230,8 @@
 		// The tunnel's connections end in order, as those of a process that is killed.
 		require.NoError(t, conn.(interface{ CloseRead() error }).CloseRead())
 		_, err = conn.Read(make([]byte, 1))
-		assert.Equal(t, io.ErrUnexpectedEOF, err)
+		assert.True(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+		assert.True(t, errors.Is(err, forwarder.ErrRelayed), "%v", err)
 		_ = s
 	})
 	t.Run("a node that leaves closes the connection to the endpoint at once", func(t *testing.T) {
