--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -74,6 +74,7 @@
 	endpoint.Flag("service", "The service.").Required().StringVar(&e.Service)
 	endpoint.Flag("domain", "The failure domain.").Required().StringVar(&e.Domain)
 	endpoint.Flag("model", "The model of an engine.").StringVar(&e.Model)
+	endpoint.Flag("brittle", "Be brittle at times.").BoolVar(&e.Brittle)
 	endpoint.Flag("limits", "Limit the requests at times.").BoolVar(&e.Limits)
 	endpoint.Flag("log", "The address of the log store.").Required().SetText(&e.Log.Address)
 
