A broken connection is a crash only if its endpoint takes no new ones

Silent links that heal reset their connections, the links work again by then, and equal requests that broke at several nodes were taken for poison once more.

Change: the node opens two connections, 30 ms apart, over its own links or a peer; an endpoint that takes them did not crash, as one that did is away for seconds. If none can be opened, other endpoints are tried at once, whatever an earlier try has shown (TestGone failed on that). A tunnel keeps what an endpoint sends before the request, as a connection does.

--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -74,7 +74,7 @@
 	case !errors.Is(err, ErrVersionGone):
 		err = errors.Mark(err, ErrBroken)
 		r.placement.OnFailure(err)
-		if mayBeCrash(err) && r.linksWork(ctx, attempt, err) {
+		if mayBeCrash(err) && (r.Gone == nil || r.Gone(ctx, attempt.Endpoint)) {
 			r.Suspects.RecordCrash(r.Now(), r.fingerprint)
 			r.Broadcast()
 			r.reportCrash(attempt)
@@ -88,12 +88,6 @@
 // the endpoint: its connection ended. A malformed answer says nothing about the request.
 func mayBeCrash(err error) bool { return !errors.Is(err, ErrMalformed) }
 
-// linksWork reports whether a connection broke that leads through another node, or although this
-// node's own links work.
-func (r *run) linksWork(ctx context.Context, attempt Attempt, err error) bool {
-	return r.LinksWork == nil || errors.Is(err, ErrRelayed) || r.LinksWork(ctx, attempt.Endpoint)
-}
-
 // markCancelled marks an error with ErrTimeout if the deadline passed, and with
 // ErrCallerGone if ctx was cancelled for another reason.
 func (r *run) markCancelled(ctx context.Context, err error) error {
--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -34,8 +34,6 @@
 	// ErrNoPath marks an attempt that was not sent since this node has lost its links to the
 	// endpoints, and no peer can help. It is used together with ErrNotSent.
 	ErrNoPath = errors.New("no path to the endpoints")
-	// ErrRelayed marks an error of a connection that leads through another node.
-	ErrRelayed = errors.New("connection through another node failed")
 	// ErrBroken marks an answer that was interrupted or malformed.
 	ErrBroken = errors.New("answer broke off")
 	// ErrMalformed marks an answer whose bytes are no answer, or too many, although the
--- a/internal/coordination/forwarder/forwarder.go
+++ b/internal/coordination/forwarder/forwarder.go
@@ -45,9 +45,9 @@
 	Crashes      *retrier.CrashConfirmer
 	// Builds is nil if endpoints have no builds that differ.
 	Builds Builds
-	// LinksWork reports whether this node's own links work, after a connection to an endpoint
-	// broke: otherwise the endpoint is not to blame. It may try others. Nil if links don't fail.
-	LinksWork func(ctx context.Context, endpoint endpointtracker.Endpoint) bool
+	// Gone reports whether an endpoint is gone to which a connection broke. If it is not, or if that
+	// can't be told, the request is not to blame. Nil if each broken connection counts.
+	Gone func(ctx context.Context, endpoint endpointtracker.Endpoint) bool
 	// Broadcast announces a new suspect to the peers at once.
 	Broadcast func()
 	// Backoff returns the wait after a failed attempt. Attempts are counted from
--- a/internal/transport/tunneler/detour.go
+++ b/internal/transport/tunneler/detour.go
@@ -1,7 +1,6 @@
 package tunneler
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -112,7 +111,8 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
-	if err := d.connect(ctx, raw, address); err != nil {
+	t := newTunnel(raw.(*net.TCPConn), peer.Address)
+	if err := d.connect(ctx, t, address); err != nil {
 		stop()
 		_ = raw.Close()
 		return nil, err
@@ -120,24 +120,25 @@
 	if !stop() {
 		return nil, context.Cause(ctx)
 	}
-	return newTunnel(raw.(*net.TCPConn), peer.Address), nil
+	return t, nil
 }
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveCount}
 
-// connect makes a peer connect raw to an endpoint.
-func (d *Dialer) connect(ctx context.Context, raw net.Conn, address netip.AddrPort) error {
-	_ = raw.SetDeadline(time.Now().Add(d.Timeout + answerMargin))
+// connect makes the peer of a tunnel connect it to an endpoint.
+func (d *Dialer) connect(ctx context.Context, t *tunnel, address netip.AddrPort) error {
+	_ = t.SetDeadline(time.Now().Add(d.Timeout + answerMargin))
 	id, _ := ctx.Value(requestKey{}).(string)
 	r := &http.Request{
 		Method: http.MethodConnect, URL: &url.URL{Host: address.String()}, Host: address.String(),
 		ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{headerRequest: {id}, "User-Agent": {""}},
 	}
-	if err := r.Write(raw); err != nil {
+	if err := r.Write(t); err != nil {
 		return err
 	}
-	reader := bufio.NewReaderSize(&limitedReader{raw, headBytes}, headBytes)
-	response, err := http.ReadResponse(reader, r)
+	t.source.limited, t.source.left = true, headBytes
+	response, err := http.ReadResponse(t.reader, r)
+	t.source.limited = false
 	if err != nil {
 		return err
 	}
@@ -150,20 +151,21 @@
 	default:
 		return errors.Wrapf(errHelpRefused, "status %d", response.StatusCode)
 	}
-	if reader.Buffered() > 0 {
-		return errors.New("peer sent bytes before the request")
-	}
-	return raw.SetDeadline(time.Time{})
+	return t.SetDeadline(time.Time{})
 }
 
-// limitedReader fails once it has read left bytes.
-type limitedReader struct {
+// peerReader reads from a peer. While it is limited, it fails once it has read left bytes.
+type peerReader struct {
 	net.Conn
-	left int
+	limited bool
+	left    int
 }
 
 // Read implements io.Reader.
-func (r *limitedReader) Read(p []byte) (int, error) {
+func (r *peerReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.Conn.Read(p)
+	}
 	if r.left <= 0 {
 		return 0, errors.New("answer of the peer is too long")
 	}
--- a/internal/transport/tunneler/frames.go
+++ b/internal/transport/tunneler/frames.go
@@ -6,10 +6,6 @@
 	"io"
 	"net"
 	"net/netip"
-
-	"github.com/cockroachdb/errors"
-
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
 )
 
 // What a peer carries from an endpoint comes in frames: two bytes with the length, and as many
@@ -28,6 +24,7 @@
 type tunnel struct {
 	*net.TCPConn
 	peer   netip.AddrPort
+	source *peerReader
 	reader *bufio.Reader
 	// left is the number of bytes left of the current frame; ended is set once the endpoint has
 	// ended its connection.
@@ -36,14 +33,14 @@
 }
 
 func newTunnel(conn *net.TCPConn, peer netip.AddrPort) *tunnel {
-	return &tunnel{TCPConn: conn, peer: peer, reader: bufio.NewReaderSize(conn, frameHeadBytes+maxFrameBytes)}
+	source := &peerReader{Conn: conn}
+	return &tunnel{TCPConn: conn, peer: peer, source: source, reader: bufio.NewReaderSize(source, frameHeadBytes+maxFrameBytes)}
 }
 
 // Via returns the peer.
 func (t *tunnel) Via() netip.AddrPort { return t.peer }
 
-// Read implements net.Conn. It returns io.ErrUnexpectedEOF if the peer is gone. All errors but
-// io.EOF are marked with forwarder.ErrRelayed.
+// Read implements net.Conn. It returns io.ErrUnexpectedEOF if the peer is gone.
 func (t *tunnel) Read(p []byte) (int, error) {
 	for t.left == 0 && !t.ended {
 		var head [frameHeadBytes]byte
@@ -63,12 +60,9 @@
 
 func unexpected(err error) error {
 	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
-	}
-	if err == nil {
-		return nil
+		return io.ErrUnexpectedEOF
 	}
-	return errors.Mark(err, forwarder.ErrRelayed)
+	return err
 }
 
 // copyFrames copies what an endpoint sends in frames until the endpoint ends its connection; the
--- a/internal/transport/tunneler/tunneler.go
+++ b/internal/transport/tunneler/tunneler.go
@@ -33,6 +33,7 @@
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/pathfinder"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 )
 
 const (
@@ -42,6 +43,10 @@
 	// direct path while it is lost.
 	pollPeriod = 100 * time.Millisecond
 	lostPeriod = 300 * time.Millisecond
+	// goneTries is the number of connections by which an endpoint is found to live, gonePause apart:
+	// the connections of a process that ends are closed one after the other, its listener too.
+	goneTries = 2
+	gonePause = 30 * time.Millisecond
 )
 
 // Endpoint is an endpoint that may be connected to.
@@ -138,25 +143,31 @@
 	case linksLost:
 		return d.detour(ctx, address)
 	case linksUnknown:
-		if conn, errDetour := d.detour(ctx, address); errDetour == nil {
+		conn, errDetour := d.detour(ctx, address)
+		if errDetour == nil {
 			d.record(false)
 			return conn, nil
 		}
+		err = errors.WithSecondaryError(err, errDetour)
 	}
 	return nil, err
 }
 
-// LinksWork reports whether this node's own links work, after a connection to an endpoint broke.
-func (d *Dialer) LinksWork(ctx context.Context, address netip.AddrPort) bool {
-	if d.Path.Lost() {
-		return false
-	}
-	conn, err := d.direct(ctx, address)
-	if err == nil {
+// Gone reports whether an endpoint to which a connection broke takes no new ones. It returns false
+// if that can't be told, as no peer has a path to it either.
+func (d *Dialer) Gone(ctx context.Context, address netip.AddrPort) bool {
+	for i := range goneTries {
+		if i > 0 && retrier.Sleep(ctx, gonePause) != nil {
+			return false
+		}
+		conn, err := d.Dial(ctx, address)
+		if err != nil {
+			known := ctx.Err() == nil && !errors.Is(err, forwarder.ErrNoPath)
+			return known && (d.Path.Lost() || d.checkNow(address) != linksLost)
+		}
 		_ = conn.Close()
-		return true
 	}
-	return ctx.Err() != nil || d.judge(address) != linksLost
+	return false
 }
 
 // Help opens a connection for a peer, over this node's own links only. An error is marked with
@@ -190,20 +201,25 @@
 // judge tells whether this node reaches any endpoint other than one that has just failed. Of
 // several calls at once, one tries.
 func (d *Dialer) judge(failed netip.AddrPort) verdict {
-	d.mu.Lock()
-	current := d.check
 	switch {
-	case current != nil:
+	case d.Path.Lost():
+		return linksLost
 	case d.Path.CheckDue(d.Now()):
+		return d.checkNow(failed)
+	default:
+		return linksWork
+	}
+}
+
+// checkNow tries other endpoints than one that has just failed, or waits for the check that is
+// under way.
+func (d *Dialer) checkNow(failed netip.AddrPort) verdict {
+	d.mu.Lock()
+	current := d.check
+	if current == nil {
 		current = &check{done: make(chan struct{})}
 		d.check = current
 		go d.runCheck(current, failed)
-	default:
-		d.mu.Unlock()
-		if d.Path.Lost() {
-			return linksLost
-		}
-		return linksWork
 	}
 	d.mu.Unlock()
 	<-current.done
