--- a/internal/relayer/configuration_age_test.go
+++ b/internal/relayer/configuration_age_test.go
@@ -28,8 +28,8 @@
 	readWaitShare = 0.4
 	maxAgeShare   = 0.7
 	logRoundTrip  = 4 * time.Millisecond
-	// fetchTime bounds the fetch of a peer's configuration, with the pause before it.
-	fetchTime = 2 * time.Second
+	// settleTime is longer than any message or call between nodes takes.
+	settleTime = 20 * time.Second
 )
 
 // logFault is what a node's path to the log does.
@@ -211,8 +211,7 @@
 		faults: map[*fleetNode]logFault{}, lags: map[*fleetNode]time.Duration{}, gone: map[*fleetNode]bool{},
 		disturbed: map[*fleetNode]time.Time{}, seen: map[string]bool{},
 	}
-	// Calls that are under way end.
-	t.Cleanup(func() { time.Sleep(2 * fetchTime) })
+	t.Cleanup(s.settle)
 	s.cut = func(a, b *fleetNode) bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -230,6 +229,14 @@
 	return s
 }
 
+// settle lets messages that are under way arrive, and calls end.
+func (s *configurationSite) settle() {
+	for _, n := range s.nodes {
+		setGone(true)(s, n)
+	}
+	time.Sleep(settleTime)
+}
+
 // start runs a node that has been built.
 func (s *configurationSite) start(t *testing.T, n *fleetNode) {
 	t.Helper()
