Leases: an endpoint that turns brittle in the middle of a choice, and odd demands of peers

An answer may say that an endpoint is brittle between the check for a lease and its use: the use took one from an empty list, which would have ended the process. And a peer's number of released leases that is no number of them gave a negative index on x86-64 (TestOddDemandsForLeases; on arm64 such numbers saturate). Both are bounded now. TestLeases covers leases one by one.

--- a/internal/coordination/throttler/brittle.go
+++ b/internal/coordination/throttler/brittle.go
@@ -164,10 +164,14 @@
 	return len(l.free) > 0
 }
 
-// takeLease uses a lease; p.mu is held, and leaseReady is true.
+// takeLease uses a lease, if one is needed and there is one; p.mu is held. Another answer may just
+// have said that the endpoint is brittle.
 func (p *Permits) takeLease(endpoint endpointtracker.Endpoint) {
-	if key, needed := p.needsLease(endpoint); needed {
-		l := p.lease(key)
+	key, needed := p.needsLease(endpoint)
+	if !needed {
+		return
+	}
+	if l := p.lease(key); len(l.free) > 0 {
 		l.free = l.free[1:]
 		l.inUse++
 	}
--- a/internal/coordination/throttler/leases.go
+++ b/internal/coordination/throttler/leases.go
@@ -20,7 +20,7 @@
 	defer i.mu.Unlock()
 	l := i.leased(now, demand.Process, running)
 	l.usedAt = now
-	l.given = l.given[min(int(demand.Rate), len(l.given)):]
+	l.given = l.given[int(min(max(demand.Rate, 0), float64(len(l.given)))):]
 	out := l.out(now, running)
 	var grant Grant
 	for n := min(demand.Permits, MaxPermits); n > 0 && out < room; n-- {
