One place opens a sender's connections, and the tunnel discards with io.Discard

The sender chose between its Dial field and the operating system's dial in two places, for requests and for the check of a crash; a method does both. The tunnel had its own type that discards bytes: its copy loop calls Write and nothing else, so that io.Discard serves. No behavior changes.

--- a/internal/transport/sender/probe.go
+++ b/internal/transport/sender/probe.go
@@ -12,11 +12,7 @@
 // host refused it, as it does if no process listens there. A host that doesn't respond in time
 // does not refuse, nor one that this node has no path to.
 func (s *Sender) RefusesConnections(ctx context.Context, address netip.AddrPort) bool {
-	dial := s.Dial
-	if dial == nil {
-		dial = s.dialDirect
-	}
-	raw, err := dial(ctx, address)
+	raw, err := s.open(ctx, address)
 	if err == nil {
 		// Nothing was sent.
 		_ = raw.Close()
--- a/internal/transport/sender/sender.go
+++ b/internal/transport/sender/sender.go
@@ -158,18 +158,18 @@
 }
 
 func (s *Sender) dial(ctx context.Context, target Target) (*conn, error) {
-	dial := s.Dial
-	if dial == nil {
-		dial = s.dialDirect
-	}
-	raw, err := dial(ctx, target.Address)
+	raw, err := s.open(ctx, target.Address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", target.Address)
 	}
 	return newConn(target, raw), nil
 }
 
-func (s *Sender) dialDirect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+// open opens a connection with Dial, if it is set.
+func (s *Sender) open(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	if s.Dial != nil {
+		return s.Dial(ctx, address)
+	}
 	dialer := net.Dialer{Timeout: s.DialTimeout, KeepAlive: -1}
 	return dialer.DialContext(ctx, "tcp", address.String())
 }
--- a/internal/transport/tunneler/handler.go
+++ b/internal/transport/tunneler/handler.go
@@ -140,7 +140,7 @@
 		var err error
 		if sent, err = copyBytes(endpoint, peer); errors.Is(err, errWrite) {
 			// The endpoint takes no more, but may have answered. The peer's end is awaited.
-			_, _ = copyBytes(discard{}, peer)
+			_, _ = copyBytes(io.Discard, peer)
 		}
 		// The peer has closed its connection: its request is over.
 		_ = endpoint.Close()
@@ -181,11 +181,6 @@
 	}
 }
 
-type discard struct{}
-
-// Write implements io.Writer.
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-
 // closeWrite ends a connection in order, once all has been sent.
 func closeWrite(conn net.Conn) {
 	if socket, ok := conn.(interface{ CloseWrite() error }); ok {
