review: a zone that is back fetches parts that others free

When it is back, nodes of the other zones free parts of the replaced weights at its stores while its own nodes still fetch them.

The stand-ins move to review/platform, the only folder name whose Go files may use the platform's names.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases, after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review-harness ./review/harness
+go build -tags review -o target/review-harness ./review/platform
