--- a/review/platform/site.go
+++ b/review/platform/site.go
@@ -111,11 +111,11 @@
 	return nil
 }
 
-// freePorts returns ports that are free on all addresses.
+// freePorts returns ports that are free on one loopback address, and so most likely on the others.
 func freePorts(n int) ([]int, error) {
 	var ports []int
 	for range n {
-		listener, err := net.Listen("tcp4", ":0")
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
