Leases: a claim that was under way when the log was restored gives no lease

What callers saw: nothing yet.

Cause: Claimed compared the era of the claim's position with the newest era that the lease has read. If the restored copy is read between the start and the end of an append, these are equal, although the append was begun on the word of the log before, and the pause after a restoration had not passed. Ruled out: in Rollout one goroutine reads and claims in turn, so no node does this today; the lease's rules allowed it.

Change: a lease keeps when it noticed the restoration; a claim whose append began before gives no lease, and the log is read again.

--- a/internal/coordination/leaser/leaser.go
+++ b/internal/coordination/leaser/leaser.go
@@ -58,6 +58,9 @@
 	lastSeen   time.Duration
 	validUntil time.Duration
 	isHolder   bool
+	// restoredAt is when a restoration of the log was last noticed, if restored is set.
+	restoredAt time.Duration
+	restored   bool
 }
 
 // Observe records claims that were read at now, in log order, and the end of
@@ -91,6 +94,7 @@
 func (l *Lease) Restored(now time.Duration) {
 	l.last, l.lastSeen = Claim{Holder: unknownHolder}, now
 	l.end, l.isHolder = Position{}, false
+	l.restoredAt, l.restored = now, true
 }
 
 // Known reports whether the log has been read.
@@ -115,9 +119,9 @@
 
 // Claimed records a successful claim and its position. appendStarted is the time at
 // which its append started. A claim that was appended in another era than expected
-// gives no lease.
+// gives no lease, also if that era was noticed while the append was under way.
 func (l *Lease) Claimed(appendStarted time.Duration, at Position) {
-	if at.Era != l.end.Era {
+	if at.Era != l.end.Era || l.restored && appendStarted <= l.restoredAt {
 		l.Restored(appendStarted)
 		l.known = false
 		return
--- a/internal/coordination/leaser/leaser_test.go
+++ b/internal/coordination/leaser/leaser_test.go
@@ -113,6 +113,14 @@
 		assert.False(t, l.Valid(time.Second))
 		assert.False(t, l.Known(), "the log is read again")
 	})
+	t.Run("a claim that was under way at the restoration gives no lease, although the copy was read meanwhile", func(t *testing.T) {
+		l := newLease("a")
+		l.Observe(0, nil, at(0))
+		l.Observe(time.Minute, nil, leaser.Position{Era: 1})
+		l.Claimed(time.Second, leaser.Position{Era: 1})
+		assert.False(t, l.Valid(time.Second))
+		assert.False(t, l.Known(), "the log is read again")
+	})
 	t.Run("tokens rise although offsets begin lower", func(t *testing.T) {
 		l := newLease("a")
 		l.Observe(0, nil, at(900))
@@ -251,6 +259,13 @@
 	return violation(w.acts)
 }
 
+// TestClaimUnderWayAtRestoration guards against two holders at a time, if a restored copy is read
+// between the start and the end of an append.
+func TestClaimUnderWayAtRestoration(t *testing.T) {
+	steps := []step{{0, 0, 1}, {0, 1, 1}, {1, 0, 1}, {1, 4, 1}, {0, 6, 1}, {0, 0, 1}, {0, 4, 1}}
+	assert.Empty(t, simulate(steps, func(*leaser.Lease) {}))
+}
+
 func TestOneHolderAtATime(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		anyStep := rapid.Custom(func(rt *rapid.T) step {
