Fetches of parts always have an end, and it is before stores free the parts

Cause: a fetch ends at a time of the endpoints' clock, which nodes learned only with the events of holders they follow, so members (from the first second on) and any node that has just started sent fetches without an end. The delay before parts are freed assumed one. Two related paths: the end was a share of the objective, which nothing kept below the delay, and it was counted anew when the attempt was sent, which a slow connection or a standstill of the node puts after the time at which the node says that it places none of these parts any more.

Change: EndpointClock. The end is fixed when the attempt is placed, from before the view is read, at most MaxFetchTime later; the delay is derived from that. Without a known clock nothing is fetched, and the sender names no source without an end.

--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -166,9 +166,9 @@
 	// means none.
 	Fetch []netip.AddrPort
 	Save  []netip.AddrPort
-	// FetchTimeout is the timeout for fetching parts. Parts that arrive later are
-	// recomputed.
-	FetchTimeout time.Duration
+	// FetchEnd is when fetching parts must have ended, by the endpoints' clock. Parts that
+	// arrive later are recomputed. It is zero if nothing is fetched.
+	FetchEnd time.Time
 	// OnBytes is called when bytes of the answer's body have arrived; nil if nobody asks.
 	OnBytes func()
 	// PlacementReason holds the inputs of the endpoint choice.
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -29,9 +29,14 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/state/endpointtracker"
 )
 
-// fetchShare is the share of the objective after which fetching times out. The
-// rest may be enough to prefill what was not fetched.
-const fetchShare = 0.45
+const (
+	// fetchShare is the share of the objective after which fetching times out. The
+	// rest may be enough to prefill what was not fetched.
+	fetchShare = 0.45
+	// MaxFetchTime is the longest time for which an endpoint fetches parts after the
+	// attempt was placed. Parts that are no longer placed are freed after it.
+	MaxFetchTime = 600 * time.Millisecond
+)
 
 // Placer implements forwarder.Placer. Its fields are set before use.
 type Placer struct {
@@ -56,6 +61,9 @@
 	// Nodes returns the number of nodes that are alive. They share the links of
 	// the stores.
 	Nodes func() int
+	// EndpointClock returns the endpoints' clock at a time of this node, or false while it is
+	// unknown. No parts are fetched then, since fetches could not be ended in time.
+	EndpointClock func(t time.Time) (time.Time, bool)
 	// HasContact reports whether this node had contact with the log or a peer
 	// recently enough to know of new target weights.
 	HasContact func() bool
@@ -116,6 +124,9 @@
 
 // attempt assembles what is sent to the chosen endpoint.
 func (s *selection) attempt(choice balancer.Choice) forwarder.Attempt {
+	// The end of fetches counts from before the view is read: a newer view may let stores
+	// free what this one fetches.
+	fetchEnd, canFetch := s.fetchEnd()
 	view, now, endpoint := s.View(), s.Now(), choice.Endpoint
 	attempt := forwarder.Attempt{
 		Exchange: s.Exchange, Endpoint: endpoint, TimeLeft: s.EffectiveDeadline().Sub(now), LastEventID: s.Progress.LastEventID,
@@ -143,11 +154,20 @@
 	query := s.forEndpoint(s.query(view), view, endpoint)
 	query.Nodes = s.Nodes()
 	plan := s.Locator.Plan(now, query)
-	attempt.Fetch, attempt.Save = plan.Fetch, plan.Save
-	attempt.FetchTimeout = time.Duration(fetchShare * float64(s.Route.Objective))
+	attempt.Save = plan.Save
+	if canFetch {
+		attempt.Fetch, attempt.FetchEnd = plan.Fetch, fetchEnd
+	}
 	return attempt
 }
 
+// fetchEnd returns when fetches of an attempt that is placed now must end, by the endpoints'
+// clock; false if that clock is unknown.
+func (s *selection) fetchEnd() (time.Time, bool) {
+	timeout := time.Duration(fetchShare * float64(s.Route.Objective))
+	return s.EndpointClock(s.Now().Add(min(timeout, MaxFetchTime)))
+}
+
 // hasEligibleEndpoint reports whether any endpoint may run the request, now or
 // when it has room.
 func (s *selection) hasEligibleEndpoint() bool {
@@ -200,6 +220,7 @@
 		return nil
 	}
 	query, tokens := s.query(view), s.Prompt.Tokens()
+	_, canFetch := s.fetchEnd()
 	// The salt and the usable stores depend on the version only.
 	surveys := map[int64]locator.Survey{}
 	return func(endpoint endpointtracker.Endpoint) balancer.Work {
@@ -210,6 +231,9 @@
 			surveys[version] = survey
 		}
 		cached, fetched := survey.Cached(endpoint.Address)
+		if !canFetch {
+			fetched = 0
+		}
 		return balancer.Work{Read: tokens - cached - fetched, Fetch: fetched}
 	}
 }
--- a/internal/relayer/cleaner.go
+++ b/internal/relayer/cleaner.go
@@ -16,9 +16,11 @@
 const (
 	// cleanPeriod is the time between checks for obsolete parts.
 	cleanPeriod = 400 * time.Millisecond
-	// freeDelay is how long all nodes must have stopped fetching parts of a version
-	// before these are freed. It is longer than any fetch that may still be running.
-	freeDelay = 900 * time.Millisecond
+	// freeDelay is how long all nodes must have stopped placing requests with parts of a
+	// version before these are freed. Fetches that were placed before have ended by then.
+	freeDelay = placer.MaxFetchTime + fetchMargin
+	// fetchMargin covers the time until an endpoint notices that a fetch has to end.
+	fetchMargin = 300 * time.Millisecond
 	// cleanBatch is the maximum number of parts freed in one call.
 	cleanBatch = 200
 )
--- a/internal/relayer/replaced_weights_test.go
+++ b/internal/relayer/replaced_weights_test.go
@@ -25,7 +25,8 @@
 	t.Helper()
 	p := &placer.Placer{
 		View: node.View, Balancer: &balancer.Balancer{}, Locator: locator.New(), Scheduler: &scheduler.Scheduler{Now: time.Now},
-		Nodes: func() int { return 1 }, HasContact: func() bool { return true }, KnownAge: placer.WeightsLimits{Place: 8 * time.Second, Begin: 9 * time.Second}, Now: time.Now,
+		Nodes: func() int { return 1 }, HasContact: func() bool { return true }, EndpointClock: func(t time.Time) (time.Time, bool) { return t, true },
+		KnownAge: placer.WeightsLimits{Place: 8 * time.Second, Begin: 9 * time.Second}, Now: time.Now,
 	}
 	placement, err := p.Place(t.Context(), &forwarder.Exchange{
 		ID: "id", Service: "llm", Received: time.Now(), Deadline: time.Now().Add(15 * time.Second),
