Parts are freed only on an agreement that still holds

Cause: that all nodes had stopped fetching a version was recorded once. Nodes that were silent for 3 s were left out, and nothing was looked at again when they were heard. When the cut healed, other domains listed the domain's stores and freed its old parts at once, while its nodes learned of the new version up to 2 s later, from the next heartbeat or read. The same agreement also left out a node that had started since, one that other hubs hear and this one does not, and one that wakes and finds old heartbeats in its buffer.

Change: an agreement ends when a live peer lags behind, and counts anew from when a peer joined, came back or started again. A store that did not respond for 2.5 s is left alone for another 2.5 s, on both sides of a cut: nothing is fetched, saved or freed there before the hubs have heard each other. While a peer is silent, parts stay for 5 s. Retained versions are adopted from any hub, not from the home only. A node that stood still fetches nothing until it has handled what waited. Nothing is freed in the first 5 s of a node. Calls that free parts name the time until which they may be carried out.

A peer that does not announce it is of an older build; parts then stay for the longest timeout of the routes, since its fetches may have no end.

Ruled out: longer delays alone.

--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -128,6 +128,9 @@
 	defer p.mu.Unlock()
 	p.announced = slices.DeleteFunc(p.announced, func(a announced) bool { return !now.Before(a.expires) })
 	changes := p.modelVersions(now, kind)
+	if change, ok := p.fetchTimeChange(now); ok {
+		changes = append(changes, change)
+	}
 	for _, a := range slices.Backward(p.announced) {
 		if kind == toMembers || !a.downward {
 			changes = append(changes, a.change)
@@ -136,7 +139,7 @@
 	return changes
 }
 
-// storeRetained stores the retained versions that a peer announced.
+// storeRetained stores the retained versions and the time of fetches that a peer announced.
 func (p *Peers) storeRetained(heartbeat peertracker.Heartbeat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -145,9 +148,12 @@
 		m.retained = map[uint32]int64{}
 	}
 	for _, change := range heartbeat.Changes {
-		if change.Endpoint == retainedMarker {
+		switch change.Endpoint {
+		case retainedMarker:
 			// A hub's value falls when a member that lags behind joins it.
 			m.retained[change.Model] = change.Version
+		case fetchTimeMarker:
+			m.fetchTime = min(time.Duration(max(change.Version, 0))*time.Millisecond, unknownFetchTime)
 		}
 	}
 }
@@ -163,8 +169,8 @@
 	})
 }
 
-// adoptRetained raises this node's retained versions to those of its home. A member
-// without them might fetch parts that are being freed.
+// adoptRetained raises this node's retained versions to those of its home or of another hub.
+// Without them it might fetch parts that are being freed.
 func (p *Peers) adoptRetained(heartbeat peertracker.Heartbeat) {
 	retained := map[uint32]int64{}
 	for _, change := range heartbeat.Changes {
--- a/internal/relayer/cleaner.go
+++ b/internal/relayer/cleaner.go
@@ -5,31 +5,45 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/placer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/ranker"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 )
 
 const (
 	// cleanPeriod is the time between checks for obsolete parts.
 	cleanPeriod = 400 * time.Millisecond
-	// freeDelay is how long all nodes must have stopped placing requests with parts of a
-	// version before these are freed. Fetches that were placed before have ended by then.
-	freeDelay = placer.MaxFetchTime + fetchMargin
-	// fetchMargin covers the time until an endpoint notices that a fetch has to end.
-	fetchMargin = 300 * time.Millisecond
 	// cleanBatch is the maximum number of parts freed in one call.
 	cleanBatch = 200
 )
 
-// PartFreer frees prompt parts in a store.
+// ErrClockUnknown is returned by a PartFreer that does not know the endpoints' clock yet and
+// so has freed nothing.
+var ErrClockUnknown = errors.New("clock of the endpoints is not known yet")
+
+// PartFreer frees prompt parts in a store. It returns ErrClockUnknown if it has not tried.
 type PartFreer interface {
 	Free(ctx context.Context, store netip.AddrPort, keys []locator.Key) error
 }
 
+// Agreement tells what all nodes have stopped to fetch. Peers implements it.
+type Agreement interface {
+	// Acknowledged reports whether all nodes place only requests that fetch parts of this or
+	// later versions of a model.
+	Acknowledged(model string, version int64) bool
+	// LastJoin returns when a node last joined that is not bound by what was acknowledged
+	// before.
+	LastJoin() time.Time
+	// FreeDelay returns how long parts must be out of use at all nodes before no endpoint
+	// fetches them any more.
+	FreeDelay(catalog *cataloger.Catalog) time.Duration
+}
+
 // Cleaner frees stored prompt parts that were computed with versions of weights
 // that are no longer retained, once no node fetches them any more. Each store is
 // assigned to one live hub. If nodes disagree on that for a while, both free the
@@ -40,17 +54,16 @@
 	Parts   PartFreer
 	// Self is the name of this node. Hubs returns the names of the live hubs, among which
 	// the stores are divided.
-	Self string
-	Hubs func() []string
-	// Acknowledged reports whether all nodes fetch only parts of this or later
-	// versions of a model.
-	Acknowledged func(model string, version int64) bool
-	Logger       zerolog.Logger
-	Now          func() time.Time
+	Self      string
+	Hubs      func() []string
+	Agreement Agreement
+	Logger    zerolog.Logger
+	Now       func() time.Time
 
 	// agreed holds, for each model, the last retained version that all peers have
-	// acknowledged, and since when.
-	agreed map[string]agreedVersion
+	// acknowledged, and since when without interruption.
+	agreed    map[string]agreedVersion
+	startedAt time.Time
 }
 
 type agreedVersion struct {
@@ -60,26 +73,54 @@
 
 // Run frees obsolete parts periodically until ctx ends.
 func (c *Cleaner) Run(ctx context.Context) {
-	c.agreed = map[string]agreedVersion{}
+	c.agreed, c.startedAt = map[string]agreedVersion{}, c.Now()
 	for ctx.Err() == nil {
 		view := c.Node.View()
 		if view.Catalog != nil {
 			c.updateAgreed(view)
-			c.freeObsolete(ctx, view)
+			if c.Now().Sub(c.startedAt) >= silentDelay {
+				// All peers that can be reached have been heard.
+				c.freeObsolete(ctx, view)
+			}
 		}
 		_ = retrier.Sleep(ctx, cleanPeriod)
 	}
 }
 
-// updateAgreed records the retained versions that all peers have acknowledged.
+// updateAgreed records the retained versions that all peers have acknowledged. An
+// agreement ends when a peer appears that lags behind.
 func (c *Cleaner) updateAgreed(view placer.View) {
 	for model, version := range view.OldestRetained {
-		if c.agreed[model].version != version && c.Acknowledged(model, version) {
-			c.agreed[model] = agreedVersion{version: version, since: c.Now()}
+		agreed, known := c.agreed[model]
+		switch {
+		case c.Agreement.Acknowledged(model, version):
+			if agreed.version != version {
+				c.agreed[model] = agreedVersion{version: version, since: c.Now()}
+			}
+		case known && !c.Agreement.Acknowledged(model, agreed.version):
+			delete(c.agreed, model)
+			c.Logger.Info().Str("event", "agreement ended").Str("model", model).Int64("version", agreed.version).Time("since", agreed.since).Send()
 		}
 	}
 }
 
+// agreements is what may be freed at one moment.
+type agreements struct {
+	agreed map[string]agreedVersion
+	// until is the latest start of an agreement by which parts may be freed, and delay the
+	// time since then.
+	until time.Time
+	delay time.Duration
+}
+
+func (c *Cleaner) agreements(view placer.View) agreements {
+	now, delay := c.Now(), c.Agreement.FreeDelay(view.Catalog)
+	if now.Sub(c.Agreement.LastJoin()) < delay {
+		return agreements{}
+	}
+	return agreements{agreed: c.agreed, until: now.Add(-delay), delay: delay}
+}
+
 func (c *Cleaner) freeObsolete(ctx context.Context, view placer.View) {
 	hubs := c.Hubs()
 	for _, service := range view.Catalog.Stores() {
@@ -87,29 +128,34 @@
 		if ranker.Pick(hubs, address.String()) != c.Self {
 			continue
 		}
-		keys := c.Locator.ObsoleteParts(address, c.inUse)
+		current := c.agreements(view)
+		keys := c.Locator.ObsoleteParts(address, current.inUse)
 		if len(keys) == 0 {
 			continue
 		}
 		keys = keys[:min(len(keys), cleanBatch)]
 		err := c.Parts.Free(ctx, address, keys)
+		if errors.Is(err, ErrClockUnknown) {
+			continue
+		}
 		for _, key := range keys {
 			// The store may have freed the parts even if the call failed, so none is fetched
 			// any more.
 			c.Locator.SetPart(address, key, 0)
 		}
-		c.Logger.Info().Str("event", "parts freed").Stringer("store", address).Int("parts", len(keys)).AnErr("error", err).Send()
+		c.Logger.Info().Str("event", "parts freed").Stringer("store", address).Int("parts", len(keys)).Str("salt", keys[0].Salt).
+			Dur("delay", current.delay).AnErr("error", err).Send()
 	}
 }
 
 // inUse reports whether requests may still use parts with a cache salt, which names
 // the model and the version.
-func (c *Cleaner) inUse(salt string) bool {
+func (a agreements) inUse(salt string) bool {
 	model, version, ok := placer.ParseSalt(salt)
 	if !ok {
 		// No request uses a malformed salt.
 		return false
 	}
-	oldest, known := c.agreed[model]
-	return !known || version >= oldest.version || c.Now().Sub(oldest.since) < freeDelay
+	oldest, known := a.agreed[model]
+	return !known || version >= oldest.version || oldest.since.After(a.until)
 }
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -26,6 +26,16 @@
 	// retained holds, for each model, the oldest version whose parts the peer and its
 	// members fetch, by the hash of the model's name.
 	retained map[uint32]int64
+	// fetchTime is the longest time for which engines fetch parts after the peer or one of its
+	// members has placed a request; zero if that is not known, as of older builds.
+	fetchTime time.Duration
+}
+
+// isSilent reports whether a peer that this node should hear is not heard any more, and did
+// not say that it stops.
+func (m *peerState) isSilent(now time.Time) bool {
+	reports := m.reporter == balancer.Member || m.heartbeat.Hub
+	return reports && !m.heartbeat.Leaving && !m.lastReceived.IsZero() && now.Sub(m.lastReceived) >= heartbeatTimeout
 }
 
 func (m *peerState) isLiveMember(now time.Time) bool {
@@ -91,8 +101,8 @@
 // only parts of this or later versions of a model. Peers from which no heartbeat was
 // received for heartbeatTimeout don't count. It is longer than contactTimeout, so a
 // peer without contact to any hub and to the log has stopped fetching from stores by
-// then (see HasContact). A peer that still has some contact, but whose heartbeats don't
-// reach this node, may still fetch older parts.
+// then (see MayFetch). For one that still has some contact, but whose heartbeats don't
+// reach this node, see FreeDelay.
 func (p *Peers) Acknowledged(model string, version int64) bool {
 	hash, now := balancer.IDHash(model), p.Now()
 	p.mu.Lock()
--- a/internal/relayer/part_follower.go
+++ b/internal/relayer/part_follower.go
@@ -29,6 +29,13 @@
 	// maxRetryDelay is the longest delay between attempts to follow a holder that
 	// does not respond.
 	maxRetryDelay = 1500 * time.Millisecond
+	// longOutage is the time without responses after which a store may have been cut off
+	// together with nodes that other nodes no longer count. It is shorter than
+	// heartbeatTimeout.
+	longOutage = 2500 * time.Millisecond
+	// rejoinDelay is how long a store is left alone after a long outage. By then the nodes on
+	// both sides have heard from each other, and know which versions are retained.
+	rejoinDelay = 2500 * time.Millisecond
 )
 
 // Listing is the content of a store.
@@ -96,11 +103,11 @@
 	if f.followed == nil {
 		f.followed = map[netip.AddrPort]context.CancelFunc{}
 	}
-	holders := map[netip.AddrPort]func(context.Context, netip.AddrPort) error{}
+	holders := map[netip.AddrPort]func(context.Context, netip.AddrPort, *contact) error{}
 	for _, service := range view.Catalog.Stores() {
 		pause := f.pause(service.Store.Domain)
-		holders[service.Store.Address] = func(ctx context.Context, holder netip.AddrPort) error {
-			return f.followStore(ctx, holder, pause)
+		holders[service.Store.Address] = func(ctx context.Context, holder netip.AddrPort, contact *contact) error {
+			return f.followStore(ctx, holder, pause, contact)
 		}
 	}
 	followsEngines := f.FollowsEngines()
@@ -110,8 +117,8 @@
 		}
 		for _, endpoint := range endpoints {
 			pause := f.pause(endpoint.Domain)
-			holders[endpoint.Address] = func(ctx context.Context, holder netip.AddrPort) error {
-				return f.followEngine(ctx, holder, pause)
+			holders[endpoint.Address] = func(ctx context.Context, holder netip.AddrPort, contact *contact) error {
+				return f.followEngine(ctx, holder, pause, contact)
 			}
 		}
 	}
@@ -154,16 +161,36 @@
 	return i >= 0 && i < maxFollowers
 }
 
+// contact records when a holder last responded, and when it last did not.
+type contact struct {
+	respondedAt time.Time
+	failedAt    time.Time
+}
+
+func (c *contact) responded() { c.respondedAt = time.Now() }
+
+func (c *contact) failed() { c.failedAt = time.Now() }
+
+// outage returns how long the holder did not respond, up to the last try that failed; zero
+// for a holder that has never responded.
+func (c *contact) outage() time.Duration {
+	if c.respondedAt.IsZero() {
+		return 0
+	}
+	return c.failedAt.Sub(c.respondedAt)
+}
+
 // run follows one holder until ctx ends. While the holder does not respond, it
-// has no entries in the Locator, so nothing is fetched from it or saved to it.
-func (f *PartFollower) run(ctx context.Context, holder netip.AddrPort, follow func(context.Context, netip.AddrPort) error) {
-	tries := 0
+// has no entries in the Locator, so nothing is fetched from it, saved to it or freed there.
+func (f *PartFollower) run(ctx context.Context, holder netip.AddrPort, follow func(context.Context, netip.AddrPort, *contact) error) {
+	tries, contact := 0, &contact{}
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := follow(ctx, holder)
+		err := follow(ctx, holder, contact)
 		if ctx.Err() != nil {
 			return
 		}
+		contact.failed()
 		f.Locator.Forget(holder)
 		if time.Since(started) > maxRetryDelay {
 			// The holder responded for a while, so this is a new outage.
@@ -178,23 +205,33 @@
 }
 
 // followStore lists a store's parts and applies its events, until events are missing
-// or the store restarts.
-func (f *PartFollower) followStore(ctx context.Context, holder netip.AddrPort, pause time.Duration) error {
+// or the store restarts. After a long outage the store is left alone for rejoinDelay first.
+func (f *PartFollower) followStore(ctx context.Context, holder netip.AddrPort, pause time.Duration, contact *contact) error {
 	listing, err := f.Log.List(ctx, holder)
 	if err != nil {
 		return err
 	}
+	if outage := contact.outage(); outage >= longOutage {
+		f.Logger.Info().Str("event", "store is back").Stringer("place", holder).Dur("outage", outage).Dur("pause", rejoinDelay).Send()
+		if err := retrier.Sleep(ctx, rejoinDelay); err != nil {
+			return err
+		}
+		if listing, err = f.Log.List(ctx, holder); err != nil {
+			return err
+		}
+	}
+	contact.responded()
 	if err := ctx.Err(); err != nil {
 		return err
 	}
 	f.Locator.Reset(holder, listing.Held, listing.Reserved)
 	f.Logger.Info().Str("event", "store listed").Stringer("place", holder).Int64("epoch", listing.Epoch).Int("parts", len(listing.Held)).Send()
-	return f.followEvents(ctx, holder, position{listing.Epoch, listing.Next}, pause)
+	return f.followEvents(ctx, holder, position{listing.Epoch, listing.Next}, pause, contact)
 }
 
 // followEngine applies an engine's events from the oldest that it still keeps. Parts
 // from before that stay unknown, since a listing would delay the engine's requests.
-func (f *PartFollower) followEngine(ctx context.Context, holder netip.AddrPort, pause time.Duration) error {
+func (f *PartFollower) followEngine(ctx context.Context, holder netip.AddrPort, pause time.Duration, contact *contact) error {
 	changes, err := f.Log.Changes(ctx, holder, 0, eventsWait)
 	if err != nil {
 		return err
@@ -204,7 +241,7 @@
 	}
 	f.Locator.Reset(holder, map[locator.Key]int{}, 0)
 	f.apply(holder, changes)
-	return f.followEvents(ctx, holder, position{changes.Epoch, changes.Next}, pause)
+	return f.followEvents(ctx, holder, position{changes.Epoch, changes.Next}, pause, contact)
 }
 
 // position is the next event to read from a holder.
@@ -213,7 +250,7 @@
 	next  int64
 }
 
-func (f *PartFollower) followEvents(ctx context.Context, holder netip.AddrPort, from position, pause time.Duration) error {
+func (f *PartFollower) followEvents(ctx context.Context, holder netip.AddrPort, from position, pause time.Duration, contact *contact) error {
 	for {
 		if err := retrier.Sleep(ctx, pause); err != nil {
 			return err
@@ -222,6 +259,7 @@
 		if err != nil {
 			return err
 		}
+		contact.responded()
 		if changes.Epoch != from.epoch || changes.Lost {
 			return errors.Newf("part events are incomplete: epoch was %d and is now %d, events lost: %t", from.epoch, changes.Epoch, changes.Lost)
 		}
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -65,7 +65,7 @@
 	// that concern a model as a whole: its newest target version, the oldest version
 	// whose parts are fetched, and how long the newest target version has been that, in
 	// milliseconds. IDHash can return these values too: the changes of such an endpoint
-	// would be taken for those of the model.
+	// would be taken for those of the model. See also fetchTimeMarker.
 	targetMarker   = 0
 	retainedMarker = 1
 	ageMarker      = 3
@@ -153,6 +153,12 @@
 	lastLogContact time.Duration
 	// lastFed is when RecordFed was last called.
 	lastFed time.Duration
+	// tickedAt is when Run last ran, and resumedAt when it last did after a standstill, as
+	// times since boot.
+	tickedAt  time.Duration
+	resumedAt time.Duration
+	// lastJoin is what LastJoin returns.
+	lastJoin time.Time
 	// broadcasting is set while a broadcast is due.
 	broadcasting bool
 	sequence     atomic.Uint64
@@ -170,6 +176,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			p.recordTick()
 			p.heartbeat(false)
 		}
 	}
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -39,7 +39,7 @@
 	}
 	p.storeRetained(heartbeat)
 	p.adoptTargetAges(heartbeat)
-	if reporter == balancer.Home {
+	if reporter != balancer.Member {
 		p.adoptRetained(heartbeat)
 	}
 	if len(heartbeat.Changes) > 0 {
@@ -135,6 +135,13 @@
 	if outdated || sameProcess && m.heartbeat.Sequence >= heartbeat.Sequence {
 		return false
 	}
+	if !m.alive || !sameProcess {
+		p.lastJoin = now
+	}
+	if !sameProcess {
+		// It may be of another build.
+		m.fetchTime, m.retained = 0, nil
+	}
 	if !heartbeat.Homed && !heartbeat.Hub {
 		// The peer reports to another hub now.
 		p.Balancer.Forget(m.heartbeat.Name)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -457,8 +457,24 @@
 	return nil
 }
 
+// agreement stands in for the other nodes. It implements relayer.Agreement.
+type agreement struct {
+	acknowledged func() bool
+	lastJoin     time.Time
+	delay        time.Duration
+}
+
+// Acknowledged implements relayer.Agreement.
+func (a *agreement) Acknowledged(string, int64) bool { return a.acknowledged() }
+
+// LastJoin implements relayer.Agreement.
+func (a *agreement) LastJoin() time.Time { return a.lastJoin }
+
+// FreeDelay implements relayer.Agreement.
+func (a *agreement) FreeDelay(*cataloger.Catalog) time.Duration { return a.delay }
+
 func TestCleaner(t *testing.T) {
-	run := func(t *testing.T, acknowledged bool, check func(t *testing.T, freed []locator.Key)) {
+	runWith := func(t *testing.T, agreement *agreement, check func(t *testing.T, freed []locator.Key)) {
 		t.Helper()
 		synctest.Test(t, func(t *testing.T) {
 			old := locator.Key{Salt: placer.Salt("", "m", 1), Part: "a"}
@@ -467,14 +483,19 @@
 			l.Reset(store, map[locator.Key]int{old: 10, current: 10}, 0)
 			cleaner := &relayer.Cleaner{
 				Node: newNode(t, engine("a", 2)), Locator: l, Parts: p, Self: "n1", Hubs: func() []string { return []string{"n1"} },
-				Acknowledged: func(string, int64) bool { return acknowledged }, Logger: zerolog.Nop(), Now: time.Now,
+				Agreement: agreement, Logger: zerolog.Nop(), Now: time.Now,
 			}
-			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			// A cleaner frees nothing in the first five seconds.
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			cleaner.Run(ctx)
 			check(t, p.freed)
 		})
 	}
+	run := func(t *testing.T, acknowledged bool, check func(t *testing.T, freed []locator.Key)) {
+		t.Helper()
+		runWith(t, &agreement{acknowledged: func() bool { return acknowledged }}, check)
+	}
 	t.Run("frees parts of versions that no node fetches", func(t *testing.T) {
 		run(t, true, func(t *testing.T, freed []locator.Key) {
 			assert.Equal(t, []locator.Key{{Salt: placer.Salt("", "m", 1), Part: "a"}}, freed)
@@ -483,6 +504,37 @@
 	t.Run("keeps parts that a node may still fetch", func(t *testing.T) {
 		run(t, false, func(t *testing.T, freed []locator.Key) { assert.Empty(t, freed) })
 	})
+	t.Run("keeps parts for as long as fetches may run", func(t *testing.T) {
+		runWith(t, &agreement{acknowledged: func() bool { return true }, delay: time.Minute}, func(t *testing.T, freed []locator.Key) { assert.Empty(t, freed) })
+	})
+	t.Run("an agreement ends when a node that lags behind is heard", func(t *testing.T) {
+		var began time.Time
+		lags := func() bool {
+			if began.IsZero() {
+				began = time.Now()
+			}
+			after := time.Since(began)
+			return after >= 4*time.Second && after < 6*time.Second
+		}
+		agreement := &agreement{acknowledged: func() bool { return !lags() }, delay: 5 * time.Second}
+		runWith(t, agreement, func(t *testing.T, freed []locator.Key) { assert.Empty(t, freed) })
+	})
+	t.Run("an agreement does not hold for a node that has just joined", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			agreement := &agreement{acknowledged: func() bool { return true }, delay: 7 * time.Second}
+			time.AfterFunc(4*time.Second, func() { agreement.lastJoin = time.Now() })
+			l, p := locator.New(), &freedParts{}
+			l.Reset(store, map[locator.Key]int{{Salt: placer.Salt("", "m", 1), Part: "a"}: 10}, 0)
+			cleaner := &relayer.Cleaner{
+				Node: newNode(t, engine("a", 2)), Locator: l, Parts: p, Self: "n1", Hubs: func() []string { return []string{"n1"} },
+				Agreement: agreement, Logger: zerolog.Nop(), Now: time.Now,
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			cleaner.Run(ctx)
+			assert.Empty(t, p.freed)
+		})
+	})
 }
 
 // claimLog is an in-memory claim log.
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -207,6 +207,21 @@
 // Stores returns the stores ordered by name.
 func (c *Catalog) Stores() []Service { return c.stores }
 
+// LongestTimeout returns the longest timeout of the routes, or unlimited if one of them has
+// none.
+func (c *Catalog) LongestTimeout(unlimited time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range c.routes {
+		for _, route := range routes {
+			if route.Timeout == 0 {
+				return unlimited
+			}
+			longest = max(longest, route.Timeout)
+		}
+	}
+	return longest
+}
+
 // RouteCount returns the number of routes.
 func (c *Catalog) RouteCount() int {
 	n := 0
