Isolating a team gives all other teams another cache scope

Cause: the cache salt named a team only while it was isolated. What the team had made before lay under the text that all others go on using, in engines' memory too, where nothing can be freed. On the same path: the request's own team was that of the time at which it was accepted, so a request that waited while its team was isolated was still placed under the shared text.

Change: the shared field of the salt names, by a digest, the set of isolated teams, also of teams without keys; it is empty if there are none, as before. Under each shared scope lie only parts of teams that are not isolated whenever it is in use, so isolating, undoing that and isolating again need no history, and all nodes derive the same from the newest configuration alone. A team is looked up in the view by which the request is placed; one that the configuration no longer has shares with none. Names are escaped in one place, so that a slash, an empty name or one like a derived scope changes no fields.

Stores: parts of a scope that no team has used for a minute are freed, once all peers are heard, have the same configuration and are of builds that know scopes. After a change of the set nothing is fetched for 5 s, since a scope may come back while others still free it. A salt of another form is no longer freed at once: a newer build may use it.

Beside: salts have three fields, of which the second and third are what that build expects, so it frees them by version as its own. New nodes never place requests of other teams under the scope in which an old node places those of the team. What old nodes share among themselves stays as it was until they are replaced.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -150,12 +150,12 @@
 			attempt.BeginTimeout = view.beginTimeout(endpoint, s.Prompt.Model, s.ageLimits())
 		}
 	}
-	attempt.Salt = s.salt(attempt.Weights)
+	attempt.Salt = s.salt(view, attempt.Weights)
 	query := s.forEndpoint(s.query(view), view, endpoint)
 	query.Nodes = s.Nodes()
 	plan := s.Locator.Plan(now, query)
 	attempt.Save = plan.Save
-	if canFetch {
+	if canFetch && !view.scopesSettling() {
 		attempt.Fetch, attempt.FetchEnd = plan.Fetch, fetchEnd
 	}
 	return attempt
@@ -231,7 +231,7 @@
 			surveys[version] = survey
 		}
 		cached, fetched := survey.Cached(endpoint.Address)
-		if !canFetch {
+		if !canFetch || view.scopesSettling() {
 			fetched = 0
 		}
 		return balancer.Work{Read: tokens - cached - fetched, Fetch: fetched}
@@ -251,7 +251,7 @@
 // is false, because this node does not know which versions are retained.
 func (s *selection) forEndpoint(query locator.Query, view View, endpoint endpointtracker.Endpoint) locator.Query {
 	version := endpoint.Weights[s.Prompt.Model]
-	query.Salt, query.Target, query.Domain = s.salt(version), endpoint.Address, endpoint.Domain
+	query.Salt, query.Target, query.Domain = s.salt(view, version), endpoint.Address, endpoint.Domain
 	if version < view.OldestRetained[s.Prompt.Model] || !s.HasContact() {
 		query.Stores = nil
 	}
@@ -298,13 +298,10 @@
 	return s.Prompt.Tokens() + s.Prompt.MaxOutputTokens
 }
 
-// salt returns the cache salt for a version of the weights.
-func (s *selection) salt(version int64) string {
-	isolatedTeam := ""
-	if s.Team.Isolated {
-		isolatedTeam = s.Team.Name
-	}
-	return Salt(isolatedTeam, s.Prompt.Model, version)
+// salt returns the cache salt for a version of the weights. The view may have a newer
+// configuration than the one by which the request was accepted.
+func (s *selection) salt(view View, version int64) string {
+	return Salt(view.scope(s.Team), s.Prompt.Model, version)
 }
 
 // placement is an attempt that is counted in the Balancer. It implements
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -97,19 +97,19 @@
 		attempt, err := place(t, newPlacer(testView(nil, 1)), cataloger.Team{Name: "t"}, forwarder.Progress{})
 		require.NoError(t, err)
 		assert.EqualValues(t, 1, attempt.Weights)
-		model, version, ok := placer.ParseSalt(attempt.Salt)
+		_, model, version, ok := placer.ParseSalt(attempt.Salt)
 		assert.True(t, ok)
 		assert.Equal(t, "m", model)
 		assert.EqualValues(t, 1, version)
 	})
 	run("an isolated team has its own salt", func(t *testing.T) {
-		salt := func(team cataloger.Team) string {
-			attempt, err := place(t, newPlacer(testView(nil, 1)), team, forwarder.Progress{})
+		salt := func(team cataloger.Team, isolated bool) string {
+			attempt, err := place(t, newPlacer(configured(map[string]bool{"t": isolated, "u": false})), team, forwarder.Progress{})
 			require.NoError(t, err)
 			return attempt.Salt
 		}
-		assert.Equal(t, salt(cataloger.Team{Name: "t"}), salt(cataloger.Team{Name: "u"}))
-		assert.NotEqual(t, salt(cataloger.Team{Name: "t"}), salt(cataloger.Team{Name: "t", Isolated: true}))
+		assert.Equal(t, salt(cataloger.Team{Name: "t"}, false), salt(cataloger.Team{Name: "u"}, false))
+		assert.NotEqual(t, salt(cataloger.Team{Name: "t"}, false), salt(cataloger.Team{Name: "t", Isolated: true}, true))
 	})
 	run("an endpoint that was tried is the last choice", func(t *testing.T) {
 		attempt, err := place(t, newPlacer(testView(nil, 1, 1)), cataloger.Team{}, forwarder.Progress{Tried: map[string]bool{"e1": true}})
--- a/internal/coordination/placer/view.go
+++ b/internal/coordination/placer/view.go
@@ -19,13 +19,17 @@
 	// OldestRetained holds, for each model, the oldest version whose parts are
 	// kept in stores.
 	OldestRetained map[string]int64
+	// ScopesChanged is when the set of isolated teams last changed, by View.Now; zero if it did
+	// not since the start.
+	ScopesChanged time.Time
 	// Now is the clock of the view's times. It may differ from that of requests, since it
 	// counts the time for which the host was suspended. It is set if any target version
 	// has a time.
 	Now func() time.Time
 
-	// byService holds what Prepare has computed.
+	// byService and scopes hold what Prepare has computed.
 	byService map[string]holders
+	scopes    *scopes
 }
 
 // holders are the engines and stores that hold parts of a service's prompts.
@@ -36,12 +40,41 @@
 
 // Prepare computes the lists that each placement needs, once for the view.
 func (v *View) Prepare() {
+	v.scopes = newScopes(v.Catalog)
 	v.byService = map[string]holders{}
 	for service := range v.Endpoints {
 		v.byService[service] = v.holders(service)
 	}
 }
 
+// scope returns the scope of a team's requests.
+func (v View) scope(team cataloger.Team) string {
+	if v.scopes == nil {
+		v.scopes = newScopes(v.Catalog)
+	}
+	return v.scopes.of(v.Catalog, team)
+}
+
+// scopesPause is how long nothing is fetched after the set of isolated teams has changed. A
+// scope may come back into use, and other nodes free its parts until they have the configuration.
+const scopesPause = 5 * time.Second
+
+// scopesSettling reports whether the set of isolated teams changed within scopesPause.
+func (v View) scopesSettling() bool {
+	return !v.ScopesChanged.IsZero() && v.Now().Sub(v.ScopesChanged) < scopesPause
+}
+
+// SharedScope returns the scope of the teams that are not isolated.
+func (v View) SharedScope() string { return v.scope(cataloger.Team{}) }
+
+// ScopeInUse reports whether requests of the configuration's teams are placed in a scope.
+func (v View) ScopeInUse(scope string) bool {
+	if v.scopes == nil {
+		v.scopes = newScopes(v.Catalog)
+	}
+	return v.scopes.inUse(scope)
+}
+
 func (v *View) holders(service string) holders {
 	if known, ok := v.byService[service]; ok {
 		return known
--- a/internal/relayer/cleaner.go
+++ b/internal/relayer/cleaner.go
@@ -20,6 +20,9 @@
 	cleanPeriod = 400 * time.Millisecond
 	// cleanBatch is the maximum number of parts freed in one call.
 	cleanBatch = 200
+	// unusedScopeDelay is how long no team has used a scope before its parts are freed. The
+	// configuration is in force at all nodes long before.
+	unusedScopeDelay = time.Minute
 )
 
 // ErrClockUnknown is returned by a PartFreer that does not know the endpoints' clock yet and
@@ -39,6 +42,9 @@
 	// LastJoin returns when a node last joined that is not bound by what was acknowledged
 	// before.
 	LastJoin() time.Time
+	// SameConfiguration reports whether all nodes are known to have a version of the
+	// configuration, and to share parts by it.
+	SameConfiguration(version int64) bool
 	// FreeDelay returns how long parts must be out of use at all nodes before no endpoint
 	// fetches them any more.
 	FreeDelay(catalog *cataloger.Catalog) time.Duration
@@ -64,6 +70,8 @@
 	// acknowledged, and since when without interruption.
 	agreed    map[string]agreedVersion
 	startedAt time.Time
+	// unusedSince holds, for each scope of stored parts that no team uses, since when.
+	unusedSince map[string]time.Time
 }
 
 type agreedVersion struct {
@@ -73,7 +81,7 @@
 
 // Run frees obsolete parts periodically until ctx ends.
 func (c *Cleaner) Run(ctx context.Context) {
-	c.agreed, c.startedAt = map[string]agreedVersion{}, c.Now()
+	c.agreed, c.unusedSince, c.startedAt = map[string]agreedVersion{}, map[string]time.Time{}, c.Now()
 	for ctx.Err() == nil {
 		view := c.Node.View()
 		if view.Catalog != nil {
@@ -111,14 +119,33 @@
 	// time since then.
 	until time.Time
 	delay time.Duration
+	// unusedScope reports whether no team uses a scope any more.
+	unusedScope func(scope string) bool
 }
 
 func (c *Cleaner) agreements(view placer.View) agreements {
 	now, delay := c.Now(), c.Agreement.FreeDelay(view.Catalog)
 	if now.Sub(c.Agreement.LastJoin()) < delay {
-		return agreements{}
+		return agreements{unusedScope: func(string) bool { return false }}
 	}
-	return agreements{agreed: c.agreed, until: now.Add(-delay), delay: delay}
+	agreed := c.Agreement.SameConfiguration(view.Catalog.Version)
+	return agreements{agreed: c.agreed, until: now.Add(-delay), delay: delay, unusedScope: func(scope string) bool {
+		return c.isUnused(view, scope) && agreed
+	}}
+}
+
+// isUnused reports whether no team has used a scope for unusedScopeDelay.
+func (c *Cleaner) isUnused(view placer.View, scope string) bool {
+	if view.ScopeInUse(scope) {
+		delete(c.unusedSince, scope)
+		return false
+	}
+	since, known := c.unusedSince[scope]
+	if !known {
+		since = c.Now()
+		c.unusedSince[scope] = since
+	}
+	return c.Now().Sub(since) >= unusedScopeDelay
 }
 
 func (c *Cleaner) freeObsolete(ctx context.Context, view placer.View) {
@@ -151,9 +178,12 @@
 // inUse reports whether requests may still use parts with a cache salt, which names
 // the model and the version.
 func (a agreements) inUse(salt string) bool {
-	model, version, ok := placer.ParseSalt(salt)
+	scope, model, version, ok := placer.ParseSalt(salt)
 	if !ok {
-		// No request uses a malformed salt.
+		// Nodes of another build may use it.
+		return true
+	}
+	if a.unusedScope(scope) {
 		return false
 	}
 	oldest, known := a.agreed[model]
--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -113,3 +113,18 @@
 	}
 	return peertracker.Change{Endpoint: fetchTimeMarker, Version: longest.Milliseconds()}, true
 }
+
+// SameConfiguration reports whether all peers are live, have the given version of the
+// configuration, and are of builds that share parts by the teams that are isolated.
+func (p *Peers) SameConfiguration(version int64) bool {
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.peers {
+		live := now.Sub(m.lastReceived) < heartbeatTimeout
+		if m.isSilent(now) || live && (m.fetchTime == 0 || m.heartbeat.Applied != uint64(version)) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -72,6 +72,8 @@
 	// retained holds, for each model, the oldest version whose prompt parts are still
 	// fetched from stores.
 	retained map[string]int64
+	// scopesChanged is when the set of isolated teams last changed.
+	scopesChanged time.Time
 	// startedAt is when Run was called, steppedAt the time of its last step, and stood the
 	// last time for which it made none.
 	startedAt time.Time
@@ -333,6 +335,22 @@
 	r.Log.Info().Str("event", "endpoints gone").Strs("endpoints", removed).Msg("endpoints removed: their entries were not registered again within the grace period")
 }
 
+// noteScopes records when the set of isolated teams changes.
+func (r *Relayer) noteScopes(view *placer.View) {
+	shared := view.SharedScope()
+	if former := r.view.Load(); former != nil && former.SharedScope() != shared {
+		r.scopesChanged = r.now()
+		r.Log.Info().Str("event", "isolation").Int64("version", view.Catalog.Version).Strs("isolated", firstNames(view.Catalog.IsolatedTeams())).
+			Str("scope", shared).Str("former", former.SharedScope()).Send()
+	}
+	view.ScopesChanged = r.scopesChanged
+}
+
+// maxLoggedNames bounds the names in a log line.
+const maxLoggedNames = 20
+
+func firstNames(names []string) []string { return names[:min(len(names), maxLoggedNames)] }
+
 func (r *Relayer) publish() {
 	if r.catalog == nil {
 		return
@@ -341,6 +359,7 @@
 	r.updateRetained(view.Endpoints)
 	view.OldestRetained = maps.Clone(r.retained)
 	view.Prepare()
+	r.noteScopes(&view)
 	r.view.Store(&view)
 	if r.OnChange != nil {
 		r.OnChange(view)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -462,6 +462,8 @@
 	acknowledged func() bool
 	lastJoin     time.Time
 	delay        time.Duration
+	// otherConfiguration is set if not all nodes have the same configuration.
+	otherConfiguration bool
 }
 
 // Acknowledged implements relayer.Agreement.
@@ -470,9 +472,52 @@
 // LastJoin implements relayer.Agreement.
 func (a *agreement) LastJoin() time.Time { return a.lastJoin }
 
+// SameConfiguration implements relayer.Agreement.
+func (a *agreement) SameConfiguration(int64) bool { return !a.otherConfiguration }
+
 // FreeDelay implements relayer.Agreement.
 func (a *agreement) FreeDelay(*cataloger.Catalog) time.Duration { return a.delay }
 
+// freedAfter runs a cleaner of a site on which no team is isolated, and returns which parts it
+// has freed of one with a salt.
+func freedAfter(t *testing.T, agreement *agreement, salt string, after time.Duration) []locator.Key {
+	t.Helper()
+	l, p := locator.New(), &freedParts{}
+	l.Reset(store, map[locator.Key]int{{Salt: salt, Part: "a"}: 10}, 0)
+	cleaner := &relayer.Cleaner{
+		Node: newNode(t, engine("a", 2)), Locator: l, Parts: p, Self: "n1", Hubs: func() []string { return []string{"n1"} },
+		Agreement: agreement, Logger: zerolog.Nop(), Now: time.Now,
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), after)
+	defer cancel()
+	cleaner.Run(ctx)
+	return p.freed
+}
+
+// TestUnusedScopes guards against stores that fill up with parts which no team uses any more
+// since the set of isolated teams has changed, and against freeing them too early.
+func TestUnusedScopes(t *testing.T) {
+	run := func(name string, check func(t *testing.T, agreed *agreement)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { check(t, &agreement{acknowledged: func() bool { return true }}) })
+		})
+	}
+	unused := placer.Salt(placer.SharedScope([]string{"t"}), "m", 2)
+	run("parts are freed after a while", func(t *testing.T, agreed *agreement) {
+		assert.Len(t, freedAfter(t, agreed, unused, 70*time.Second), 1)
+	})
+	run("parts are kept until the configuration is in force at all nodes", func(t *testing.T, agreed *agreement) {
+		assert.Empty(t, freedAfter(t, agreed, unused, 50*time.Second))
+	})
+	run("parts are kept while a node has another configuration or shares by other rules", func(t *testing.T, agreed *agreement) {
+		agreed.otherConfiguration = true
+		assert.Empty(t, freedAfter(t, agreed, unused, 5*time.Minute))
+	})
+	run("parts of the scope in use are kept", func(t *testing.T, agreed *agreement) {
+		assert.Empty(t, freedAfter(t, agreed, placer.Salt("", "m", 2), 5*time.Minute))
+	})
+}
+
 func TestCleaner(t *testing.T) {
 	runWith := func(t *testing.T, agreement *agreement, check func(t *testing.T, freed []locator.Key)) {
 		t.Helper()
@@ -507,6 +552,11 @@
 	t.Run("keeps parts for as long as fetches may run", func(t *testing.T) {
 		runWith(t, &agreement{acknowledged: func() bool { return true }, delay: time.Minute}, func(t *testing.T, freed []locator.Key) { assert.Empty(t, freed) })
 	})
+	t.Run("keeps parts of salts that another build writes", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			assert.Empty(t, freedAfter(t, &agreement{acknowledged: func() bool { return true }}, "a/new/form/1", time.Minute))
+		})
+	})
 	t.Run("an agreement ends when a node that lags behind is heard", func(t *testing.T) {
 		var began time.Time
 		lags := func() bool {
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -145,6 +145,9 @@
 	teams        map[string]Team
 	keysRequired bool
 	stores       []Service
+	// names are the names of all teams, and isolated those of the isolated ones in order.
+	names    map[string]bool
+	isolated []string
 }
 
 // New returns a catalog. teams maps keys to teams; nil disables the check of
@@ -157,6 +160,10 @@
 		routes:       map[string][]Route{},
 		teams:        teams,
 		keysRequired: teams != nil,
+		names:        map[string]bool{},
+	}
+	for _, team := range teams {
+		c.addTeam(team)
 	}
 	for _, service := range services {
 		c.Services[service.Name] = service
@@ -175,6 +182,28 @@
 	return c
 }
 
+// WithTeams adds teams that may have no key. It returns c, and is called before c is used.
+func (c *Catalog) WithTeams(teams ...Team) *Catalog {
+	for _, team := range teams {
+		c.addTeam(team)
+	}
+	return c
+}
+
+func (c *Catalog) addTeam(team Team) {
+	c.names[team.Name] = true
+	if i, known := slices.BinarySearch(c.isolated, team.Name); team.Isolated && !known {
+		c.isolated = slices.Insert(c.isolated, i, team.Name)
+	}
+}
+
+// HasTeam reports whether there is a team of a name.
+func (c *Catalog) HasTeam(name string) bool { return c.names[name] }
+
+// IsolatedTeams returns the names of the isolated teams, in order and also of those without
+// keys.
+func (c *Catalog) IsolatedTeams() []string { return c.isolated }
+
 // Route returns the route of a host, which may include a port, with the longest
 // matching prefix of path. It returns ErrNoRoute if there is none.
 func (c *Catalog) Route(host, path string) (Route, error) {
