Planned stop: late requests are refused, and the last ones get an answer

Cause: a stop only waited for open requests. Nothing asked whether one that is placed can end before the process does, and the HTTP server closes a connection whose first request comes after Shutdown.

Change: forwarder.Stop. A request that arrives later than 3 s after the signal, or is about to be placed too late for its objective, is refused at once (503, Retry-After 20 ms, not run), unless its caller's deadline or the route's timeout comes before the end. What still runs 0.2 s before the end is given up and answered: 502, or 503 if it has not run.

Ruled out: tunnels, which a stopping node refuses already; those that are open are cut with it, and their first nodes treat that as a broken connection.

--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -88,14 +88,16 @@
 // the endpoint: its connection ended. A malformed answer says nothing about the request.
 func mayBeCrash(err error) bool { return !errors.Is(err, ErrMalformed) }
 
-// markCancelled marks an error with ErrTimeout if the deadline passed, and with
-// ErrCallerGone if ctx was cancelled for another reason.
+// markCancelled marks an error with ErrTimeout if the deadline passed, with ErrStopping if the
+// node ends, and with ErrCallerGone if ctx was cancelled for another reason.
 func (r *run) markCancelled(ctx context.Context, err error) error {
 	switch cause := context.Cause(ctx); {
 	case cause == nil:
 		return err
 	case errors.Is(cause, ErrTimeout):
 		return errors.Mark(err, ErrTimeout)
+	case errors.Is(cause, ErrStopping):
+		return errors.Mark(err, ErrStopping)
 	default:
 		return errors.Mark(err, ErrCallerGone)
 	}
--- a/internal/coordination/forwarder/attempt.go
+++ b/internal/coordination/forwarder/attempt.go
@@ -43,11 +43,20 @@
 	if deadline := r.EffectiveDeadline(); !deadline.IsZero() && deadline.Sub(started) < minTimeLeft {
 		return ErrTimeout
 	}
+	if err := r.Stop.refusal(started, r.Exchange); err != nil {
+		return err
+	}
 	r.Exclusive = r.Exclusive || r.Suspects.Check(started, r.fingerprint) == retrier.VerdictExclusive
 	placement, err := r.Placer.Place(ctx, r.Exchange, r.Progress)
 	if err != nil {
 		return r.markCancelled(ctx, err)
 	}
-	r.placement, r.queueTime = placement, r.queueTime+r.Now().Sub(started)
+	now := r.Now()
+	if err := r.Stop.refusal(now, r.Exchange); err != nil {
+		// The stop began, or went on, while the request waited.
+		placement.Release()
+		return err
+	}
+	r.placement, r.queueTime = placement, r.queueTime+now.Sub(started)
 	return nil
 }
--- a/internal/coordination/forwarder/forwarder.go
+++ b/internal/coordination/forwarder/forwarder.go
@@ -43,6 +43,8 @@
 	// of requests at whose endpoint a crash is possible.
 	PartSuspects *retrier.PartSuspects
 	Crashes      *retrier.CrashConfirmer
+	// Stop is the node's planned stop; nil if requests are to run to their end.
+	Stop *Stop
 	// Builds is nil if endpoints have no builds that differ.
 	Builds Builds
 	// Gone reports whether an endpoint is gone to which a connection broke. If it is not, or if that
@@ -108,6 +110,8 @@
 		ctx, cancel = context.WithDeadlineCause(ctx, deadline, ErrTimeout)
 		defer cancel()
 	}
+	ctx, release := f.Stop.context(ctx)
+	defer release()
 	err := r.findOrigin(ctx)
 	f.Budget.CountRequest(f.Now(), exchange.Service)
 	if err == nil {
--- a/internal/coordination/forwarder/recording.go
+++ b/internal/coordination/forwarder/recording.go
@@ -57,6 +57,8 @@
 		return "timed out"
 	case errors.Is(err, ErrPoison):
 		return "poison"
+	case errors.Is(err, ErrStopping):
+		return "stopped"
 	default:
 		return "broken"
 	}
--- a/internal/coordination/forwarder/retry.go
+++ b/internal/coordination/forwarder/retry.go
@@ -15,7 +15,7 @@
 func (r *run) checkRetry(ctx context.Context, cause error) error {
 	var refusal *limiter.Refusal
 	switch {
-	case errors.IsAny(cause, ErrNoPath, ErrCallerGone, ErrTimeout, ErrUnavailable, ErrVersionGone, ErrBuildGone, ErrPoison), errors.As(cause, &refusal):
+	case errors.IsAny(cause, ErrNoPath, ErrCallerGone, ErrTimeout, ErrStopping, ErrUnavailable, ErrVersionGone, ErrBuildGone, ErrPoison), errors.As(cause, &refusal):
 		return cause
 	case r.attempts >= MaxSends:
 		return cause
--- /dev/null
+++ b/internal/coordination/forwarder/stop_test.go
@@ -0,0 +1,66 @@
+package forwarder
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
+)
+
+// TestStopRefuses covers which requests a stopping node refuses: 8 s after the begin its process
+// ends.
+func TestStopRefuses(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// received and placed are counted from the begin of the stop, deadline from received.
+		received, placed, deadline time.Duration
+		want                       bool
+	}{
+		{"received before the stop", -time.Second, time.Second, 15 * time.Second, false},
+		{"received early", time.Second, time.Second, 15 * time.Second, false},
+		{"received late", 4 * time.Second, 4 * time.Second, 15 * time.Second, true},
+		{"received late, ends before the node", 4 * time.Second, 4 * time.Second, 3 * time.Second, false},
+		{"received late, ends with the node", 4 * time.Second, 4 * time.Second, 4 * time.Second, true},
+		{"received late without deadline", 4 * time.Second, 4 * time.Second, 0, true},
+		{"placed too late for its objective", -time.Second, 7 * time.Second, 15 * time.Second, true},
+		{"placed late, ends before the node", -time.Second, 7 * time.Second, 8500 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			stop, begun := &Stop{AcceptTime: 3 * time.Second}, time.Now()
+			stop.Begin(begun, begun.Add(8*time.Second))
+			received := begun.Add(c.received)
+			exchange := &Exchange{Received: received, Route: cataloger.Route{Objective: time.Second}}
+			if c.deadline > 0 {
+				exchange.Deadline = received.Add(c.deadline)
+			}
+			assert.Equal(t, c.want, stop.refusal(begun.Add(c.placed), exchange) != nil)
+		})
+	}
+	t.Run("a node that does not stop refuses nothing", func(t *testing.T) {
+		assert.NoError(t, (&Stop{}).refusal(time.Now(), &Exchange{}))
+		assert.NoError(t, (*Stop)(nil).refusal(time.Now(), &Exchange{}))
+	})
+}
+
+// TestStopEndsRequests covers requests that run at the end of a stop, also if they began after
+// the stop did.
+func TestStopEndsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stop := &Stop{}
+		before, releaseBefore := stop.context(t.Context())
+		defer releaseBefore()
+		stop.Begin(time.Now(), time.Now().Add(8*time.Second))
+		after, releaseAfter := stop.context(t.Context())
+		defer releaseAfter()
+		time.Sleep(8*time.Second - stopAnswerTime - time.Millisecond)
+		assert.NoError(t, before.Err())
+		time.Sleep(2 * time.Millisecond)
+		synctest.Wait()
+		for _, ctx := range []interface{ Err() error }{before, after} {
+			assert.Error(t, ctx.Err())
+		}
+	})
+}
