--- a/internal/relayer/cleaner.go
+++ b/internal/relayer/cleaner.go
@@ -149,13 +149,12 @@
 }
 
 func (c *Cleaner) freeObsolete(ctx context.Context, view placer.View) {
-	hubs := c.Hubs()
+	hubs, current := c.Hubs(), c.agreements(view)
 	for _, service := range view.Catalog.Stores() {
 		address := service.Store.Address
 		if ranker.Pick(hubs, address.String()) != c.Self {
 			continue
 		}
-		current := c.agreements(view)
 		keys := c.Locator.ObsoleteParts(address, current.inUse)
 		if len(keys) == 0 {
 			continue
