Freeing of parts: a peer that has been missing for a minute counts as gone; terms

A host that is lost for good stayed missing at hubs that had known it: parts were freed 5 s late from then on, and those of unused scopes never, until the hub started again. Found by reading. A peer that comes back later is covered by the pause for stores that are back and by what it announces. Also, names and comments use the field's terms (missing, not silent; heartbeats arrive). Test: a case of TestFreeDelay, which failed before.

--- a/internal/relayer/cleaner.go
+++ b/internal/relayer/cleaner.go
@@ -34,7 +34,7 @@
 	Free(ctx context.Context, store netip.AddrPort, keys []locator.Key) error
 }
 
-// Agreement tells what all nodes have stopped to fetch. Peers implements it.
+// Agreement reports what all nodes have stopped fetching. Peers implements it.
 type Agreement interface {
 	// Acknowledged reports whether all nodes place only requests that fetch parts of this or
 	// later versions of a model.
@@ -86,8 +86,8 @@
 		view := c.Node.View()
 		if view.Catalog != nil {
 			c.updateAgreed(view)
-			if c.Now().Sub(c.startedAt) >= silentDelay {
-				// All peers that can be reached have been heard.
+			if c.Now().Sub(c.startedAt) >= missingPeerDelay {
+				// Heartbeats of all peers that can be reached have arrived by now.
 				c.freeObsolete(ctx, view)
 			}
 		}
--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -13,10 +13,12 @@
 	// fetchMargin is added to the longest fetch: the time until an endpoint notices that a
 	// fetch has to end.
 	fetchMargin = 300 * time.Millisecond
-	// silentDelay is how long parts must be out of use before they are freed while a peer is
-	// silent. A peer that is in contact with the log or with other hubs, but not with this
-	// node, has learned of newer versions by then.
-	silentDelay = 5 * time.Second
+	// missingPeerDelay is how long parts must be out of use before they are freed while a peer
+	// sends no heartbeats. One that is in contact with the log or with other hubs, but not
+	// with this node, has learned of newer versions by then.
+	missingPeerDelay = 5 * time.Second
+	// goneTimeout is how long a peer without heartbeats is taken for one that may be back.
+	goneTimeout = time.Minute
 	// unknownFetchTime is the longest fetch of a peer that does not limit fetches, if no route
 	// limits its requests.
 	unknownFetchTime = 30 * time.Second
@@ -54,8 +56,8 @@
 	p.tickedAt = now
 }
 
-// LastJoin returns when a peer was last heard that had not been heard before, had been
-// silent, or had been started again. What all peers had agreed on before may not hold for it.
+// LastJoin returns when a heartbeat last arrived of a peer that was new, had been missing or
+// was started again. What all peers had agreed on before may not hold for it.
 func (p *Peers) LastJoin() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -75,8 +77,8 @@
 	}
 	delay += fetchMargin
 	for _, m := range p.peers {
-		if m.isSilent(now) {
-			return max(delay, silentDelay)
+		if m.isMissing(now) {
+			return max(delay, missingPeerDelay)
 		}
 	}
 	return delay
@@ -122,7 +124,7 @@
 	defer p.mu.Unlock()
 	for _, m := range p.peers {
 		live := now.Sub(m.lastReceived) < heartbeatTimeout
-		if m.isSilent(now) || live && (m.fetchTime == 0 || m.heartbeat.Applied != uint64(version)) {
+		if m.isMissing(now) || live && (m.fetchTime == 0 || m.heartbeat.Applied != uint64(version)) {
 			return false
 		}
 	}
--- a/internal/relayer/fetch_agreement_test.go
+++ b/internal/relayer/fetch_agreement_test.go
@@ -37,7 +37,7 @@
 }
 
 // TestFreeDelay guards against stores that free parts while an engine fetches them for a node
-// that this one does not hear, or that runs an older build.
+// whose heartbeats do not arrive, or that runs an older build.
 func TestFreeDelay(t *testing.T) {
 	const margin = 300 * time.Millisecond
 	run := func(name string, check func(t *testing.T, peers *relayer.Peers)) {
@@ -61,13 +61,20 @@
 		peers.HandleHeartbeat(older)
 		assertFreeDelay(t, peers, 15*time.Second+margin)
 	})
-	run("a hub that is silent may be heard by others", func(t *testing.T, peers *relayer.Peers) {
+	run("a missing hub may be in contact with others", func(t *testing.T, peers *relayer.Peers) {
 		hub := heartbeat(1, fetchTime(placer.MaxFetchTime))
 		hub.Sender.Hub = true
 		peers.HandleHeartbeat(hub)
 		time.Sleep(4 * time.Second)
 		assertFreeDelay(t, peers, 5*time.Second)
 	})
+	run("a hub that has been missing for long is gone", func(t *testing.T, peers *relayer.Peers) {
+		hub := heartbeat(1, fetchTime(placer.MaxFetchTime))
+		hub.Sender.Hub = true
+		peers.HandleHeartbeat(hub)
+		time.Sleep(2 * time.Minute)
+		assertFreeDelay(t, peers, placer.MaxFetchTime+margin)
+	})
 	run("a hub that has said that it stops does not count", func(t *testing.T, peers *relayer.Peers) {
 		hub := heartbeat(1, fetchTime(placer.MaxFetchTime))
 		hub.Sender.Hub, hub.Sender.Leaving = true, true
@@ -91,7 +98,7 @@
 		first := time.Now()
 		time.Sleep(time.Second)
 		peers.HandleHeartbeat(heartbeat(2))
-		assert.Equal(t, first, peers.LastJoin(), "a peer that is heard again and again joins once")
+		assert.Equal(t, first, peers.LastJoin(), "further heartbeats are no join")
 		restarted := heartbeat(1)
 		restarted.Sender.Incarnation = 9
 		peers.HandleHeartbeat(restarted)
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -31,11 +31,12 @@
 	fetchTime time.Duration
 }
 
-// isSilent reports whether a peer that this node should hear is not heard any more, and did
-// not say that it stops.
-func (m *peerState) isSilent(now time.Time) bool {
+// isMissing reports whether heartbeats of a peer that sends them to this node do not arrive any
+// more, although it did not announce that it stops. After goneTimeout it counts as gone.
+func (m *peerState) isMissing(now time.Time) bool {
 	reports := m.reporter == balancer.Member || m.heartbeat.Hub
-	return reports && !m.heartbeat.Leaving && !m.lastReceived.IsZero() && now.Sub(m.lastReceived) >= heartbeatTimeout
+	since := now.Sub(m.lastReceived)
+	return reports && !m.heartbeat.Leaving && !m.lastReceived.IsZero() && since >= heartbeatTimeout && since < goneTimeout
 }
 
 func (m *peerState) isLiveMember(now time.Time) bool {
--- a/internal/relayer/part_follower.go
+++ b/internal/relayer/part_follower.go
@@ -34,7 +34,7 @@
 	// heartbeatTimeout.
 	longOutage = 2500 * time.Millisecond
 	// rejoinDelay is how long a store is left alone after a long outage. By then the nodes on
-	// both sides have heard from each other, and know which versions are retained.
+	// both sides have received each other's heartbeats, and with them the retained versions.
 	rejoinDelay = 2500 * time.Millisecond
 )
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -557,7 +557,7 @@
 			assert.Empty(t, freedAfter(t, &agreement{acknowledged: func() bool { return true }}, "a/new/form/1", time.Minute))
 		})
 	})
-	t.Run("an agreement ends when a node that lags behind is heard", func(t *testing.T) {
+	t.Run("an agreement ends when a node appears that lags behind", func(t *testing.T) {
 		var began time.Time
 		lags := func() bool {
 			if began.IsZero() {
