Fetches may last 5 s; a node gives a version up only after its fetches have ended

Cause: the time counts from the placement and includes the wait at the endpoint, which is long under load. The delay before parts are freed bounded the fetches.

Change: the agreement bounds them instead. A node records until when engines may fetch for it, before it looks at what is retained, and announces a version as given up only after that (Fetches). So peers need not wait for fetches, and a fetch may last 5 s, or until its request's deadline. A hub announces for its members, and to them for all nodes, that fetches are bounded.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -29,14 +29,9 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/state/endpointtracker"
 )
 
-const (
-	// fetchShare is the share of the objective after which fetching times out. The
-	// rest may be enough to prefill what was not fetched.
-	fetchShare = 0.45
-	// MaxFetchTime is the longest time for which an endpoint fetches parts after the
-	// attempt was placed. Parts that are no longer placed are freed after it.
-	MaxFetchTime = 600 * time.Millisecond
-)
+// MaxFetchTime is the longest time for which an endpoint fetches parts after the attempt was
+// placed. It includes the time for which the attempt waits at the endpoint.
+const MaxFetchTime = 5 * time.Second
 
 // Placer implements forwarder.Placer. Its fields are set before use.
 type Placer struct {
@@ -64,6 +59,12 @@
 	// EndpointClock returns the endpoints' clock at a time of this node, or false while it is
 	// unknown. No parts are fetched then, since fetches could not be ended in time.
 	EndpointClock func(t time.Time) (time.Time, bool)
+	// FetchLimit returns how long endpoints may fetch parts after an attempt was placed, at most
+	// MaxFetchTime.
+	FetchLimit func() time.Duration
+	// OnFetch is called before an attempt is placed that may fetch parts of a version, with the
+	// time at which fetching has ended at the latest; nil if nobody frees parts.
+	OnFetch func(model string, version int64, end time.Time)
 	// HasContact reports whether this node had contact with the log or a peer
 	// recently enough to know of new target weights.
 	HasContact func() bool
@@ -124,9 +125,12 @@
 
 // attempt assembles what is sent to the chosen endpoint.
 func (s *selection) attempt(choice balancer.Choice) forwarder.Attempt {
-	// The end of fetches counts from before the view is read: a newer view may let stores
-	// free what this one fetches.
+	// The end of fetches counts from, and is recorded, before the view is read: a newer view
+	// may let stores free what this one fetches.
 	fetchEnd, canFetch := s.fetchEnd()
+	if canFetch && s.Prompt != nil && s.OnFetch != nil {
+		s.OnFetch(s.Prompt.Model, choice.Endpoint.Weights[s.Prompt.Model], s.Now().Add(s.fetchTimeout()))
+	}
 	view, now, endpoint := s.View(), s.Now(), choice.Endpoint
 	attempt := forwarder.Attempt{
 		Exchange: s.Exchange, Endpoint: endpoint, TimeLeft: s.EffectiveDeadline().Sub(now), LastEventID: s.Progress.LastEventID,
@@ -164,8 +168,15 @@
 // fetchEnd returns when fetches of an attempt that is placed now must end, by the endpoints'
 // clock; false if that clock is unknown.
 func (s *selection) fetchEnd() (time.Time, bool) {
-	timeout := time.Duration(fetchShare * float64(s.Route.Objective))
-	return s.EndpointClock(s.Now().Add(min(timeout, MaxFetchTime)))
+	return s.EndpointClock(s.Now().Add(s.fetchTimeout()))
+}
+
+func (s *selection) fetchTimeout() time.Duration {
+	limit := s.FetchLimit()
+	if deadline := s.EffectiveDeadline(); !deadline.IsZero() {
+		limit = min(limit, deadline.Sub(s.Now()))
+	}
+	return limit
 }
 
 // hasEligibleEndpoint reports whether any endpoint may run the request, now or
--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -79,7 +79,8 @@
 
 // modelVersions returns the target versions of models, the ages of new ones, and the
 // retained versions, as changes with a marker in place of the endpoint. Retained versions
-// are the lowest of this node and its members; members are told this node's own. A heartbeat
+// are the lowest of this node, of its running fetches and of its members; members get what this
+// node retains itself. A heartbeat
 // has room for maxModels; with more models successive heartbeats rotate through them.
 func (p *Peers) modelVersions(now time.Time, kind kind) []peertracker.Change {
 	view, targets := p.Node.View(), p.Node.NewestTarget()
@@ -87,6 +88,9 @@
 	maps.Copy(all, view.OldestRetained)
 	retained := map[uint32]int64{}
 	for model, version := range view.OldestRetained {
+		if kind != toMembers && p.Fetches != nil {
+			version = p.Fetches.Oldest(now, model, version)
+		}
 		retained[balancer.IDHash(model)] = version
 	}
 	if kind != toMembers {
@@ -121,15 +125,15 @@
 	}
 }
 
-// heartbeatChanges returns the changes for the next heartbeat of a kind: the model
-// versions, then the announced changes, the newest first.
+// heartbeatChanges returns the changes for the next heartbeat of a kind: that fetches are
+// bounded, the model versions, then the announced changes, the newest first.
 func (p *Peers) heartbeatChanges(now time.Time, kind kind) []peertracker.Change {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.announced = slices.DeleteFunc(p.announced, func(a announced) bool { return !now.Before(a.expires) })
 	changes := p.modelVersions(now, kind)
-	if change, ok := p.fetchTimeChange(now); ok {
-		changes = append(changes, change)
+	if change, ok := p.boundedChange(now, kind); ok {
+		changes = slices.Insert(changes, 0, change)
 	}
 	for _, a := range slices.Backward(p.announced) {
 		if kind == toMembers || !a.downward {
@@ -139,7 +143,8 @@
 	return changes
 }
 
-// storeRetained stores the retained versions and the time of fetches that a peer announced.
+// storeRetained stores the retained versions that a peer announced, and that it bounds its
+// fetches.
 func (p *Peers) storeRetained(heartbeat peertracker.Heartbeat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -152,8 +157,8 @@
 		case retainedMarker:
 			// A hub's value falls when a member that lags behind joins it.
 			m.retained[change.Model] = change.Version
-		case fetchTimeMarker:
-			m.fetchTime = min(time.Duration(max(change.Version, 0))*time.Millisecond, unknownFetchTime)
+		case boundedMarker:
+			m.boundedAt = m.lastReceived
 		}
 	}
 }
--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -10,16 +10,19 @@
 )
 
 const (
-	// fetchMargin is added to the longest fetch: the time until an endpoint notices that a
-	// fetch has to end.
-	fetchMargin = 300 * time.Millisecond
-	// missingPeerDelay is how long parts must be out of use before they are freed while a peer
-	// sends no heartbeats. One that is in contact with the log or with other hubs, but not
-	// with this node, has learned of newer versions by then.
-	missingPeerDelay = 5 * time.Second
+	// freeDelay is how long parts must be out of use before they are freed, if all nodes bound
+	// their fetches. It covers the time until an endpoint notices that a fetch has to end.
+	freeDelay = 900 * time.Millisecond
+	// missingPeerDelay is how long they must be so while a peer sends no heartbeats. One that is
+	// in contact with the log or with other hubs, but not with this node, has learned of newer
+	// versions by then, and the fetches of one that has no contact have ended.
+	missingPeerDelay = placer.MaxFetchTime
+	// cautiousFetchTime limits fetches while a node of an older build is live. Such a node frees
+	// parts after 900 ms.
+	cautiousFetchTime = 600 * time.Millisecond
 	// goneTimeout is how long a peer without heartbeats is taken for one that may be back.
 	goneTimeout = time.Minute
-	// unknownFetchTime is the longest fetch of a peer that does not limit fetches, if no route
+	// unknownFetchTime is the longest fetch of a peer that does not bound fetches, if no route
 	// limits its requests.
 	unknownFetchTime = 30 * time.Second
 	// maxTickGap is the time without a tick of Run after which the process counts as stopped,
@@ -27,9 +30,10 @@
 	// a buffer.
 	maxTickGap   = 4 * sameDomainPeriod
 	settlePeriod = 2 * sameDomainPeriod
-	// fetchTimeMarker replaces the endpoint's hash in a change that says for how long engines
-	// fetch parts after the sender has placed a request, in milliseconds.
-	fetchTimeMarker = 4
+	// boundedMarker replaces the endpoint's hash in a change that says that the sender bounds its
+	// fetches, and announces a version as given up only after the last of them has ended.
+	// A hub says it for its members too, and to its members for all nodes.
+	boundedMarker = 4
 )
 
 // MayFetch reports whether requests may be placed that fetch parts from stores. A node
@@ -65,17 +69,16 @@
 }
 
 // FreeDelay returns how long parts must be out of use at all peers before they are freed: no
-// engine fetches them any more by then. Peers of older builds do not limit how long their
-// requests fetch; the routes of catalog limit these requests.
+// engine fetches them any more by then. Requests of peers that do not bound fetches may fetch
+// for as long as the routes of catalog let them run.
 func (p *Peers) FreeDelay(catalog *cataloger.Catalog) time.Duration {
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delay, known := p.fetchTime(now)
-	if !known {
-		delay = catalog.LongestTimeout(unknownFetchTime)
+	delay := freeDelay
+	if !p.bounded(now, false) {
+		delay += catalog.LongestTimeout(unknownFetchTime)
 	}
-	delay += fetchMargin
 	for _, m := range p.peers {
 		if m.isMissing(now) {
 			return max(delay, missingPeerDelay)
@@ -84,36 +87,37 @@
 	return delay
 }
 
-// fetchTime returns the longest time for which engines fetch parts after this node or a live
-// peer has placed a request; false if a peer does not limit it.
-func (p *Peers) fetchTime(now time.Time) (longest time.Duration, known bool) {
-	longest = placer.MaxFetchTime
-	for _, m := range p.peers {
-		if now.Sub(m.lastReceived) >= heartbeatTimeout {
-			continue
-		}
-		if m.fetchTime == 0 {
-			return 0, false
-		}
-		longest = max(longest, m.fetchTime)
+// FetchLimit returns for how long engines may fetch parts after this node has placed a request.
+func (p *Peers) FetchLimit() time.Duration {
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.bounded(now, false) {
+		return cautiousFetchTime
 	}
-	return longest, true
+	return placer.MaxFetchTime
 }
 
-// fetchTimeChange returns what this node announces of its own fetches and those of its members;
-// false if one of them does not limit them.
-func (p *Peers) fetchTimeChange(now time.Time) (peertracker.Change, bool) {
-	longest := placer.MaxFetchTime
+// bounded reports whether all live peers, or only the members among them, bound their fetches.
+func (p *Peers) bounded(now time.Time, membersOnly bool) bool {
 	for _, m := range p.peers {
-		if m.reporter != balancer.Member || now.Sub(m.lastReceived) >= heartbeatTimeout {
-			continue
-		}
-		if m.fetchTime == 0 {
-			return peertracker.Change{}, false
+		counts := now.Sub(m.lastReceived) < heartbeatTimeout && (!membersOnly || m.reporter == balancer.Member)
+		if counts && !m.bounds(now) {
+			return false
 		}
-		longest = max(longest, m.fetchTime)
 	}
-	return peertracker.Change{Endpoint: fetchTimeMarker, Version: longest.Milliseconds()}, true
+	return true
+}
+
+// bounds reports whether a peer has lately announced that it bounds its fetches.
+func (m *peerState) bounds(now time.Time) bool {
+	return !m.boundedAt.IsZero() && now.Sub(m.boundedAt) < heartbeatTimeout
+}
+
+// boundedChange returns what this node announces of its fetches and of those that it speaks
+// for; false if they are not all bounded.
+func (p *Peers) boundedChange(now time.Time, kind kind) (peertracker.Change, bool) {
+	return peertracker.Change{Endpoint: boundedMarker, Version: 1}, p.bounded(now, kind != toMembers)
 }
 
 // SameConfiguration reports whether all peers are live, have the given version of the
@@ -124,7 +128,7 @@
 	defer p.mu.Unlock()
 	for _, m := range p.peers {
 		live := now.Sub(m.lastReceived) < heartbeatTimeout
-		if m.isMissing(now) || live && (m.fetchTime == 0 || m.heartbeat.Applied != uint64(version)) {
+		if m.isMissing(now) || live && (!m.bounds(now) || m.heartbeat.Applied != uint64(version)) {
 			return false
 		}
 	}
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -26,9 +26,8 @@
 	// retained holds, for each model, the oldest version whose parts the peer and its
 	// members fetch, by the hash of the model's name.
 	retained map[uint32]int64
-	// fetchTime is the longest time for which engines fetch parts after the peer or one of its
-	// members has placed a request; zero if that is not known, as of older builds.
-	fetchTime time.Duration
+	// boundedAt is when the peer last announced that its fetches are bounded, see boundedMarker; zero for older builds.
+	boundedAt time.Time
 }
 
 // isMissing reports whether heartbeats of a peer that sends them to this node do not arrive any
@@ -98,14 +97,17 @@
 	return ok && latest > 0 && now-latest < logContactTimeout
 }
 
-// Acknowledged reports whether each peer has announced that it, and its members, fetch
-// only parts of this or later versions of a model. Peers from which no heartbeat was
+// Acknowledged reports whether this node and each peer, which has announced that for itself and
+// its members, fetch only parts of this or later versions of a model. Peers from which no heartbeat was
 // received for heartbeatTimeout don't count. It is longer than contactTimeout, so a
 // peer without contact to any hub and to the log has stopped fetching from stores by
 // then (see MayFetch). For one that still has some contact, but whose heartbeats don't
 // reach this node, see FreeDelay.
 func (p *Peers) Acknowledged(model string, version int64) bool {
 	hash, now := balancer.IDHash(model), p.Now()
+	if p.Fetches != nil && p.Fetches.Oldest(now, model, version) < version {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.peers {
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -65,7 +65,7 @@
 	// that concern a model as a whole: its newest target version, the oldest version
 	// whose parts are fetched, and how long the newest target version has been that, in
 	// milliseconds. IDHash can return these values too: the changes of such an endpoint
-	// would be taken for those of the model. See also fetchTimeMarker.
+	// would be taken for those of the model. See also boundedMarker.
 	targetMarker   = 0
 	retainedMarker = 1
 	ageMarker      = 3
@@ -124,6 +124,8 @@
 	// other nodes for them.
 	Streams      *resumer.Streams
 	OriginClient OriginClient
+	// Fetches are those of this node's requests; nil if it fetches nothing.
+	Fetches *Fetches
 	// HandleParts is called with changes of the directory of parts from the home.
 	HandleParts func(home netip.AddrPort, updates peertracker.PartUpdates)
 	// ApplyOperatorState applies the operators' records fetched from a peer.
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -140,7 +140,7 @@
 	}
 	if !sameProcess {
 		// It may be of another build.
-		m.fetchTime, m.retained = 0, nil
+		m.boundedAt, m.retained = time.Time{}, nil
 	}
 	if !heartbeat.Homed && !heartbeat.Hub {
 		// The peer reports to another hub now.
