--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -573,16 +573,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			agreement := &agreement{acknowledged: func() bool { return true }, delay: 7 * time.Second}
 			time.AfterFunc(4*time.Second, func() { agreement.lastJoin = time.Now() })
-			l, p := locator.New(), &freedParts{}
-			l.Reset(store, map[locator.Key]int{{Salt: placer.Salt("", "m", 1), Part: "a"}: 10}, 0)
-			cleaner := &relayer.Cleaner{
-				Node: newNode(t, engine("a", 2)), Locator: l, Parts: p, Self: "n1", Hubs: func() []string { return []string{"n1"} },
-				Agreement: agreement, Logger: zerolog.Nop(), Now: time.Now,
-			}
-			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-			defer cancel()
-			cleaner.Run(ctx)
-			assert.Empty(t, p.freed)
+			assert.Empty(t, freedAfter(t, agreement, placer.Salt("", "m", 1), 10*time.Second))
 		})
 	})
 }
