--- a/internal/relayer/fetch_agreement_test.go
+++ b/internal/relayer/fetch_agreement_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -366,12 +367,13 @@
 	listedAfter := func(t *testing.T, outage time.Duration) (paused time.Duration) {
 		t.Helper()
 		synctest.Test(t, func(t *testing.T) {
-			down, part := false, locator.Key{Salt: "s", Part: "a"}
+			var down atomic.Bool
+			part := locator.Key{Salt: "s", Part: "a"}
 			address := netip.MustParseAddrPort("10.9.0.0:80")
 			client := storeClient{
 				node:   &fleetNode{domain: "d1"},
 				stores: map[netip.AddrPort]*standinStore{address: {address: address, domain: "d2", parts: map[locator.Key]int{part: 1}}},
-				isCut:  func(domain string) bool { return down && domain == "d2" },
+				isCut:  func(domain string) bool { return down.Load() && domain == "d2" },
 			}
 			l := locator.New()
 			follower := &relayer.PartFollower{
@@ -385,10 +387,10 @@
 			follower.Follow(ctx, view)
 			time.Sleep(time.Second)
 			require.Len(t, l.Holders(), 1)
-			down = true
+			down.Store(true)
 			time.Sleep(outage)
 			require.Empty(t, l.Holders())
-			down = false
+			down.Store(false)
 			back := time.Now()
 			for len(l.Holders()) == 0 {
 				time.Sleep(10 * time.Millisecond)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -460,8 +460,9 @@
 // agreement stands in for the other nodes. It implements relayer.Agreement.
 type agreement struct {
 	acknowledged func() bool
-	lastJoin     time.Time
-	delay        time.Duration
+	// lastJoin is a time in Unix nanoseconds; zero for none.
+	lastJoin atomic.Int64
+	delay    time.Duration
 	// otherConfiguration is set if not all nodes have the same configuration.
 	otherConfiguration bool
 }
@@ -470,7 +471,12 @@
 func (a *agreement) Acknowledged(string, int64) bool { return a.acknowledged() }
 
 // LastJoin implements relayer.Agreement.
-func (a *agreement) LastJoin() time.Time { return a.lastJoin }
+func (a *agreement) LastJoin() time.Time {
+	if at := a.lastJoin.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
 
 // SameConfiguration implements relayer.Agreement.
 func (a *agreement) SameConfiguration(int64) bool { return !a.otherConfiguration }
@@ -572,7 +578,7 @@
 	t.Run("an agreement does not hold for a node that has just joined", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			agreement := &agreement{acknowledged: func() bool { return true }, delay: 7 * time.Second}
-			time.AfterFunc(4*time.Second, func() { agreement.lastJoin = time.Now() })
+			time.AfterFunc(4*time.Second, func() { agreement.lastJoin.Store(time.Now().UnixNano()) })
 			assert.Empty(t, freedAfter(t, agreement, placer.Salt("", "m", 1), 10*time.Second))
 		})
 	})
