--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -40,7 +40,7 @@
 // that has just been stopped for a while, or that has no contact to a hub and to the log, does
 // not know which parts the others free.
 func (p *Peers) MayFetch() bool {
-	now, ok := SinceBoot()
+	now, ok := p.uptime()
 	if !ok || !p.HasContact() {
 		return false
 	}
@@ -51,7 +51,7 @@
 
 // recordTick records that Run is running.
 func (p *Peers) recordTick() {
-	now, _ := SinceBoot()
+	now, _ := p.uptime()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tickedAt > 0 && now-p.tickedAt >= maxTickGap {
--- a/internal/relayer/fetch_agreement_test.go
+++ b/internal/relayer/fetch_agreement_test.go
@@ -224,6 +224,8 @@
 	*fleet
 	stores map[netip.AddrPort]*standinStore
 	old    locator.Key
+	// only is the one node that fetches; nil for all.
+	only atomic.Pointer[fleetNode]
 
 	cut sync.Map
 }
@@ -236,6 +238,12 @@
 // fetch lets an engine of a node's domain fetch the old part from each store that the node
 // knows to have it, through its home if it is a member.
 func (f *partsFleet) fetch(n *fleetNode, directories map[netip.AddrPort]*locator.Locator) {
+	if only := f.only.Load(); only != nil {
+		if only == n {
+			f.fetchFromAll(n)
+		}
+		return
+	}
 	view, directory := n.node.View(), directories[n.address]
 	if home := n.peers.Home(); home.IsValid() {
 		directory = directories[home]
@@ -259,6 +267,38 @@
 	}
 }
 
+// fetchFromAll lets an engine fetch the old part from each store within reach of a node, if the
+// node may fetch. A member goes on by the directory of its last home while it has none.
+func (f *partsFleet) fetchFromAll(n *fleetNode) {
+	if n.node.View().OldestRetained["m"] > 1 {
+		return
+	}
+	until := time.Now().Add(n.peers.FetchLimit())
+	n.peers.Fetches.Record("m", 1, until)
+	if n.node.View().OldestRetained["m"] > 1 || !n.peers.MayFetch() {
+		return
+	}
+	for _, store := range f.stores {
+		if f.isCut(n.domain) != f.isCut(store.domain) {
+			continue
+		}
+		store.mu.Lock()
+		if store.parts[f.old] > 0 && until.After(store.fetchedUntil[f.old]) {
+			store.fetchedUntil[f.old] = until
+		}
+		store.mu.Unlock()
+	}
+}
+
+// assertFreed checks that all stores have freed the old part, and none while it was fetched.
+func (f *partsFleet) assertFreed(t *testing.T) {
+	t.Helper()
+	for _, store := range f.stores {
+		assert.Empty(t, store.violations, store.domain)
+		assert.Equal(t, 1, store.freed, "parts freed in %s", store.domain)
+	}
+}
+
 func newPartsFleet(t *testing.T, nodes, domains int) *partsFleet {
 	t.Helper()
 	f := &partsFleet{stores: map[netip.AddrPort]*standinStore{}, old: locator.Key{Salt: placer.Salt("", "m", 1), Part: "a"}}
@@ -349,10 +389,7 @@
 				f.wait(3 * time.Second)
 				f.loadSecondVersion(func(*fleetNode) bool { return true }, func(string) bool { return true })
 				f.wait(20 * time.Second)
-				for _, store := range f.stores {
-					require.Empty(t, store.violations, store.domain)
-					assert.Equal(t, 1, store.freed, "parts freed in %s", store.domain)
-				}
+				f.assertFreed(t)
 			})
 		})
 	}
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -48,7 +48,7 @@
 
 // RecordContact records that the log responded or that a heartbeat of a hub was received.
 func (p *Peers) RecordContact() {
-	now, _ := SinceBoot()
+	now, _ := p.uptime()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastContact = now
@@ -56,7 +56,7 @@
 
 // RecordLogContact records that the log responded to this node.
 func (p *Peers) RecordLogContact() {
-	now, _ := SinceBoot()
+	now, _ := p.uptime()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastContact, p.lastLogContact = now, now
@@ -65,7 +65,7 @@
 // HasContact reports whether there was contact with the log or a hub within
 // contactTimeout. Time during which the host was suspended counts.
 func (p *Peers) HasContact() bool {
-	now, ok := SinceBoot()
+	now, ok := p.uptime()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return ok && p.lastContact > 0 && now-p.lastContact < contactTimeout
@@ -73,7 +73,7 @@
 
 // HasLogContact reports whether the log has responded to this node recently.
 func (p *Peers) HasLogContact() bool {
-	now, ok := SinceBoot()
+	now, ok := p.uptime()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return ok && p.lastLogContact > 0 && now-p.lastLogContact < logContactTimeout
@@ -81,7 +81,7 @@
 
 // RecordFed records that a peer with contact to the log responded to a read of it.
 func (p *Peers) RecordFed() {
-	now, _ := SinceBoot()
+	now, _ := p.uptime()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastFed = now
@@ -90,7 +90,7 @@
 // isSource reports whether members can follow the log through this node: it has contact
 // with the log, or follows it through a hub that has.
 func (p *Peers) isSource() bool {
-	now, ok := SinceBoot()
+	now, ok := p.uptime()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	latest := max(p.lastLogContact, p.lastFed)
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -134,6 +134,9 @@
 	OnRole func()
 	Log    zerolog.Logger
 	Now    func() time.Time
+	// Uptime returns the time since the host was booted, including the time for which it was
+	// suspended, or false if that is unknown; nil for SinceBoot.
+	Uptime func() (time.Duration, bool)
 	// Stopping is set once the node shuts down.
 	Stopping *atomic.Bool
 
@@ -187,6 +190,14 @@
 // started returns when this process started.
 func (p *Peers) started() time.Time { return time.Unix(0, int64(p.Incarnation)) }
 
+// uptime returns Uptime, or SinceBoot if it is nil.
+func (p *Peers) uptime() (time.Duration, bool) {
+	if p.Uptime == nil {
+		return SinceBoot()
+	}
+	return p.Uptime()
+}
+
 // Broadcast sends a heartbeat to all peers that this node reports to, as soon as changes
 // that follow at once are in it.
 func (p *Peers) Broadcast() {
--- a/internal/relayer/size_test.go
+++ b/internal/relayer/size_test.go
@@ -200,7 +200,7 @@
 		HandleParts:        func(netip.AddrPort, peertracker.PartUpdates) { n.parts.Add(1) },
 		ApplyOperatorState: func(messenger.OperatorState) {},
 		Limits:             n.limits, Issuer: &throttler.Issuer{Share: func() float64 { return n.peers.IssuerShare() }}, PermitClient: n, Streams: n.streams, OriginClient: n,
-		Log: zerolog.New(nil).Hook(lossCounter{&n.lost}), Now: time.Now, Stopping: &atomic.Bool{},
+		Log: zerolog.New(nil).Hook(lossCounter{&n.lost}), Now: time.Now, Stopping: &atomic.Bool{}, Uptime: simulatedUptime,
 	}
 	n.permits = &throttler.Permits{
 		Limits: n.limits, Ask: n.peers.AskPermits, OnChange: func() {}, OnError: func(throttler.Process, error) {}, Now: time.Now,
@@ -208,6 +208,9 @@
 	n.balancer.Permits = n.permits
 }
 
+// simulatedUptime is SinceBoot by the simulated clock.
+func simulatedUptime() (time.Duration, bool) { return time.Since(time.Unix(0, 0)), true }
+
 // run runs a node until ctx ends.
 func (n *fleetNode) run(ctx context.Context) {
 	for _, other := range n.fleet.nodes {
