Logs: what a node announces as retained, members that leave, agreements, and the ends of fetches

Each is a line now (retained version, member left, agreement), and attempts name the holders that are fetched from and the end. A line is written when something changes, so their number is bounded by versions and moves. What a node announces is computed in one place, oldestFetched, which Acknowledged uses too.

--- a/internal/coordination/forwarder/recording.go
+++ b/internal/coordination/forwarder/recording.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +36,9 @@
 	if attempt.Endpoint.Build != "" {
 		line.Str("build", attempt.Endpoint.Build)
 	}
+	if reason.Fetch > 0 && !attempt.FetchEnd.IsZero() {
+		line.Interface("sources", fetchSources(attempt)).Time("fetchend", attempt.FetchEnd)
+	}
 	if reason.Limit > 0 {
 		line.Float64("limit", reason.Limit)
 	}
@@ -43,6 +48,17 @@
 	return line
 }
 
+// fetchSources returns the holders from which the endpoint is to fetch parts, each of them once.
+func fetchSources(attempt Attempt) []netip.AddrPort {
+	var sources []netip.AddrPort
+	for _, source := range attempt.Fetch {
+		if source.IsValid() && !slices.Contains(sources, source) {
+			sources = append(sources, source)
+		}
+	}
+	return sources
+}
+
 // outcome returns the name of an exchange's result in logs and metrics.
 func outcome(err error) string {
 	var refusal *limiter.Refusal
--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -78,24 +78,14 @@
 }
 
 // modelVersions returns the target versions of models, the ages of new ones, and the
-// retained versions, as changes with a marker in place of the endpoint. Retained versions
-// are the lowest of this node, of its running fetches and of its members; members get what this
-// node retains itself. A heartbeat
+// retained versions, as changes with a marker in place of the endpoint. Members get the retained
+// versions of this node's view, other nodes what oldestFetched returns. A heartbeat
 // has room for maxModels; with more models successive heartbeats rotate through them.
 func (p *Peers) modelVersions(now time.Time, kind kind) []peertracker.Change {
+	// The view is read before the fetches: one that is placed later sees this view or a newer one.
 	view, targets := p.Node.View(), p.Node.NewestTarget()
 	all := maps.Clone(targets)
 	maps.Copy(all, view.OldestRetained)
-	retained := map[uint32]int64{}
-	for model, version := range view.OldestRetained {
-		if kind != toMembers && p.Fetches != nil {
-			version = p.Fetches.Oldest(now, model, version)
-		}
-		retained[balancer.IDHash(model)] = version
-	}
-	if kind != toMembers {
-		p.retainedByMembers(now, retained)
-	}
 	models := slices.Sorted(maps.Keys(all))
 	var modelVersions []peertracker.Change
 	for i := range min(maxModels, len(models)) {
@@ -107,7 +97,13 @@
 		if age, known := view.TargetAge(model); known && age < maxTargetAge {
 			modelVersions = append(modelVersions, peertracker.Change{Endpoint: ageMarker, Model: hash, Version: age.Milliseconds()})
 		}
-		if version, ok := retained[hash]; ok {
+		if retained, ok := view.OldestRetained[model]; ok {
+			version := retained
+			if kind != toMembers {
+				oldest := p.oldestFetched(now, model, retained)
+				p.logRetained(model, retained, oldest)
+				version = oldest.version
+			}
 			modelVersions = append(modelVersions, peertracker.Change{Endpoint: retainedMarker, Model: hash, Version: version})
 		}
 	}
--- a/internal/relayer/cleaner.go
+++ b/internal/relayer/cleaner.go
@@ -104,6 +104,8 @@
 		case c.Agreement.Acknowledged(model, version):
 			if agreed.version != version {
 				c.agreed[model] = agreedVersion{version: version, since: c.Now()}
+				c.Logger.Info().Str("event", "agreement").Str("model", model).Int64("version", version).Int64("former", agreed.version).
+					Int("hubs", len(c.Hubs())).Send()
 			}
 		case known && !c.Agreement.Acknowledged(model, agreed.version):
 			delete(c.agreed, model)
@@ -170,10 +172,21 @@
 			c.Locator.SetPart(address, key, 0)
 		}
 		c.Logger.Info().Str("event", "parts freed").Stringer("store", address).Int("parts", len(keys)).Str("salt", keys[0].Salt).
-			Dur("delay", current.delay).AnErr("error", err).Send()
+			Dur("delay", current.delay).Dur("agreed", current.age(c.Now(), keys[0].Salt)).AnErr("error", err).Send()
 	}
 }
 
+// age returns for how long the agreement has held by which a part with a cache salt is freed; zero
+// if no team uses its scope.
+func (a agreements) age(now time.Time, salt string) time.Duration {
+	_, model, _, _ := placer.ParseSalt(salt)
+	agreed, ok := a.agreed[model]
+	if !ok {
+		return 0
+	}
+	return now.Sub(agreed.since)
+}
+
 // inUse reports whether requests may still use parts with a cache salt, which names
 // the model and the version.
 func (a agreements) inUse(salt string) bool {
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -105,11 +105,11 @@
 // reach this node, see FreeDelay.
 func (p *Peers) Acknowledged(model string, version int64) bool {
 	hash, now := balancer.IDHash(model), p.Now()
-	if p.Fetches != nil && p.Fetches.Oldest(now, model, version) < version {
-		return false
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.oldestFetched(now, model, version).version < version {
+		return false
+	}
 	for _, m := range p.peers {
 		if now.Sub(m.lastReceived) < heartbeatTimeout && m.retained[hash] < version {
 			return false
@@ -118,19 +118,6 @@
 	return true
 }
 
-// retainedByMembers lowers the retained versions of models, by hash, to those of the live
-// members.
-func (p *Peers) retainedByMembers(now time.Time, retained map[uint32]int64) {
-	for _, m := range p.peers {
-		if m.reporter != balancer.Member || now.Sub(m.lastReceived) >= heartbeatTimeout {
-			continue
-		}
-		for hash, version := range retained {
-			retained[hash] = min(version, m.retained[hash])
-		}
-	}
-}
-
 // AddPeer adds a node from the directory or the settings. domain is its failure
 // domain, empty if unknown, and cores the size of its host.
 func (p *Peers) AddPeer(address netip.AddrPort, domain string, cores float64) {
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -164,6 +164,8 @@
 	resumedAt time.Duration
 	// lastJoin is what LastJoin returns.
 	lastJoin time.Time
+	// loggedRetained holds, for each model, what was last logged of its retained version.
+	loggedRetained map[string]fetchedVersion
 	// broadcasting is set while a broadcast is due.
 	broadcasting bool
 	sequence     atomic.Uint64
@@ -302,6 +304,9 @@
 			continue
 		}
 		m.alive = false
+		if m.reporter == balancer.Member {
+			p.logMemberLeft(m, "lost")
+		}
 		// Only hubs hear from other hubs, and only a home from its members.
 		if m.reporter == balancer.Member || p.role.Hub && m.heartbeat.Hub || address == p.role.Home {
 			p.Log.Warn().Str("event", "peer lost").Str("peer", m.heartbeat.Name).Stringer("address", address).Time("heard", m.lastReceived).Send()
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -138,6 +138,9 @@
 	if !m.alive || !sameProcess {
 		p.lastJoin = now
 	}
+	if reason := m.leaveReason(heartbeat); reason != "" {
+		p.logMemberLeft(m, reason)
+	}
 	if !sameProcess {
 		// It may be of another build.
 		m.boundedAt, m.retained = time.Time{}, nil
