Parts are freed only when nobody can still fetch them, whoever is heard

What may be freed rested on an agreement among the nodes that are heard: a member that is cut off, between two homes, or whose home was lost is left out of what its home announces, and other hubs then free after 900 ms, while a fetch may run for 5 s.

Now a fence that needs no message: a node announces a version as given up, and acts on that itself, only when its view has had a later one for settleTime, 8 s: 3 s in which each other node in contact has adopted it, and 5 s for the longest fetch. Time without contact to a hub and standstills do not count. What makes the 3 s hold: hubs tell each other at once what their view retains (reachedMarker, ignored by older builds), and a node that hears no hub fetches for 0.6 s at most, since the log alone may tell it of changes up to 7 s late. A home also speaks for a member that it lost, or that moved or started again, until that one's last fetch must have ended. The end of a fetch is computed once for each attempt; it could differ from the recorded one when the limit changed in between.

Ruled out: waiting for 5 s after each agreement only (does not cover what a node learns later), and no fetches at all without a hub (costs cut-off nodes all parts).

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -127,9 +127,10 @@
 func (s *selection) attempt(choice balancer.Choice) forwarder.Attempt {
 	// The end of fetches counts from, and is recorded, before the view is read: a newer view
 	// may let stores free what this one fetches.
-	fetchEnd, canFetch := s.fetchEnd()
+	fetchUntil := s.fetchUntil()
+	fetchEnd, canFetch := s.EndpointClock(fetchUntil)
 	if canFetch && s.Prompt != nil && s.OnFetch != nil {
-		s.OnFetch(s.Prompt.Model, choice.Endpoint.Weights[s.Prompt.Model], s.Now().Add(s.fetchTimeout()))
+		s.OnFetch(s.Prompt.Model, choice.Endpoint.Weights[s.Prompt.Model], fetchUntil)
 	}
 	view, now, endpoint := s.View(), s.Now(), choice.Endpoint
 	attempt := forwarder.Attempt{
@@ -165,18 +166,13 @@
 	return attempt
 }
 
-// fetchEnd returns when fetches of an attempt that is placed now must end, by the endpoints'
-// clock; false if that clock is unknown.
-func (s *selection) fetchEnd() (time.Time, bool) {
-	return s.EndpointClock(s.Now().Add(s.fetchTimeout()))
-}
-
-func (s *selection) fetchTimeout() time.Duration {
-	limit := s.FetchLimit()
-	if deadline := s.EffectiveDeadline(); !deadline.IsZero() {
-		limit = min(limit, deadline.Sub(s.Now()))
+// fetchUntil returns when fetches of an attempt that is placed now must end.
+func (s *selection) fetchUntil() time.Time {
+	until := s.Now().Add(s.FetchLimit())
+	if deadline := s.EffectiveDeadline(); !deadline.IsZero() && deadline.Before(until) {
+		return deadline
 	}
-	return limit
+	return until
 }
 
 // hasEligibleEndpoint reports whether any endpoint may run the request, now or
@@ -231,7 +227,7 @@
 		return nil
 	}
 	query, tokens := s.query(view), s.Prompt.Tokens()
-	_, canFetch := s.fetchEnd()
+	_, canFetch := s.EndpointClock(s.fetchUntil())
 	// The salt and the usable stores depend on the version only.
 	surveys := map[int64]locator.Survey{}
 	return func(endpoint endpointtracker.Endpoint) balancer.Work {
--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -103,6 +103,9 @@
 				oldest := p.oldestFetched(now, model, retained)
 				p.logRetained(model, retained, oldest)
 				version = oldest.version
+				if version < retained {
+					modelVersions = append(modelVersions, peertracker.Change{Endpoint: reachedMarker, Model: hash, Version: retained})
+				}
 			}
 			modelVersions = append(modelVersions, peertracker.Change{Endpoint: retainedMarker, Model: hash, Version: version})
 		}
@@ -175,8 +178,8 @@
 func (p *Peers) adoptRetained(heartbeat peertracker.Heartbeat) {
 	retained := map[uint32]int64{}
 	for _, change := range heartbeat.Changes {
-		if change.Endpoint == retainedMarker {
-			retained[change.Model] = change.Version
+		if change.Endpoint == retainedMarker || change.Endpoint == reachedMarker {
+			retained[change.Model] = max(retained[change.Model], change.Version)
 		}
 	}
 	p.Node.RaiseRetained(func(model string) int64 { return retained[balancer.IDHash(model)] })
--- a/internal/relayer/cleaner.go
+++ b/internal/relayer/cleaner.go
@@ -86,8 +86,9 @@
 		view := c.Node.View()
 		if view.Catalog != nil {
 			c.updateAgreed(view)
-			if c.Now().Sub(c.startedAt) >= missingPeerDelay {
-				// Heartbeats of all peers that can be reached have arrived by now.
+			if c.Now().Sub(c.startedAt) >= settleTime {
+				// Heartbeats of all peers that can be reached have arrived by now, and fetches of
+				// versions that had been given up before the start have ended.
 				c.freeObsolete(ctx, view)
 			}
 		}
--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -17,8 +17,8 @@
 	// in contact with the log or with other hubs, but not with this node, has learned of newer
 	// versions by then, and the fetches of one that has no contact have ended.
 	missingPeerDelay = placer.MaxFetchTime
-	// cautiousFetchTime limits fetches while a node of an older build is live. Such a node frees
-	// parts after 900 ms.
+	// cautiousFetchTime limits fetches while a node of an older build is live, which frees parts
+	// after 900 ms, and those of a node that hears no hub.
 	cautiousFetchTime = 600 * time.Millisecond
 	// goneTimeout is how long a peer without heartbeats is taken for one that may be back.
 	goneTimeout = time.Minute
@@ -34,6 +34,10 @@
 	// fetches, and announces a version as given up only after the last of them has ended.
 	// A hub says it for its members too, and to its members for all nodes.
 	boundedMarker = 4
+	// reachedMarker replaces the endpoint's hash in a change that names the retained version of
+	// the sender's view, if that is later than the one that it announces with retainedMarker.
+	// Others adopt it at once. Older builds ignore it.
+	reachedMarker = 5
 )
 
 // MayFetch reports whether requests may be placed that fetch parts from stores. A node
@@ -56,6 +60,7 @@
 	defer p.mu.Unlock()
 	if p.tickedAt > 0 && now-p.tickedAt >= maxTickGap {
 		p.resumedAt = now
+		p.retained.restart(p.Now())
 	}
 	p.tickedAt = now
 }
@@ -87,12 +92,14 @@
 	return delay
 }
 
-// FetchLimit returns for how long engines may fetch parts after this node has placed a request.
+// FetchLimit returns for how long engines may fetch parts after this node has placed a request. A
+// node that hears no other one may learn of a retained version seconds after those that free its
+// parts, as it arrives by the log only.
 func (p *Peers) FetchLimit() time.Duration {
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.bounded(now, false) {
+	if !p.bounded(now, false) || !p.hearsHub() && len(p.peers) > 0 {
 		return cautiousFetchTime
 	}
 	return placer.MaxFetchTime
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -26,6 +26,10 @@
 	// retained holds, for each model, the oldest version whose parts the peer and its
 	// members fetch, by the hash of the model's name.
 	retained map[uint32]int64
+	// former holds what the peer had announced when it last stopped to report to this node as a
+	// member, at leftAt.
+	former map[uint32]int64
+	leftAt time.Time
 	// boundedAt is when the peer last announced that its fetches are bounded, see boundedMarker; zero for older builds.
 	boundedAt time.Time
 }
@@ -54,6 +58,14 @@
 	p.lastContact = now
 }
 
+// recordHubContact records that a heartbeat of a hub was received.
+func (p *Peers) recordHubContact() {
+	now, _ := p.uptime()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastContact, p.lastHubContact = now, now
+}
+
 // RecordLogContact records that the log responded to this node.
 func (p *Peers) RecordLogContact() {
 	now, _ := p.uptime()
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -156,6 +156,8 @@
 	// called, as times since boot.
 	lastContact    time.Duration
 	lastLogContact time.Duration
+	// lastHubContact is when a heartbeat of a hub last arrived, as a time since boot.
+	lastHubContact time.Duration
 	// lastFed is when RecordFed was last called.
 	lastFed time.Duration
 	// tickedAt is when Run last ran, and resumedAt when it last did after a standstill, as
@@ -164,6 +166,9 @@
 	resumedAt time.Duration
 	// lastJoin is what LastJoin returns.
 	lastJoin time.Time
+	// retained are the retained versions of this node's view, and startedAt is when Run began.
+	retained  retainedVersions
+	startedAt time.Time
 	// loggedRetained holds, for each model, what was last logged of its retained version.
 	loggedRetained map[string]fetchedVersion
 	// broadcasting is set while a broadcast is due.
@@ -176,6 +181,9 @@
 
 // Run sends heartbeats periodically until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
+	p.mu.Lock()
+	p.startedAt = p.Now()
+	p.mu.Unlock()
 	ticker := time.NewTicker(sameDomainPeriod)
 	defer ticker.Stop()
 	for {
@@ -184,6 +192,7 @@
 			return
 		case <-ticker.C:
 			p.recordTick()
+			p.updateRetained(p.Now())
 			p.heartbeat(false)
 		}
 	}
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -46,7 +46,7 @@
 		p.Node.ApplyPeerChanges(heartbeat.Changes, func(change peertracker.Change) { p.relay(change, reporter) })
 	}
 	if reporter != balancer.Member {
-		p.RecordContact()
+		p.recordHubContact()
 	}
 	switch reporter {
 	case balancer.Hub:
@@ -140,6 +140,7 @@
 	}
 	if reason := m.leaveReason(heartbeat); reason != "" {
 		p.logMemberLeft(m, reason)
+		m.keepRetained(now)
 	}
 	if !sameProcess {
 		// It may be of another build.
--- a/internal/relayer/retained_versions.go
+++ b/internal/relayer/retained_versions.go
@@ -7,9 +7,92 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/placer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/peertracker"
 )
 
+const (
+	// adoptTime is how long after this node each other node that fetches parts has adopted a
+	// retained version. It covers the time for which a node fetches without hearing a hub, and
+	// heartbeats from hub to hub and from there to a member, of which one may be lost.
+	adoptTime = heartbeatTimeout
+	// settleTime is the time after which nobody fetches parts of versions before a retained one.
+	settleTime = adoptTime + placer.MaxFetchTime
+	// lostMemberTime is how long a home still speaks for a member that it does not hear any more.
+	// The member places no fetches after heartbeatTimeout, or has another home by then.
+	lostMemberTime = heartbeatTimeout + placer.MaxFetchTime
+)
+
+// retainedVersions tracks the retained versions of this node's view, and since when it has them.
+//
+// Stores may free parts of a version once the last possible fetch of them has ended. That rests
+// on time, and not only on what other nodes announce, since a node may fetch that is not heard:
+// one that is cut off, between two homes, or whose home was lost. This node announces a version
+// as given up, and acts on that itself, only when its view has had a later one for settleTime. By
+// then each node that may still fetch for long has adopted the later version (see reachedMarker
+// and FetchLimit), and all fetches that it placed before have ended. Time without contact to
+// another node does not count.
+//
+// The zero retainedVersions is ready to use. It is not safe for concurrent use.
+type retainedVersions struct {
+	models map[string]*retainedVersion
+}
+
+// retainedVersion is the retained version of a model.
+type retainedVersion struct {
+	// settled is the latest one that all nodes have adopted.
+	settled int64
+	// reached are later ones, in ascending order, and since when the view has had them.
+	reached []reachedVersion
+}
+
+type reachedVersion struct {
+	version int64
+	since   time.Time
+}
+
+// update records the retained versions of a view. A version that is the first of its model is
+// settled at once: this process has never fetched an older one.
+func (r *retainedVersions) update(now time.Time, retained map[string]int64) {
+	if r.models == nil {
+		r.models = map[string]*retainedVersion{}
+	}
+	for model, version := range retained {
+		known, ok := r.models[model]
+		if !ok {
+			r.models[model] = &retainedVersion{settled: version}
+			continue
+		}
+		latest := known.settled
+		if n := len(known.reached); n > 0 {
+			latest = known.reached[n-1].version
+		}
+		if version > latest {
+			known.reached = append(known.reached, reachedVersion{version, now})
+		}
+		for len(known.reached) > 0 && now.Sub(known.reached[0].since) >= settleTime {
+			known.settled, known.reached = known.reached[0].version, known.reached[1:]
+		}
+	}
+}
+
+// restart makes the time of all versions that are not settled count from now.
+func (r *retainedVersions) restart(now time.Time) {
+	for _, known := range r.models {
+		for i := range known.reached {
+			known.reached[i].since = now
+		}
+	}
+}
+
+// settled returns the latest settled version of a model; zero if it has none.
+func (r *retainedVersions) settled(model string) int64 {
+	if known, ok := r.models[model]; ok {
+		return known.settled
+	}
+	return 0
+}
+
 // fetchedVersion is the oldest version of a model that is still fetched.
 type fetchedVersion struct {
 	version int64
@@ -28,18 +111,73 @@
 // still fetch for this node or one of its members. The caller holds the lock.
 func (p *Peers) oldestFetched(now time.Time, model string, version int64) fetchedVersion {
 	oldest := fetchedVersion{version: version}
+	oldest.lower(p.retained.settled(model), "not settled")
 	if p.Fetches != nil {
 		oldest.lower(p.Fetches.Oldest(now, model, version), "own fetches")
 	}
 	hash := balancer.IDHash(model)
 	for _, m := range p.peers {
-		if m.reporter == balancer.Member && now.Sub(m.lastReceived) < heartbeatTimeout {
+		if m.reporter == balancer.Member && now.Sub(m.lastReceived) < lostMemberTime {
 			oldest.lower(m.retained[hash], m.heartbeat.Name)
 		}
+		if former, ok := m.former[hash]; ok && now.Sub(m.leftAt) < lostMemberTime {
+			oldest.lower(former, m.heartbeat.Name)
+		}
 	}
 	return oldest
 }
 
+// updateRetained records the retained versions of this node's view. While the node has no
+// contact to others it can't know what they have adopted.
+func (p *Peers) updateRetained(now time.Time) {
+	retained := p.Node.View().OldestRetained
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retained.update(now, retained)
+	if !p.hearsHub() && !p.isAlone(now) {
+		p.retained.restart(now)
+	}
+}
+
+// isAlone reports whether this node knows no peer that may be running: none is known, or none
+// was heard for goneTimeout. The caller holds the lock.
+func (p *Peers) isAlone(now time.Time) bool {
+	for _, m := range p.peers {
+		since := m.lastReceived
+		if since.IsZero() {
+			since = p.startedAt
+		}
+		if !m.heartbeat.Leaving && now.Sub(since) < goneTimeout {
+			return false
+		}
+	}
+	return true
+}
+
+// hearsHub reports whether a hub was heard within contactTimeout. The caller holds the lock.
+func (p *Peers) hearsHub() bool {
+	now, ok := p.uptime()
+	return ok && p.lastHubContact > 0 && now-p.lastHubContact < contactTimeout
+}
+
+// keepRetained keeps what a member has announced when it leaves this node: its last fetches may
+// still run, and its next home is not heard everywhere yet.
+func (m *peerState) keepRetained(now time.Time) {
+	if now.Sub(m.leftAt) >= lostMemberTime {
+		m.former = nil
+	}
+	if m.former == nil {
+		m.former = map[uint32]int64{}
+	}
+	for hash, version := range m.retained {
+		former, ok := m.former[hash]
+		if !ok || version < former {
+			m.former[hash] = version
+		}
+	}
+	m.leftAt = now
+}
+
 // logRetained logs what this node announces of a model's retained version when that changes.
 func (p *Peers) logRetained(model string, retained int64, oldest fetchedVersion) {
 	if p.loggedRetained == nil {
