Heartbeats: with more models than one holds, each kind rotates through all of them

With more than eight models a hub announced some of them to some peers never: all heartbeats shared one counter, so that those to hubs, to hubs of other domains and to members got the same eight always. Peers then took the others for never retained, which keeps their parts at the stores for good, and learned of their versions by the log only.

Each kind has a counter of its own, and models whose retained version is new come first, so that others adopt it within adoptTime. Before: TestManyModels with 16 models: m0 to m7 were never announced to a hub of another domain in the final layout of the test, and 16 of 32 announcements missing in its first one; TestReplacedVersionIsToldFirst (40 models) red. After: both hold at 8, 16, 20, 24 and 40 models.

--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -86,10 +86,8 @@
 	view, targets := p.Node.View(), p.Node.NewestTarget()
 	all := maps.Clone(targets)
 	maps.Copy(all, view.OldestRetained)
-	models := slices.Sorted(maps.Keys(all))
 	var modelVersions []peertracker.Change
-	for i := range min(maxModels, len(models)) {
-		model := models[(p.rotation*maxModels+i)%len(models)]
+	for _, model := range p.nextModels(slices.Sorted(maps.Keys(all)), kind) {
 		hash := balancer.IDHash(model)
 		if version, ok := targets[model]; ok {
 			modelVersions = append(modelVersions, peertracker.Change{Endpoint: targetMarker, Model: hash, Version: version})
@@ -110,10 +108,30 @@
 			modelVersions = append(modelVersions, peertracker.Change{Endpoint: retainedMarker, Model: hash, Version: version})
 		}
 	}
-	p.rotation++
 	return modelVersions
 }
 
+// nextModels returns the models that the next heartbeat of a kind has room for.
+func (p *Peers) nextModels(models []string, kind kind) []string {
+	if len(models) <= maxModels {
+		return models
+	}
+	next := slices.DeleteFunc(slices.Clone(models), p.retained.isSettled)
+	next = next[:min(len(next), maxModels/2)]
+	first := p.rotation[kind]
+	for i := range models {
+		if len(next) == maxModels {
+			break
+		}
+		model := models[(first+i)%len(models)]
+		p.rotation[kind]++
+		if !slices.Contains(next, model) {
+			next = append(next, model)
+		}
+	}
+	return next
+}
+
 // AnnounceLoading tells all peers that an endpoint drains for or loads new weights,
 // and is to get no new requests meanwhile.
 func (p *Peers) AnnounceLoading(endpoint endpointtracker.Endpoint) {
--- a/internal/relayer/heartbeats.go
+++ b/internal/relayer/heartbeats.go
@@ -13,9 +13,12 @@
 type kind int
 
 const (
+	// toHubs is for hubs of the own domain, toOtherHubs for those of others.
 	toHubs kind = iota
+	toOtherHubs
 	toHome
 	toMembers
+	kinds
 )
 
 // Estimated sizes in bytes, for dividing a heartbeat into datagrams.
@@ -112,7 +115,7 @@
 	if kind == toMembers {
 		heartbeat.Nodes = p.liveNodes(now)
 	}
-	if kind == toMembers || kind == toHubs && p.role.Hub {
+	if kind == toMembers || kind != toHome && p.role.Hub {
 		heartbeat.Hubs, heartbeat.Sources = p.hubHashes(now, isSource)
 	}
 	return heartbeat
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -150,8 +150,8 @@
 	liveHigh    liveHigh
 	// relayed are streams that members have told of and other hubs have not been.
 	relayed []peertracker.StreamBuild
-	// rotation counts heartbeats, to rotate through the models.
-	rotation int
+	// rotation counts the heartbeats of each kind, to rotate through the models.
+	rotation [kinds]int
 	// lastContact and lastLogContact are when RecordContact and RecordLogContact were last
 	// called, as times since boot.
 	lastContact    time.Duration
@@ -228,9 +228,10 @@
 
 // due are the peers that get a heartbeat now, by the kind of heartbeat.
 type due struct {
-	hubs    []netip.AddrPort
-	homes   []netip.AddrPort
-	members []netip.AddrPort
+	hubs      []netip.AddrPort
+	otherHubs []netip.AddrPort
+	homes     []netip.AddrPort
+	members   []netip.AddrPort
 }
 
 // heartbeat sends the heartbeats that are due, or all if all is set.
@@ -241,7 +242,7 @@
 	for _, target := range []struct {
 		to   []netip.AddrPort
 		kind kind
-	}{{due.hubs, toHubs}, {due.homes, toHome}, {due.members, toMembers}} {
+	}{{due.hubs, toHubs}, {due.otherHubs, toOtherHubs}, {due.homes, toHome}, {due.members, toMembers}} {
 		if len(target.to) == 0 {
 			continue
 		}
@@ -278,7 +279,7 @@
 		}
 		for _, address := range others {
 			if take(address, otherDomainPeriod) {
-				due.hubs = append(due.hubs, address)
+				due.otherHubs = append(due.otherHubs, address)
 			}
 		}
 		due.hubs = append(due.hubs, p.organizer.Probes(now)...)
--- a/internal/relayer/retained_versions.go
+++ b/internal/relayer/retained_versions.go
@@ -93,6 +93,12 @@
 	return 0
 }
 
+// isSettled reports whether the view has no later version of a model than the settled one.
+func (r *retainedVersions) isSettled(model string) bool {
+	known, ok := r.models[model]
+	return !ok || len(known.reached) == 0
+}
+
 // fetchedVersion is the oldest version of a model that is still fetched.
 type fetchedVersion struct {
 	version int64
