Freeing of parts beside an older build: its requests fetch on after the node was lost

That ended as soon as the last such node was no longer heard, although engines may still fetch for its requests: the same fault as with lost members, in the middle of each upgrade in which an old node is killed. The delay now lasts for that timeout after an old node was last live. Before: TestFreeDelay, new case: 900 ms instead of 15.9 s at once after the loss. After: holds; the other cases are unchanged.

--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -75,14 +75,17 @@
 
 // FreeDelay returns how long parts must be out of use at all peers before they are freed: no
 // engine fetches them any more by then. Requests of peers that do not bound fetches may fetch
-// for as long as the routes of catalog let them run.
+// for as long as the routes of catalog let them run, also after the peer was lost.
 func (p *Peers) FreeDelay(catalog *cataloger.Catalog) time.Duration {
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delay := freeDelay
+	delay, timeout := freeDelay, catalog.LongestTimeout(unknownFetchTime)
 	if !p.bounded(now, false) {
-		delay += catalog.LongestTimeout(unknownFetchTime)
+		p.unboundedAt = now
+	}
+	if !p.unboundedAt.IsZero() && now.Sub(p.unboundedAt) < timeout {
+		delay += timeout
 	}
 	for _, m := range p.peers {
 		if m.isMissing(now) {
--- a/internal/relayer/fetch_agreement_test.go
+++ b/internal/relayer/fetch_agreement_test.go
@@ -70,6 +70,14 @@
 		peers.HandleHeartbeat(heartbeat(1))
 		assertFreeDelay(t, peers, olderBuild)
 	})
+	run("requests of an older build that is lost run on", func(t *testing.T, peers *relayer.Peers) {
+		peers.HandleHeartbeat(heartbeat(1))
+		assertFreeDelay(t, peers, olderBuild)
+		time.Sleep(14 * time.Second)
+		assertFreeDelay(t, peers, olderBuild)
+		time.Sleep(2 * time.Second)
+		assertFreeDelay(t, peers, delay)
+	})
 	run("a process of an older build in place of a newer one", func(t *testing.T, peers *relayer.Peers) {
 		peers.HandleHeartbeat(heartbeat(1, bounded))
 		older := heartbeat(1)
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -164,6 +164,8 @@
 	// times since boot.
 	tickedAt  time.Duration
 	resumedAt time.Duration
+	// unboundedAt is when FreeDelay last found a live peer that does not bound its fetches.
+	unboundedAt time.Time
 	// lastJoin is what LastJoin returns.
 	lastJoin time.Time
 	// retained are the retained versions of this node's view, and startedAt is when Run began.
