Hubs cut off for over a minute still count as hubs that may be running

For the question which side may free, a hub that did not announce a stop counts for an hour now, as long as regions lose each other.

--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -23,6 +23,9 @@
 	cautiousFetchTime = 600 * time.Millisecond
 	// goneTimeout is how long a peer without heartbeats is taken for one that may be back.
 	goneTimeout = time.Minute
+	// separationTimeout is how long a hub without heartbeats counts as one that may be running on
+	// the other side of a cut.
+	separationTimeout = time.Hour
 	// unknownFetchTime is the longest fetch of a peer that does not bound fetches, if no route
 	// limits its requests.
 	unknownFetchTime = 30 * time.Second
@@ -78,7 +81,7 @@
 		switch {
 		case m.isLiveHub(now):
 			live++
-		case m.reporter == balancer.Hub && m.isMissing(now):
+		case m.reporter == balancer.Hub && m.isMissing(now, separationTimeout):
 			missing++
 		}
 	}
@@ -109,7 +112,6 @@
 	defer p.mu.Unlock()
 	if p.tickedAt > 0 && now-p.tickedAt >= maxTickGap {
 		p.resumedAt = now
-		p.retained.restart(p.Now())
 	}
 	p.tickedAt = now
 }
@@ -137,7 +139,7 @@
 		delay += timeout
 	}
 	for _, m := range p.peers {
-		if m.isMissing(now) {
+		if m.isMissing(now, goneTimeout) {
 			return max(delay, missingPeerDelay)
 		}
 	}
@@ -187,7 +189,7 @@
 	defer p.mu.Unlock()
 	for _, m := range p.peers {
 		live := now.Sub(m.lastReceived) < heartbeatTimeout
-		if m.isMissing(now) || live && (!m.bounds(now) || m.heartbeat.Applied != uint64(version)) {
+		if m.isMissing(now, goneTimeout) || live && (!m.bounds(now) || m.heartbeat.Applied != uint64(version)) {
 			return false
 		}
 	}
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -35,11 +35,11 @@
 }
 
 // isMissing reports whether heartbeats of a peer that sends them to this node do not arrive any
-// more, although it did not announce that it stops. After goneTimeout it counts as gone.
-func (m *peerState) isMissing(now time.Time) bool {
+// more, although it did not announce that it stops. After timeout it counts as gone.
+func (m *peerState) isMissing(now time.Time, timeout time.Duration) bool {
 	reports := m.reporter == balancer.Member || m.heartbeat.Hub
 	since := now.Sub(m.lastReceived)
-	return reports && !m.heartbeat.Leaving && !m.lastReceived.IsZero() && since >= heartbeatTimeout && since < goneTimeout
+	return reports && !m.heartbeat.Leaving && !m.lastReceived.IsZero() && since >= heartbeatTimeout && since < timeout
 }
 
 func (m *peerState) isLiveMember(now time.Time) bool {
