Settled versions count time in contact, and models that are first seen late

Found in review, each by a test of that is green now: - short standstills made the count of a retained version begin anew; with one each 6 s a node announced a replaced version for good, so that no store freed its parts (TestSettlesDespiteStandstills: version 1 two minutes later). The time of a standstill does not count now, and what was counted stays; - a model first seen long after the start counted as settled at once (TestModelFirstSeenLate). It does so only just after the start, when the node frees nothing; - a node of an older build that was lost before the first look at it left no trace (TestOlderBuildLostEarly: 900 ms instead of 15.9 s). Each tick looks; - the line of a retained version was written for each change of the member that holds it back (TestRetainedLoggedOnce: 52 lines).

--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -163,15 +163,15 @@
 	resumedAt time.Duration
 	// separatedAt is when the home last said that it hears no majority of the hubs.
 	separatedAt time.Time
-	// unboundedAt is when FreeDelay last found a live peer that does not bound its fetches.
+	// unboundedAt is when a peer that does not bound its fetches was last live.
 	unboundedAt time.Time
 	// lastJoin is what LastJoin returns.
 	lastJoin time.Time
 	// retained are the retained versions of this node's view, and startedAt is when Run began.
 	retained  retainedVersions
 	startedAt time.Time
-	// loggedRetained holds, for each model, what was last logged of its retained version.
-	loggedRetained map[string]fetchedVersion
+	// loggedRetained holds, for each model, the announced retained version that was last logged.
+	loggedRetained map[string]int64
 	// broadcasting is set while a broadcast is due.
 	broadcasting bool
 	sequence     atomic.Uint64
--- a/internal/relayer/retained_versions.go
+++ b/internal/relayer/retained_versions.go
@@ -35,54 +35,68 @@
 //
 // The zero retainedVersions is ready to use. It is not safe for concurrent use.
 type retainedVersions struct {
-	models map[string]*retainedVersion
+	models    map[string]*retainedVersion
+	updatedAt time.Time
 }
 
 // retainedVersion is the retained version of a model.
 type retainedVersion struct {
 	// settled is the latest one that all nodes have adopted.
 	settled int64
-	// reached are later ones, in ascending order, and since when the view has had them.
+	// reached are later ones, in ascending order.
 	reached []reachedVersion
 }
 
 type reachedVersion struct {
 	version int64
-	since   time.Time
+	// age is for how long the view has had it, less time that does not count.
+	age time.Duration
 }
 
-// update records the retained versions of a view. A version that is the first of its model is
-// settled at once: this process has never fetched an older one.
-func (r *retainedVersions) update(now time.Time, retained map[string]int64) {
+// update records the retained versions of a view. The time since the last update does not count
+// if the process stood still in it, or if inContact is not set. A version that is the first of its
+// model is settled at once if settledFirst is set.
+func (r *retainedVersions) update(now time.Time, retained map[string]int64, inContact, settledFirst bool) {
+	elapsed := now.Sub(r.updatedAt)
+	if r.updatedAt.IsZero() || elapsed >= maxTickGap || !inContact {
+		elapsed = 0
+	}
+	r.updatedAt = now
 	if r.models == nil {
 		r.models = map[string]*retainedVersion{}
 	}
 	for model, version := range retained {
 		known, ok := r.models[model]
 		if !ok {
-			r.models[model] = &retainedVersion{settled: version}
-			continue
-		}
-		latest := known.settled
-		if n := len(known.reached); n > 0 {
-			latest = known.reached[n-1].version
+			known = &retainedVersion{}
+			if settledFirst {
+				known.settled = version
+			}
+			r.models[model] = known
 		}
-		if version > latest {
-			known.reached = append(known.reached, reachedVersion{version, now})
-		}
-		for len(known.reached) > 0 && now.Sub(known.reached[0].since) >= settleTime {
-			known.settled, known.reached = known.reached[0].version, known.reached[1:]
+		known.age(elapsed)
+		if version > known.latest() {
+			known.reached = append(known.reached, reachedVersion{version: version})
 		}
 	}
 }
 
-// restart makes the time of all versions that are not settled count from now.
-func (r *retainedVersions) restart(now time.Time) {
-	for _, known := range r.models {
-		for i := range known.reached {
-			known.reached[i].since = now
-		}
+// age counts time, and settles the versions that are old enough.
+func (v *retainedVersion) age(elapsed time.Duration) {
+	for i := range v.reached {
+		v.reached[i].age += elapsed
+	}
+	for len(v.reached) > 0 && v.reached[0].age >= settleTime {
+		v.settled, v.reached = v.reached[0].version, v.reached[1:]
+	}
+}
+
+// latest returns the latest version that the view has had.
+func (v *retainedVersion) latest() int64 {
+	if n := len(v.reached); n > 0 {
+		return v.reached[n-1].version
 	}
+	return v.settled
 }
 
 // settled returns the latest settled version of a model; zero if it has none.
@@ -134,14 +148,15 @@
 }
 
 // updateRetained records the retained versions of this node's view. While the node has no
-// contact to others it can't know what they have adopted.
+// contact to others it can't know what they have adopted. Just after its start it has never
+// fetched versions before the first one that it sees, and frees nothing yet (see Cleaner.Run).
 func (p *Peers) updateRetained(now time.Time) {
 	retained := p.Node.View().OldestRetained
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.retained.update(now, retained)
-	if !p.hearsHub() && !p.isAlone(now) {
-		p.retained.restart(now)
+	p.retained.update(now, retained, p.hearsHub() || p.isAlone(now), now.Sub(p.startedAt) < settleTime)
+	if !p.bounded(now, false) {
+		p.unboundedAt = now
 	}
 }
 
@@ -187,12 +202,12 @@
 // logRetained logs what this node announces of a model's retained version when that changes.
 func (p *Peers) logRetained(model string, retained int64, oldest fetchedVersion) {
 	if p.loggedRetained == nil {
-		p.loggedRetained = map[string]fetchedVersion{}
+		p.loggedRetained = map[string]int64{}
 	}
-	if p.loggedRetained[model] == oldest {
+	if logged, ok := p.loggedRetained[model]; ok && logged == oldest.version {
 		return
 	}
-	p.loggedRetained[model] = oldest
+	p.loggedRetained[model] = oldest.version
 	p.Log.Info().Str("event", "retained version").Str("model", model).Int64("version", oldest.version).Int64("retained", retained).
 		Str("by", oldest.by).Bool("hub", p.role.Hub).Send()
 }
