--- a/internal/relayer/unheard_hubs_test.go
+++ b/internal/relayer/unheard_hubs_test.go
@@ -171,4 +171,3 @@
 		assert.LessOrEqual(t, bytes.Count(lines.Bytes(), []byte(`"retained version"`)), len(members)+1)
 	})
 }
-
