--- a/internal/relayer/part_follower.go
+++ b/internal/relayer/part_follower.go
@@ -187,11 +187,10 @@
 	for ctx.Err() == nil {
 		started := time.Now()
 		err := follow(ctx, holder, contact)
-		if ctx.Err() != nil {
+		if f.update(ctx, func() { f.Locator.Forget(holder) }) != nil {
 			return
 		}
 		contact.failed()
-		f.Locator.Forget(holder)
 		if time.Since(started) > maxRetryDelay {
 			// The holder responded for a while, so this is a new outage.
 			tries = 0
@@ -221,10 +220,9 @@
 		}
 	}
 	contact.responded()
-	if err := ctx.Err(); err != nil {
+	if err := f.update(ctx, func() { f.Locator.Reset(holder, listing.Held, listing.Reserved) }); err != nil {
 		return err
 	}
-	f.Locator.Reset(holder, listing.Held, listing.Reserved)
 	f.Logger.Info().Str("event", "store listed").Stringer("place", holder).Int64("epoch", listing.Epoch).Int("parts", len(listing.Held)).Send()
 	return f.followEvents(ctx, holder, position{listing.Epoch, listing.Next}, pause, contact)
 }
@@ -236,11 +234,13 @@
 	if err != nil {
 		return err
 	}
-	if err := ctx.Err(); err != nil {
+	err = f.update(ctx, func() {
+		f.Locator.Reset(holder, map[locator.Key]int{}, 0)
+		f.apply(holder, changes)
+	})
+	if err != nil {
 		return err
 	}
-	f.Locator.Reset(holder, map[locator.Key]int{}, 0)
-	f.apply(holder, changes)
 	return f.followEvents(ctx, holder, position{changes.Epoch, changes.Next}, pause, contact)
 }
 
@@ -263,11 +263,25 @@
 		if changes.Epoch != from.epoch || changes.Lost {
 			return errors.Newf("part events are incomplete: epoch was %d and is now %d, events lost: %t", from.epoch, changes.Epoch, changes.Lost)
 		}
-		f.apply(holder, changes)
+		if err := f.update(ctx, func() { f.apply(holder, changes) }); err != nil {
+			return err
+		}
 		from.next = changes.Next
 	}
 }
 
+// update changes the Locator unless ctx has ended: the holder is then no longer followed, or
+// is followed anew.
+func (f *PartFollower) update(ctx context.Context, change func()) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	change()
+	return nil
+}
+
 func (f *PartFollower) apply(holder netip.AddrPort, changes PartChanges) {
 	for _, change := range changes.Changes {
 		f.Locator.SetPart(holder, change.Key, change.Tokens)
