--- a/internal/relayer/part_receiver.go
+++ b/internal/relayer/part_receiver.go
@@ -47,7 +47,8 @@
 	held     []peertracker.PartUpdates
 }
 
-// SetHome makes the receiver follow another home; an invalid address means none.
+// SetHome makes the receiver follow another home; an invalid address means none. Without a home
+// nobody tells this node which parts are gone, so it forgets the directory.
 func (r *PartReceiver) SetHome(ctx context.Context, home netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -55,8 +56,17 @@
 		return
 	}
 	r.home, r.stream, r.next, r.held = home, 0, 0, nil
-	if home.IsValid() {
-		r.fetch(ctx)
+	if !home.IsValid() {
+		r.forget()
+		return
+	}
+	r.fetch(ctx)
+}
+
+// forget forgets the directory. The caller holds the lock.
+func (r *PartReceiver) forget() {
+	for _, holder := range r.Locator.Holders() {
+		r.Locator.Forget(holder)
 	}
 }
 
@@ -123,6 +133,7 @@
 	directory, err := r.Client.Parts(callCtx, home)
 	if err != nil {
 		r.Logger.Warn().Str("event", "directory of parts").Stringer("home", home).Err(err).Send()
+		r.forgetOf(home)
 		return r.done(ctx.Err() == nil)
 	}
 	r.mu.Lock()
@@ -143,6 +154,16 @@
 	return false
 }
 
+// forgetOf forgets the directory if home is still the home: changes are missing that can't be
+// fetched.
+func (r *PartReceiver) forgetOf(home netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.home == home {
+		r.forget()
+	}
+}
+
 func (r *PartReceiver) done(again bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
