--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -19,7 +19,7 @@
 	// versions by then, and the fetches of one that has no contact have ended.
 	missingPeerDelay = placer.MaxFetchTime
 	// cautiousFetchTime limits fetches while a node of an older build is live, which frees parts
-	// after 900 ms, and those of a node that hears no majority of the hubs.
+	// after 900 ms, and those of a node without contact to a majority of the hubs.
 	cautiousFetchTime = 600 * time.Millisecond
 	// goneTimeout is how long a peer without heartbeats is taken for one that may be back.
 	goneTimeout = time.Minute
@@ -42,8 +42,8 @@
 	// the sender's view, if that is later than the one that it announces with retainedMarker.
 	// Others adopt it at once. Older builds ignore it.
 	reachedMarker = 5
-	// separatedMarker replaces the endpoint's hash in a change that tells members that their home
-	// hears no majority of the hubs.
+	// separatedMarker replaces the endpoint's hash in a change by which a home lets its members
+	// know that it has no contact to a majority of the hubs.
 	separatedMarker = 6
 )
 
@@ -55,16 +55,16 @@
 	hasLog := p.isSource()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !ok || !hasLog && !p.hearsMajority(p.Now()) {
+	if !ok || !hasLog && !p.hasMajority(p.Now()) {
 		return false
 	}
 	return p.tickedAt == 0 || now-p.tickedAt < maxTickGap && now-p.resumedAt >= settlePeriod
 }
 
-// hearsMajority reports whether this node, directly or through its home, is in contact with more
+// hasMajority reports whether this node, directly or through its home, is in contact with more
 // than half of the hubs that are not known to be gone. The caller holds the lock.
-func (p *Peers) hearsMajority(now time.Time) bool {
-	if !p.hearsHub() {
+func (p *Peers) hasMajority(now time.Time) bool {
+	if !p.hasHubContact() {
 		return false
 	}
 	if p.role.Hub {
@@ -73,8 +73,8 @@
 	return p.separatedAt.IsZero() || now.Sub(p.separatedAt) >= contactTimeout
 }
 
-// hubsAreMajority reports whether this hub and those that it hears are more than those that it
-// misses. Of hubs that are cut off from each other, one side at most frees parts.
+// hubsAreMajority reports whether this hub and those from which heartbeats arrive are more than
+// those that are missing. Of hubs that are cut off from each other, one side at most frees parts.
 func (p *Peers) hubsAreMajority(now time.Time) bool {
 	live, missing := 1, 0
 	for _, m := range p.peers {
@@ -88,7 +88,7 @@
 	return live > missing
 }
 
-// separatedChange returns what a hub tells its members if it hears no majority of the hubs; false
+// separatedChange returns what a hub sends its members if it has no contact to a majority; false
 // otherwise.
 func (p *Peers) separatedChange(now time.Time, kind kind) (peertracker.Change, bool) {
 	return peertracker.Change{Endpoint: separatedMarker, Version: 1}, kind == toMembers && p.role.Hub && !p.hubsAreMajority(now)
@@ -147,13 +147,13 @@
 }
 
 // FetchLimit returns for how long engines may fetch parts after this node has placed a request. A
-// node that hears no majority of the hubs may learn of a retained version seconds after those that
+// node without contact to a majority of the hubs may learn of a retained version seconds after those that
 // free its parts, as it arrives by the log only.
 func (p *Peers) FetchLimit() time.Duration {
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.bounded(now, false) || !p.hearsMajority(now) && len(p.peers) > 0 {
+	if !p.bounded(now, false) || !p.hasMajority(now) && len(p.peers) > 0 {
 		return cautiousFetchTime
 	}
 	return placer.MaxFetchTime
--- a/internal/relayer/former_members_test.go
+++ b/internal/relayer/former_members_test.go
@@ -12,8 +12,8 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/state/peertracker"
 )
 
-// lostMemberBound is the longest time for which a member fetches parts after its home has last
-// heard it: 3 s until it places no more fetches, and 5 s for the last of them.
+// lostMemberBound is the longest time for which a member fetches parts after its last heartbeat
+// at its home: 3 s until it places no more fetches, and 5 s for the last of them.
 const lostMemberBound = 8 * time.Second
 
 // TestFormerMembers guards against a home that announces a version as given up while engines may
@@ -53,7 +53,7 @@
 		})
 	}
 	newer := []peertracker.Change{{Endpoint: 1, Model: balancer.IDHash("m"), Version: 2}}
-	run("not heard any more", func(*relayer.Peers, packer.Message) {})
+	run("lost", func(*relayer.Peers, packer.Message) {})
 	run("moved to another home", func(peers *relayer.Peers, member packer.Message) {
 		member.Sender.Homed, member.Sender.Changes = false, nil
 		peers.HandleHeartbeat(member)
--- a/internal/relayer/unheard_hubs_test.go
+++ b/internal/relayer/long_separation_test.go
@@ -33,10 +33,10 @@
 	f.loadSecondVersion(func(*fleetNode) bool { return true }, everywhere)
 }
 
-// TestUnheardHubs guards against parts that are freed while they are fetched for a node that hears
-// a hub, if neither that hub nor the node is heard by those that free parts. All nodes are in contact
+// TestLongSeparation guards against parts that are freed while they are fetched for a node with contact
+// to a hub, if neither of them has contact to those that free parts. All nodes are in contact
 // with the log and the stores.
-func TestUnheardHubs(t *testing.T) {
+func TestLongSeparation(t *testing.T) {
 	for _, cutFor := range []time.Duration{10 * time.Second, 65 * time.Second} {
 		for _, lag := range []time.Duration{3500 * time.Millisecond, inForceBound} {
 			name := "cut for " + cutFor.String() + ", others learn " + lag.String() + " later"
@@ -48,7 +48,7 @@
 				f.wait(cutFor)
 				f.replaceIn(apart, lag)
 			})
-			runLostMember(t, "home heard by its members only, "+name, 19, 3, func(t *testing.T, f *partsFleet, member *fleetNode) {
+			runLostMember(t, "home in contact with its members only, "+name, 19, 3, func(t *testing.T, f *partsFleet, member *fleetNode) {
 				t.Helper()
 				f.keepLogContact(t)
 				home := f.byIP[member.peers.Home().Addr()]
--- a/internal/relayer/lost_members_test.go
+++ b/internal/relayer/lost_members_test.go
@@ -103,16 +103,16 @@
 }
 
 // TestMemberBetweenHomes guards against parts that are freed while they are fetched for a member
-// that has left its home, and whose new home is not heard in other domains.
+// that has left its home, and whose new home has no contact to other domains.
 func TestMemberBetweenHomes(t *testing.T) {
 	sites(t, func(nodes, domains int) {
 		if nodes == 7 {
 			// All nodes are hubs.
 			return
 		}
-		for _, unheard := range few(nodes, []time.Duration{2500 * time.Millisecond, 0, 700 * time.Millisecond, 1500 * time.Millisecond}) {
+		for _, lost := range few(nodes, []time.Duration{2500 * time.Millisecond, 0, 700 * time.Millisecond, 1500 * time.Millisecond}) {
 			for _, lag := range few(nodes, []time.Duration{500 * time.Millisecond, 0}) {
-				name := fmt.Sprintf("new home unheard for %s, member learns %s later", unheard, lag)
+				name := fmt.Sprintf("new home without contact for %s, member learns %s later", lost, lag)
 				runLostMember(t, name, nodes, domains, func(t *testing.T, f *partsFleet, member *fleetNode) {
 					t.Helper()
 					go every(t.Context(), 500*time.Millisecond, member.peers.RecordLogContact)
@@ -125,7 +125,7 @@
 					require.NotNil(t, home)
 					require.NotEqual(t, former.name, home.name)
 					f.setCut(func(a, b *fleetNode) bool { return leaves(a, b) || a == home && b.domain != home.domain })
-					f.wait(unheard)
+					f.wait(lost)
 					f.setCut(leaves)
 				})
 			}
@@ -133,9 +133,9 @@
 	})
 }
 
-// TestMemberUnheard guards against parts that are freed while they are fetched for a member whose
+// TestLostHeartbeatsOfMember guards against parts that are freed while they are fetched for a member whose
 // heartbeats do not arrive anywhere, although it receives those of others.
-func TestMemberUnheard(t *testing.T) {
+func TestLostHeartbeatsOfMember(t *testing.T) {
 	sites(t, func(nodes, domains int) {
 		for _, r := range few(nodes, []replacement{{3500 * time.Millisecond, 500 * time.Millisecond}, {500 * time.Millisecond, 500 * time.Millisecond}, {5 * time.Second, inForceBound}}) {
 			runLostMember(t, r.String(), nodes, domains, func(t *testing.T, f *partsFleet, member *fleetNode) {
--- a/internal/relayer/many_models_test.go
+++ b/internal/relayer/many_models_test.go
@@ -79,9 +79,9 @@
 	}
 }
 
-// TestReplacedVersionIsToldFirst guards against other nodes that adopt a retained version late, as
+// TestReplacedVersionIsAnnouncedFirst guards against other nodes that adopt a retained version late, as
 // there are more models than a heartbeat holds.
-func TestReplacedVersionIsToldFirst(t *testing.T) {
+func TestReplacedVersionIsAnnouncedFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		weights := map[string]int64{}
 		for i := range 40 {
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -97,7 +97,7 @@
 // members, for all others. A peer from which no heartbeat was received for heartbeatTimeout has
 // settled the version as well (see retainedVersions), or is on the side of fewer hubs and has no
 // contact with the log, so that it fetches nothing (see MayFetch). While this node itself
-// hears no majority of the hubs, nothing counts as acknowledged.
+// has no contact to a majority of the hubs, nothing counts as acknowledged.
 func (p *Peers) Acknowledged(model string, version int64) bool {
 	hash, now := balancer.IDHash(model), p.Now()
 	p.mu.Lock()
--- a/internal/relayer/part_receiver.go
+++ b/internal/relayer/part_receiver.go
@@ -48,7 +48,7 @@
 }
 
 // SetHome makes the receiver follow another home; an invalid address means none. Without a home
-// nobody tells this node which parts are gone, so it forgets the directory.
+// nothing removes the parts that are gone, so it forgets the directory.
 func (r *PartReceiver) SetHome(ctx context.Context, home netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -161,7 +161,8 @@
 	// times since boot.
 	tickedAt  time.Duration
 	resumedAt time.Duration
-	// separatedAt is when the home last said that it hears no majority of the hubs.
+	// separatedAt is when the home last announced that it has no contact to a majority of
+	// the hubs.
 	separatedAt time.Time
 	// unboundedAt is when a peer that does not bound its fetches was last live.
 	unboundedAt time.Time
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -463,7 +463,7 @@
 		time.Sleep(time.Second)
 		assert.False(t, a.peers.Acknowledged("m", 2))
 	})
-	run("a silent peer counts until its timeout", func(t *testing.T, a *acknowledgements) {
+	run("a lost peer counts until its timeout", func(t *testing.T, a *acknowledgements) {
 		a.announce(2, settleBound+time.Second)
 		a.announce(1, 500*time.Millisecond)
 		time.Sleep(1500 * time.Millisecond)
--- a/internal/relayer/retained_versions.go
+++ b/internal/relayer/retained_versions.go
@@ -13,12 +13,12 @@
 
 const (
 	// adoptTime is how long after this node each other node that fetches parts has adopted a
-	// retained version. It covers the time for which a node fetches without hearing a hub, and
+	// retained version. It covers the time for which a node fetches without contact to a hub, and
 	// heartbeats from hub to hub and from there to a member, of which one may be lost.
 	adoptTime = heartbeatTimeout
 	// settleTime is the time after which nobody fetches parts of versions before a retained one.
 	settleTime = adoptTime + placer.MaxFetchTime
-	// lostMemberTime is how long a home still speaks for a member that it does not hear any more.
+	// lostMemberTime is how long a home includes a lost member in what it announces.
 	// The member places no fetches after heartbeatTimeout, or has another home by then.
 	lostMemberTime = heartbeatTimeout + placer.MaxFetchTime
 )
@@ -26,7 +26,7 @@
 // retainedVersions tracks the retained versions of this node's view, and since when it has them.
 //
 // Stores may free parts of a version once the last possible fetch of them has ended. That rests
-// on time, and not only on what other nodes announce, since a node may fetch that is not heard:
+// on time, and not only on what other nodes announce, since a node may fetch whose heartbeats are lost:
 // one that is cut off, between two homes, or whose home was lost. This node announces a version
 // as given up, and acts on that itself, only when its view has had a later one for settleTime. By
 // then each node that may still fetch for long has adopted the later version (see reachedMarker
@@ -154,14 +154,14 @@
 	retained := p.Node.View().OldestRetained
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.retained.update(now, retained, p.hearsHub() || p.isAlone(now), now.Sub(p.startedAt) < settleTime)
+	p.retained.update(now, retained, p.hasHubContact() || p.isAlone(now), now.Sub(p.startedAt) < settleTime)
 	if !p.bounded(now, false) {
 		p.unboundedAt = now
 	}
 }
 
 // isAlone reports whether this node knows no peer that may be running: none is known, or none
-// was heard for goneTimeout. The caller holds the lock.
+// sent heartbeats for goneTimeout. The caller holds the lock.
 func (p *Peers) isAlone(now time.Time) bool {
 	for _, m := range p.peers {
 		since := m.lastReceived
@@ -175,14 +175,14 @@
 	return true
 }
 
-// hearsHub reports whether a hub was heard within contactTimeout. The caller holds the lock.
-func (p *Peers) hearsHub() bool {
+// hasHubContact reports whether a heartbeat of a hub arrived within contactTimeout. The caller holds the lock.
+func (p *Peers) hasHubContact() bool {
 	now, ok := p.uptime()
 	return ok && p.lastHubContact > 0 && now-p.lastHubContact < contactTimeout
 }
 
 // keepRetained keeps what a member has announced when it leaves this node: its last fetches may
-// still run, and its next home is not heard everywhere yet.
+// still run, and its next home may have no contact to all hubs yet.
 func (m *peerState) keepRetained(now time.Time) {
 	if now.Sub(m.leftAt) >= lostMemberTime {
 		m.former = nil
@@ -224,7 +224,7 @@
 		fetched = fetched.Int64(strconv.FormatUint(uint64(hash), 16), version)
 	}
 	p.Log.Info().Str("event", "member left").Str("peer", m.heartbeat.Name).Stringer("address", m.heartbeat.Address).
-		Str("reason", reason).Time("heard", m.lastReceived).Dict("fetched", fetched).Send()
+		Str("reason", reason).Time("last", m.lastReceived).Dict("fetched", fetched).Send()
 }
 
 // leaveReason returns why a peer that was a member does not report to this node any more, by its
