--- a/internal/transport/dialer/engine_test.go
+++ b/internal/transport/dialer/engine_test.go
@@ -1,6 +1,7 @@
 package dialer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -34,9 +35,9 @@
 
 func newEngine() *Engine { return &Engine{Pools: &Pools{DialTimeout: time.Second}} }
 
-// run reads a completion to its end.
+// run reads a completion to its end, with stallTimeout unless it names another.
 func run(engine *Engine, endpoint registrar.Endpoint, completion dispatcher.Completion) (string, error) {
-	completion.StallTimeout = stallTimeout
+	completion.StallTimeout = cmp.Or(completion.StallTimeout, stallTimeout)
 	stream, err := engine.Complete(context.Background(), endpoint, completion)
 	if err != nil {
 		return "", err
