--- a/internal/relayer/long_separation_test.go
+++ b/internal/relayer/long_separation_test.go
@@ -24,13 +24,16 @@
 	}
 }
 
-// replaceIn lets some nodes know that all engines have the second version, and the others after
-// the lag.
-func (f *partsFleet) replaceIn(first func(n *fleetNode) bool, lag time.Duration) {
-	everywhere := func(string) bool { return true }
-	f.loadSecondVersion(first, everywhere)
+// replaceIn lets some nodes know that all engines have the second version.
+func (f *partsFleet) replaceIn(nodes func(n *fleetNode) bool) {
+	f.loadSecondVersion(nodes, func(string) bool { return true })
+}
+
+// replaceLater is replaceIn, and all other nodes know it after the lag.
+func (f *partsFleet) replaceLater(first func(n *fleetNode) bool, lag time.Duration) {
+	f.replaceIn(first)
 	f.wait(lag)
-	f.loadSecondVersion(func(*fleetNode) bool { return true }, everywhere)
+	f.replaceIn(func(*fleetNode) bool { return true })
 }
 
 // TestLongSeparation guards against parts that are freed while they are fetched for a node with contact
@@ -46,20 +49,19 @@
 				apart := func(n *fleetNode) bool { return n.domain == "d0" }
 				f.setCut(func(a, b *fleetNode) bool { return apart(a) != apart(b) })
 				f.wait(cutFor)
-				f.replaceIn(apart, lag)
+				f.replaceLater(apart, lag)
 			})
 			runLostMember(t, "home in contact with its members only, "+name, 19, 3, func(t *testing.T, f *partsFleet, member *fleetNode) {
 				t.Helper()
 				f.keepLogContact(t)
 				home := f.byIP[member.peers.Home().Addr()]
-				apart := func(n *fleetNode) bool { return n == home || n.peers.Home() == home.address }
-				members := map[*fleetNode]bool{}
+				apart := map[*fleetNode]bool{}
 				for _, n := range f.nodes {
-					members[n] = apart(n)
+					apart[n] = n == home || n.peers.Home() == home.address
 				}
-				f.setCut(func(a, b *fleetNode) bool { return members[a] != members[b] })
+				f.setCut(func(a, b *fleetNode) bool { return apart[a] != apart[b] })
 				f.wait(cutFor)
-				f.replaceIn(func(n *fleetNode) bool { return !members[n] }, lag)
+				f.replaceLater(func(n *fleetNode) bool { return !apart[n] }, lag)
 			})
 			runLostMember(t, "node that frees parts is alone, "+name, 7, 3, func(t *testing.T, f *partsFleet, member *fleetNode) {
 				t.Helper()
@@ -67,7 +69,7 @@
 				alone := f.nodes[0]
 				f.setCut(func(a, b *fleetNode) bool { return a == alone || b == alone })
 				f.wait(cutFor)
-				f.replaceIn(func(n *fleetNode) bool { return n == alone }, lag)
+				f.replaceLater(func(n *fleetNode) bool { return n == alone }, lag)
 			})
 		}
 	}
--- a/internal/relayer/size_test.go
+++ b/internal/relayer/size_test.go
@@ -101,6 +101,8 @@
 	bytes    atomic.Int64
 	// asked counts the calls for permits.
 	asked atomic.Int64
+	// stood is the time for which the node stood still, in nanoseconds.
+	stood atomic.Int64
 }
 
 // Send implements relayer.Gossip.
@@ -200,7 +202,7 @@
 		HandleParts:        func(netip.AddrPort, peertracker.PartUpdates) { n.parts.Add(1) },
 		ApplyOperatorState: func(messenger.OperatorState) {},
 		Limits:             n.limits, Issuer: &throttler.Issuer{Share: func() float64 { return n.peers.IssuerShare() }}, PermitClient: n, Streams: n.streams, OriginClient: n,
-		Log: zerolog.New(nil).Hook(lossCounter{&n.lost}), Now: time.Now, Stopping: &atomic.Bool{}, Uptime: simulatedUptime,
+		Log: zerolog.New(nil).Hook(lossCounter{&n.lost}), Now: time.Now, Stopping: &atomic.Bool{}, Uptime: n.uptime,
 	}
 	n.permits = &throttler.Permits{
 		Limits: n.limits, Ask: n.peers.AskPermits, OnChange: func() {}, OnError: func(throttler.Process, error) {}, Now: time.Now,
@@ -211,6 +213,12 @@
 // simulatedUptime is SinceBoot by the simulated clock.
 func simulatedUptime() (time.Duration, bool) { return time.Since(time.Unix(0, 0)), true }
 
+// uptime is simulatedUptime of a host on which the node's standstills took no simulated time.
+func (n *fleetNode) uptime() (time.Duration, bool) {
+	uptime, ok := simulatedUptime()
+	return uptime + time.Duration(n.stood.Load()), ok
+}
+
 // run runs a node until ctx ends.
 func (n *fleetNode) run(ctx context.Context) {
 	for _, other := range n.fleet.nodes {
