--- a/internal/relayer/long_separation_test.go
+++ b/internal/relayer/long_separation_test.go
@@ -75,6 +75,60 @@
 	}
 }
 
+// TestHalfWithoutLog guards against parts that are freed while they are fetched for nodes that hear
+// each other, and neither those that free parts nor the log.
+func TestHalfWithoutLog(t *testing.T) {
+	runLostMember(t, "cut for 30 s", 19, 3, func(t *testing.T, f *partsFleet, _ *fleetNode) {
+		t.Helper()
+		apart := func(n *fleetNode) bool { return n.domain == "d0" }
+		f.setCut(func(a, b *fleetNode) bool { return apart(a) != apart(b) })
+		f.wait(10 * time.Second)
+		f.replaceIn(apart)
+		f.wait(20 * time.Second)
+		f.setCut(func(*fleetNode, *fleetNode) bool { return false })
+	})
+}
+
+// TestSlowNodes guards against parts that are freed while they are fetched for a member that learns
+// late of the new version, as messages of nodes take long or arrive rarely.
+func TestSlowNodes(t *testing.T) {
+	run := func(name string, delay time.Duration, isSlow func(f *partsFleet, n, member *fleetNode) bool) {
+		runLostMember(t, name, 19, 3, func(t *testing.T, f *partsFleet, member *fleetNode) {
+			t.Helper()
+			f.keepLogContact(t)
+			slow := map[*fleetNode]bool{}
+			for _, n := range f.nodes {
+				slow[n] = isSlow(f, n, member)
+			}
+			f.mu.Lock()
+			f.lag = func(n *fleetNode) time.Duration {
+				if slow[n] {
+					return delay
+				}
+				return 0
+			}
+			f.mu.Unlock()
+			f.wait(300 * time.Millisecond)
+			f.replaceLater(func(n *fleetNode) bool { return n != member }, inForceBound)
+		})
+	}
+	run("home", 4*time.Second, func(f *partsFleet, n, member *fleetNode) bool { return n == f.byIP[member.peers.Home().Addr()] })
+	run("member", 4*time.Second, func(_ *partsFleet, n, member *fleetNode) bool { return n == member })
+	run("all nodes", 2500*time.Millisecond, func(*partsFleet, *fleetNode, *fleetNode) bool { return true })
+	runLostMember(t, "heartbeats of 300 ms in each 2.5 s arrive", 19, 3, func(t *testing.T, f *partsFleet, member *fleetNode) {
+		t.Helper()
+		f.keepLogContact(t)
+		start := time.Now()
+		f.setCut(func(a, b *fleetNode) bool {
+			return (a == member || b == member) && time.Since(start)%(2500*time.Millisecond) < 2200*time.Millisecond
+		})
+		f.wait(time.Second)
+		f.replaceLater(func(n *fleetNode) bool { return n != member }, inForceBound)
+		f.wait(20 * time.Second)
+		f.setCut(func(*fleetNode, *fleetNode) bool { return false })
+	})
+}
+
 // TestModelFirstSeenLate guards against a node without contact to others that gives up older
 // versions of a model as soon as it first sees the model.
 func TestModelFirstSeenLate(t *testing.T) {
