Contact that was received just after a standstill does not count

Found in review: a member that stood still for 14.3 to 15.2 s, while its home was killed, took buffered digests for contact 300 ms after it woke, and placed fetches of 5 s of parts that the others were about to free (TestMemberWakes, 7 of 11 cases, 4.5 to 5.0 s early). What arrives within settlePeriod after a standstill may be old, so only later heartbeats and responses of the log count, for fetches and for settling. A node without a majority of the hubs frees no unused scopes either: SameConfiguration became true once all peers had been missing for a minute.

--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -52,13 +52,20 @@
 // the hubs, does not know which parts the others free.
 func (p *Peers) MayFetch() bool {
 	now, ok := p.uptime()
-	hasLog := p.isSource()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !ok || !hasLog && !p.hasMajority(p.Now()) {
+	if !ok || p.tickedAt > 0 && now-p.tickedAt >= maxTickGap {
 		return false
 	}
-	return p.tickedAt == 0 || now-p.tickedAt < maxTickGap && now-p.resumedAt >= settlePeriod
+	return p.isRecent(max(p.lastLogContact, p.lastFed), logContactTimeout) || p.hasMajority(p.Now())
+}
+
+// isRecent reports whether something was received, at a time since boot, within a timeout, and not
+// just after a standstill, when what arrives may have waited in a buffer. The caller holds the lock.
+func (p *Peers) isRecent(received, timeout time.Duration) bool {
+	now, ok := p.uptime()
+	waited := p.resumedAt > 0 && received-p.resumedAt < settlePeriod
+	return ok && received > 0 && now-received < timeout && !waited
 }
 
 // hasMajority reports whether this node, directly or through its home, is in contact with more
@@ -187,6 +194,9 @@
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.hubsAreMajority(now) {
+		return false
+	}
 	for _, m := range p.peers {
 		live := now.Sub(m.lastReceived) < heartbeatTimeout
 		if m.isMissing(now, goneTimeout) || live && (!m.bounds(now) || m.heartbeat.Applied != uint64(version)) {
--- a/internal/relayer/retained_versions.go
+++ b/internal/relayer/retained_versions.go
@@ -19,7 +19,7 @@
 	// settleTime is the time after which nobody fetches parts of versions before a retained one.
 	settleTime = adoptTime + placer.MaxFetchTime
 	// lostMemberTime is how long a home includes a lost member in what it announces.
-	// The member places no fetches after heartbeatTimeout, or has another home by then.
+	// After heartbeatTimeout the member has another home, or its fetches are limited by FetchLimit.
 	lostMemberTime = heartbeatTimeout + placer.MaxFetchTime
 )
 
@@ -176,10 +176,7 @@
 }
 
 // hasHubContact reports whether a heartbeat of a hub arrived within contactTimeout. The caller holds the lock.
-func (p *Peers) hasHubContact() bool {
-	now, ok := p.uptime()
-	return ok && p.lastHubContact > 0 && now-p.lastHubContact < contactTimeout
-}
+func (p *Peers) hasHubContact() bool { return p.isRecent(p.lastHubContact, contactTimeout) }
 
 // keepRetained keeps what a member has announced when it leaves this node: its last fetches may
 // still run, and its next home may have no contact to all hubs yet.
