Attempts at replaced weights do not keep their parts at the stores

Parts of replaced weights stayed at the stores until the last endpoint had been replaced and 5 s more: each attempt at an endpoint with the old weights was recorded as one that may fetch them, although nothing older than the retained version is fetched from stores. Stores were full longer than needed, and during a long roll-out new parts found no room. A version before the one retained when the request arrived is not recorded now; the retained version never falls, so such an attempt can't fetch it later either. Red before: the new case of TestFetchEnd.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -91,6 +91,7 @@
 		}
 		return nil, forwarder.ErrUnavailable
 	}
+	replacedBefore := s.oldestRetained()
 	s.awaitPermits(ctx)
 	choice, err := p.Scheduler.Acquire(ctx, scheduler.Request{
 		Service: s.Service, Rank: s.Rank(), Received: s.Received, Objective: s.Route.Objective,
@@ -100,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &placement{Placer: p, choice: choice, attempt: s.attempt(choice), placedAt: s.Now()}, nil
+	return &placement{Placer: p, choice: choice, attempt: s.attempt(choice, replacedBefore), placedAt: s.Now()}, nil
 }
 
 // permitPatience is how long a request waits for the answer of a peer that issues permits for
@@ -123,13 +124,23 @@
 	}
 }
 
-// attempt assembles what is sent to the chosen endpoint.
-func (s *selection) attempt(choice balancer.Choice) forwarder.Attempt {
+// oldestRetained returns the oldest version of the prompt's model whose parts are fetched from
+// stores; zero without a prompt.
+func (s *selection) oldestRetained() int64 {
+	if s.Prompt == nil {
+		return 0
+	}
+	return s.View().OldestRetained[s.Prompt.Model]
+}
+
+// attempt assembles what is sent to the chosen endpoint. replacedBefore is the retained version of
+// an earlier view: nothing older is fetched from stores, so such a fetch need not be recorded.
+func (s *selection) attempt(choice balancer.Choice, replacedBefore int64) forwarder.Attempt {
 	// The end of fetches counts from, and is recorded, before the view is read: a newer view
 	// may let stores free what this one fetches.
 	fetchUntil := s.fetchUntil()
 	fetchEnd, canFetch := s.EndpointClock(fetchUntil)
-	if canFetch && s.Prompt != nil && s.OnFetch != nil {
+	if canFetch && s.Prompt != nil && s.OnFetch != nil && choice.Endpoint.Weights[s.Prompt.Model] >= replacedBefore {
 		s.OnFetch(s.Prompt.Model, choice.Endpoint.Weights[s.Prompt.Model], fetchUntil)
 	}
 	view, now, endpoint := s.View(), s.Now(), choice.Endpoint
