--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -72,6 +72,8 @@
 	// retained holds, for each model, the oldest version whose prompt parts are still
 	// fetched from stores.
 	retained map[string]int64
+	// listed is set once the directory of endpoints has been listed.
+	listed bool
 	// scopesChanged is when the set of isolated teams last changed.
 	scopesChanged time.Time
 	// startedAt is when Run was called, steppedAt the time of its last step, and stood the
@@ -209,11 +211,17 @@
 }
 
 // RemoveUnlistedEndpoints removes all endpoints that are missing in a full
-// listing of the directory. interrupted is as in RemoveEndpoint.
+// listing of the directory, after those that it has were put. interrupted is as in
+// RemoveEndpoint.
 func (r *Relayer) RemoveUnlistedEndpoints(listed map[string]bool, interrupted bool) {
 	r.do(func() {
-		if r.table.RemoveUnlisted(listed, r.now(), interrupted) {
+		first := !r.listed
+		r.listed = true
+		removed := r.table.RemoveUnlisted(listed, r.now(), interrupted)
+		if first || removed {
 			r.publish()
+		}
+		if removed {
 			r.Log.Info().Str("event", "endpoints gone").Int("listed", len(listed)).Bool("interrupted", interrupted).Send()
 		}
 	})
@@ -308,8 +316,11 @@
 // updateRetained raises the retained version of each model to the one that more
 // than half of the endpoints have reached. Parts of older versions are no longer
 // fetched, so that stores can free their memory. The retained version never
-// decreases.
+// decreases, so it is not known before all endpoints are.
 func (r *Relayer) updateRetained(services map[string][]endpointtracker.Endpoint) {
+	if !r.listed {
+		return
+	}
 	loaded := map[string][]int64{}
 	for _, endpoints := range services {
 		for _, endpoint := range endpoints {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -66,6 +66,16 @@
 
 // newNodeOn is newNode on a given host.
 func newNodeOn(t *testing.T, host *host, endpoints ...endpointtracker.Endpoint) *relayer.Relayer {
+	t.Helper()
+	node := startNode(t, host)
+	node.Configure(catalog(1), "test")
+	listEndpoints(node, endpoints...)
+	synctest.Wait()
+	return node
+}
+
+// startNode runs a node that knows nothing yet.
+func startNode(t *testing.T, host *host) *relayer.Relayer {
 	t.Helper()
 	node := relayer.New(zerolog.Nop(), time.Now)
 	node.Uptime = host.uptime
@@ -75,12 +85,17 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go node.Run(ctx)
-	node.Configure(catalog(1), "test")
+	return node
+}
+
+// listEndpoints gives a node a full listing of the directory of endpoints.
+func listEndpoints(node *relayer.Relayer, endpoints ...endpointtracker.Endpoint) {
+	listed := map[string]bool{}
 	for _, endpoint := range endpoints {
 		node.PutEndpoint(endpoint, false)
+		listed[endpoint.ID] = true
 	}
-	synctest.Wait()
-	return node
+	node.RemoveUnlistedEndpoints(listed, false)
 }
 
 func assertVersion(t *testing.T, node *relayer.Relayer, want int64) {
@@ -702,9 +717,7 @@
 	node.OnLeaving = func(endpointtracker.Endpoint) {}
 	go node.Run(t.Context())
 	node.Configure(catalog(1), "test")
-	for _, id := range []string{"a", "b", "c"} {
-		node.PutEndpoint(engine(id, 1), false)
-	}
+	listEndpoints(node, engine("a", 1), engine("b", 1), engine("c", 1))
 	// The log has dropped the oldest claim.
 	log := &claimLog{claims: []leaser.Claim{{Offset: 0, Holder: "gone"}, {Offset: 1, Holder: "n1"}}, first: 1}
 	standin := &engines{loadTime: 200 * time.Millisecond, readyAt: map[string]time.Time{}}
