--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -48,13 +48,14 @@
 )
 
 // MayFetch reports whether requests may be placed that fetch parts from stores. A node
-// that has just been stopped for a while, or that has no contact to the log and to a majority of
-// the hubs, does not know which parts the others free.
+// that has just been stopped for a while, that has no contact to the log and to a majority of the
+// hubs, or that has had contact to no hub since it started, does not know which parts the others
+// free.
 func (p *Peers) MayFetch() bool {
 	now, ok := p.uptime()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !ok || p.tickedAt > 0 && now-p.tickedAt >= maxTickGap {
+	if !ok || p.tickedAt > 0 && now-p.tickedAt >= maxTickGap || !p.isInformed(p.Now()) {
 		return false
 	}
 	return p.isRecent(max(p.lastLogContact, p.lastFed), logContactTimeout) || p.hasMajority(p.Now())
@@ -112,6 +113,21 @@
 	p.separatedAt = now
 }
 
+// isInformed reports whether this node has had contact to a hub since it started, or knows none
+// that may be running. The caller holds the lock.
+func (p *Peers) isInformed(now time.Time) bool {
+	if p.lastHubContact > 0 {
+		return true
+	}
+	for _, m := range p.peers {
+		isMember := m.reporter == balancer.Member && !m.lastReceived.IsZero()
+		if !isMember && p.mayRun(m, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // recordTick records that Run is running.
 func (p *Peers) recordTick() {
 	now, _ := p.uptime()
