--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -34,6 +34,10 @@
 	// a buffer.
 	maxTickGap   = 4 * sameDomainPeriod
 	settlePeriod = 2 * sameDomainPeriod
+	// configurationGrace is how long a node that knows of a newer configuration than its own still
+	// fetches. Hubs free the parts of scopes that the newer one does not use unusedScopeDelay after
+	// they have it, and do not see which one the members of other hubs have.
+	configurationGrace = 10 * time.Second
 	// boundedMarker replaces the endpoint's hash in a change that says that the sender bounds its
 	// fetches, and announces a version as given up only after the last of them has ended.
 	// A hub says it for its members too, and to its members for all nodes.
@@ -49,13 +53,16 @@
 
 // MayFetch reports whether requests may be placed that fetch parts from stores. A node
 // that has just been stopped for a while, that has no contact to the log and to a majority of the
-// hubs, or that has had contact to no hub since it started, does not know which parts the others
-// free.
+// hubs, that has had contact to no hub since it started, or whose configuration is outdated, does
+// not know which parts the others free.
 func (p *Peers) MayFetch() bool {
 	now, ok := p.uptime()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !ok || p.tickedAt > 0 && now-p.tickedAt >= maxTickGap || !p.isInformed(p.Now()) {
+	if !ok || p.tickedAt > 0 && now-p.tickedAt >= maxTickGap {
+		return false
+	}
+	if !p.isInformed(p.Now()) || p.isOutdated(p.Now()) {
 		return false
 	}
 	return p.isRecent(max(p.lastLogContact, p.lastFed), logContactTimeout) || p.hasMajority(p.Now())
@@ -113,6 +120,30 @@
 	p.separatedAt = now
 }
 
+// isOutdated reports whether a peer has had a newer configuration than this node for longer than
+// configurationGrace. The caller holds the lock.
+func (p *Peers) isOutdated(now time.Time) bool {
+	return !p.behindSince.IsZero() && now.Sub(p.behindSince) >= configurationGrace
+}
+
+// recordBehind records since when a peer has had a newer configuration than this node.
+func (p *Peers) recordBehind(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	newest := uint64(0)
+	for _, m := range p.peers {
+		if now.Sub(m.lastReceived) < goneTimeout {
+			newest = max(newest, m.heartbeat.Applied)
+		}
+	}
+	switch {
+	case !p.isBehind(int64(newest)):
+		p.behindSince = time.Time{}
+	case p.behindSince.IsZero():
+		p.behindSince = now
+	}
+}
+
 // isInformed reports whether this node has had contact to a hub since it started, or knows none
 // that may be running. The caller holds the lock.
 func (p *Peers) isInformed(now time.Time) bool {
--- a/internal/relayer/first_contact_test.go
+++ b/internal/relayer/first_contact_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lacewingrelay/lacewingrelay/internal/coordination/placer"
 	"github.com/lacewingrelay/lacewingrelay/internal/relayer"
 )
 
@@ -50,3 +52,37 @@
 		assert.True(t, peers.MayFetch())
 	})
 }
+
+// TestMemberWithFormerConfiguration guards against fetches of parts of a scope that no team uses any more, which
+// hubs free a minute after the configuration has changed: they do not see that a member of another hub lacks it.
+func TestMemberWithFormerConfiguration(t *testing.T) {
+	const unusedScopeDelay = time.Minute
+	runFleet(t, "60 nodes", 60, 3, func(t *testing.T, f *fleet) {
+		f.wait(membershipBound)
+		i := slices.IndexFunc(f.nodes, func(n *fleetNode) bool { return n.peers.Home().IsValid() })
+		member := f.nodes[i]
+		for _, n := range f.nodes {
+			if n != member {
+				n.node.Configure(catalog(2), "test")
+			}
+		}
+		f.wait(2 * time.Second)
+		for _, n := range f.nodes {
+			assert.True(t, n.peers.MayFetch(), "%s soon after the change", n.name)
+		}
+		agreed := 0
+		for _, hub := range f.hubs() {
+			if hub.peers.SameConfiguration(2) {
+				agreed++
+			}
+		}
+		require.Equal(t, len(f.hubs())-1, agreed, "hubs that do not know that the member lags behind")
+		f.wait(unusedScopeDelay - placer.MaxFetchTime - 2*time.Second)
+		assert.False(t, member.peers.MayFetch(), "fetches that may last until the parts are freed")
+		member.node.Configure(catalog(2), "test")
+		f.wait(time.Second)
+		for _, n := range f.nodes {
+			assert.True(t, n.peers.MayFetch(), "%s with the configuration", n.name)
+		}
+	})
+}
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -166,6 +166,8 @@
 	separatedAt time.Time
 	// unboundedAt is when a peer that does not bound its fetches was last live.
 	unboundedAt time.Time
+	// behindSince is since when a peer has had a newer configuration; zero if none has.
+	behindSince time.Time
 	// lastJoin is what LastJoin returns.
 	lastJoin time.Time
 	// retained are the retained versions of this node's view, and startedAt is when Run began.
@@ -195,6 +197,7 @@
 		case <-ticker.C:
 			p.recordTick()
 			p.updateRetained(p.Now())
+			p.recordBehind(p.Now())
 			p.heartbeat(false)
 		}
 	}
