Tests: the node that starts in TestMajorityOfFirstEndpoints is not built while others send to it

go test -race reported a data race in the test itself, once in two runs: it replaced the peers of a fleet's node while datagrams arrived there. The node is now part of the fleet from the beginning, cut off and not running until it starts.

--- a/internal/relayer/retained_versions_test.go
+++ b/internal/relayer/retained_versions_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -58,23 +59,32 @@
 		listEndpoints(node, oneLoaded()...)
 	})
 	for nodes, domains := range map[int]int{7: 3, 60: 3} {
-		runFleet(t, fmt.Sprintf("a node that starts among %d", nodes), nodes, domains, func(t *testing.T, f *fleet) {
-			for _, n := range f.nodes {
-				listEndpoints(n.node, oneLoaded()[1:]...)
-				n.node.PutEndpoint(oneLoaded()[0], false)
-			}
-			f.wait(membershipBound)
-			started := f.nodes[len(f.nodes)-1]
-			started.build(t, 2)
-			started.node = startNode(t, newHost())
-			started.peers.Node = started.node
-			started.run(t.Context())
-			started.node.Configure(catalog(1), "test")
-			listEndpoints(started.node, oneLoaded()...)
-			f.wait(membershipBound)
-			for _, n := range f.nodes {
-				assertRetained(t, n.node, 1)
-			}
+		t.Run(fmt.Sprintf("a node that starts among %d", nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f := buildFleet(t, nodes, domains)
+				started := f.nodes[len(f.nodes)-1]
+				started.node = startNode(t, newHost())
+				started.peers.Node = started.node
+				f.cut = func(a, b *fleetNode) bool { return a == started || b == started }
+				for _, n := range f.nodes {
+					if n != started {
+						listEndpoints(n.node, oneLoaded()[1:]...)
+						n.node.PutEndpoint(oneLoaded()[0], false)
+						n.run(ctx)
+					}
+				}
+				f.wait(membershipBound)
+				f.setCut(func(*fleetNode, *fleetNode) bool { return false })
+				started.run(ctx)
+				started.node.Configure(catalog(1), "test")
+				listEndpoints(started.node, oneLoaded()...)
+				f.wait(membershipBound)
+				for _, n := range f.nodes {
+					assertRetained(t, n.node, 1)
+				}
+			})
 		})
 	}
 }
@@ -91,10 +101,9 @@
 		assertRetained(t, node, 2)
 		started := newNode(t, left...)
 		assertRetained(t, started, 1)
-		peers := newPeers(t, started, &standinStateClient{})
 		hub := heartbeat(1, peertracker.Change{Endpoint: 1, Model: balancer.IDHash("m"), Version: 2})
 		hub.Sender.Hub = true
-		peers.HandleHeartbeat(hub)
+		newPeers(t, started, &standinStateClient{}).HandleHeartbeat(hub)
 		assertRetained(t, started, 2)
 	})
 }
