--- a/internal/coordination/placer/fetch_test.go
+++ b/internal/coordination/placer/fetch_test.go
@@ -86,7 +86,9 @@
 		view := p.View()
 		view.OldestRetained = map[string]int64{"m": 2}
 		p.View = func() placer.View { return view }
-		p.OnFetch = func(_ string, version int64, _ time.Time) { assert.Fail(t, "a fetch is recorded", "version %d", version) }
+		p.OnFetch = func(_ string, version int64, _ time.Time) {
+			assert.Fail(t, "a fetch is recorded", "version %d", version)
+		}
 		assert.NotContains(t, placeFor(t, p, time.Second).Fetch, partStore)
 	})
 	run("the end counts from before the view was read", func(t *testing.T) {
