--- a/internal/coordination/organizer/organizer.go
+++ b/internal/coordination/organizer/organizer.go
@@ -9,7 +9,8 @@
 //
 // Each node decides from its own view, without agreement. Views may differ for a moment:
 // a node that is asked to be a home serves as one, whatever it takes itself for. The
-// division only saves work, and no guarantee rests on it.
+// division saves work; which node is whose home decides no more than that (see relayer.Peers for
+// what members fetch while they change their home).
 //
 // # Usage
 //
--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -68,14 +68,6 @@
 	return p.isRecent(max(p.lastLogContact, p.lastFed), logContactTimeout) || p.hasMajority(p.Now())
 }
 
-// isRecent reports whether something was received, at a time since boot, within a timeout, and not
-// just after a standstill, when what arrives may have waited in a buffer. The caller holds the lock.
-func (p *Peers) isRecent(received, timeout time.Duration) bool {
-	now, ok := p.uptime()
-	waited := p.resumedAt > 0 && received-p.resumedAt < settlePeriod
-	return ok && received > 0 && now-received < timeout && !waited
-}
-
 // hasMajority reports whether this node, directly or through its home, is in contact with more
 // than half of the hubs that are not known to be gone. The caller holds the lock.
 func (p *Peers) hasMajority(now time.Time) bool {
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -26,8 +26,8 @@
 	// retained holds, for each model, the oldest version whose parts the peer and its
 	// members fetch, by the hash of the model's name.
 	retained map[uint32]int64
-	// former holds what the peer had announced when it last stopped to report to this node as a
-	// member, at leftAt.
+	// former holds what the peer had announced when it stopped reporting to this node as a member,
+	// last at leftAt. A member that is lost without a word is told apart by lastReceived.
 	former map[uint32]int64
 	leftAt time.Time
 	// boundedAt is when the peer last announced that its fetches are bounded, see boundedMarker; zero for older builds.
@@ -58,6 +58,38 @@
 	p.lastHubContact = now
 }
 
+// isAlone reports whether this node knows no peer that may be running: none is known, or none
+// sent heartbeats for goneTimeout. The caller holds the lock.
+func (p *Peers) isAlone(now time.Time) bool {
+	for _, m := range p.peers {
+		if p.mayRun(m, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasHubContact reports whether a heartbeat of a hub arrived within contactTimeout. The caller holds the lock.
+func (p *Peers) hasHubContact() bool { return p.isRecent(p.lastHubContact, contactTimeout) }
+
+// mayRun reports whether a peer may be running: it has not announced that it stops, and sent
+// heartbeats within goneTimeout, or this node has not run for that long. The caller holds the lock.
+func (p *Peers) mayRun(m *peerState, now time.Time) bool {
+	since := m.lastReceived
+	if since.IsZero() {
+		since = p.startedAt
+	}
+	return !m.heartbeat.Leaving && now.Sub(since) < goneTimeout
+}
+
+// isRecent reports whether something was received, at a time since boot, within a timeout, and not
+// just after a standstill, when what arrives may have waited in a buffer. The caller holds the lock.
+func (p *Peers) isRecent(received, timeout time.Duration) bool {
+	now, ok := p.uptime()
+	waited := p.resumedAt > 0 && received-p.resumedAt < settlePeriod
+	return ok && received > 0 && now-received < timeout && !waited
+}
+
 // RecordLogContact records that the log responded to this node.
 func (p *Peers) RecordLogContact() {
 	now, _ := p.uptime()
--- a/internal/relayer/retained_versions.go
+++ b/internal/relayer/retained_versions.go
@@ -160,30 +160,6 @@
 	}
 }
 
-// isAlone reports whether this node knows no peer that may be running: none is known, or none
-// sent heartbeats for goneTimeout. The caller holds the lock.
-func (p *Peers) isAlone(now time.Time) bool {
-	for _, m := range p.peers {
-		if p.mayRun(m, now) {
-			return false
-		}
-	}
-	return true
-}
-
-// hasHubContact reports whether a heartbeat of a hub arrived within contactTimeout. The caller holds the lock.
-func (p *Peers) hasHubContact() bool { return p.isRecent(p.lastHubContact, contactTimeout) }
-
-// mayRun reports whether a peer may be running: it has not announced that it stops, and sent
-// heartbeats within goneTimeout, or this node has not run for that long. The caller holds the lock.
-func (p *Peers) mayRun(m *peerState, now time.Time) bool {
-	since := m.lastReceived
-	if since.IsZero() {
-		since = p.startedAt
-	}
-	return !m.heartbeat.Leaving && now.Sub(since) < goneTimeout
-}
-
 // keepRetained keeps what a member has announced when it leaves this node: its last fetches may
 // still run, and its next home may have no contact to all hubs yet.
 func (m *peerState) keepRetained(now time.Time) {
