--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -203,7 +203,7 @@
 			retained[change.Model] = max(retained[change.Model], change.Version)
 		}
 	}
-	p.Node.RaiseRetained(func(model string) int64 { return retained[balancer.IDHash(model)] })
+	p.Node.RaiseRetained(retained)
 }
 
 // adoptTargetAges takes the ages of target versions from a peer that has the same ones, where
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,6 +73,9 @@
 	// retained holds, for each model, the oldest version whose prompt parts are still
 	// fetched from stores.
 	retained map[string]int64
+	// adopted holds the retained versions of peers, by the hash of the model's name.
+	adoptedMu sync.Mutex
+	adopted   map[uint32]int64
 	// listed is set once the directory of endpoints has been listed.
 	listed bool
 	// scopesChanged is when the set of isolated teams last changed.
@@ -94,6 +98,7 @@
 		table:          endpointtracker.Table{Grace: expiredEntryGrace},
 		targetVersions: map[string][]placer.TargetVersion{},
 		retained:       map[string]int64{},
+		adopted:        map[uint32]int64{},
 	}
 }
 
@@ -294,27 +299,29 @@
 	return endpointtracker.Endpoint{}, "", false
 }
 
-// RaiseRetained raises the retained version of each model to the one that a peer has
-// reached, if that is higher.
-func (r *Relayer) RaiseRetained(reached func(model string) int64) {
-	view := r.View()
-	raised := false
-	for model, version := range view.OldestRetained {
-		raised = raised || reached(model) > version
+// RaiseRetained raises the retained versions to those that a peer has reached, by the hash of the
+// model's name. They also hold for models that this node does not know yet.
+func (r *Relayer) RaiseRetained(reached map[uint32]int64) {
+	if r.adopt(reached) {
+		r.do(r.publish)
 	}
-	if !raised {
-		return
-	}
-	r.do(func() {
-		for model, version := range r.retained {
-			r.retained[model] = max(version, reached(model))
+}
+
+// adopt records versions that a peer has reached, and reports whether any is news.
+func (r *Relayer) adopt(reached map[uint32]int64) bool {
+	r.adoptedMu.Lock()
+	defer r.adoptedMu.Unlock()
+	news := false
+	for model, version := range reached {
+		if version > r.adopted[model] {
+			r.adopted[model], news = version, true
 		}
-		r.publish()
-	})
+	}
+	return news
 }
 
 // updateRetained raises the retained version of each model to the one that more
-// than half of the endpoints have reached. Parts of older versions are no longer
+// than half of the endpoints, or a peer, have reached. Parts of older versions are no longer
 // fetched, so that stores can free their memory. The retained version never
 // decreases, so it is not known before all endpoints are.
 func (r *Relayer) updateRetained(services map[string][]endpointtracker.Endpoint) {
@@ -335,6 +342,11 @@
 			r.retained[model] = majority
 		}
 	}
+	r.adoptedMu.Lock()
+	defer r.adoptedMu.Unlock()
+	for model, version := range r.retained {
+		r.retained[model] = max(version, r.adopted[balancer.IDHash(model)])
+	}
 }
 
 func (r *Relayer) sweep() {
--- a/internal/relayer/retained_versions_test.go
+++ b/internal/relayer/retained_versions_test.go
@@ -105,5 +105,11 @@
 		hub.Sender.Hub = true
 		newPeers(t, started, &standinStateClient{}).HandleHeartbeat(hub)
 		assertRetained(t, started, 2)
+		// A node hears its home before it lists the endpoints.
+		late := startNode(t, newHost())
+		late.Configure(catalog(1), "test")
+		newPeers(t, late, &standinStateClient{}).HandleHeartbeat(hub)
+		listEndpoints(late, left...)
+		assertRetained(t, late, 2)
 	})
 }
