--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -307,17 +307,17 @@
 	}
 }
 
-// adopt records versions that a peer has reached, and reports whether any is news.
+// adopt records versions that a peer has reached, and reports whether any is later than before.
 func (r *Relayer) adopt(reached map[uint32]int64) bool {
 	r.adoptedMu.Lock()
 	defer r.adoptedMu.Unlock()
-	news := false
+	raised := false
 	for model, version := range reached {
 		if version > r.adopted[model] {
-			r.adopted[model], news = version, true
+			r.adopted[model], raised = version, true
 		}
 	}
-	return news
+	return raised
 }
 
 // updateRetained raises the retained version of each model to the one that more
