--- a/internal/relayer/fetch_agreement_test.go
+++ b/internal/relayer/fetch_agreement_test.go
@@ -379,6 +379,7 @@
 // TestDomainIsBack guards against parts that a domain fetches after a cut, while others free
 // them: they had agreed without it.
 func TestDomainIsBack(t *testing.T) {
+	t.Parallel()
 	const cutDomain = "d1"
 	run := func(nodes, domains int, cutFor time.Duration) {
 		t.Run(fmt.Sprintf("%d nodes, cut for %s", nodes, cutFor), func(t *testing.T) {
--- a/internal/relayer/long_separation_test.go
+++ b/internal/relayer/long_separation_test.go
@@ -40,6 +40,7 @@
 // to a hub, if neither of them has contact to those that free parts. All nodes are in contact
 // with the log and the stores.
 func TestLongSeparation(t *testing.T) {
+	t.Parallel()
 	for _, cutFor := range []time.Duration{10 * time.Second, 65 * time.Second} {
 		for _, lag := range []time.Duration{3500 * time.Millisecond, inForceBound} {
 			name := "cut for " + cutFor.String() + ", others learn " + lag.String() + " later"
@@ -78,6 +79,7 @@
 // TestHalfWithoutLog guards against parts that are freed while they are fetched for nodes that hear
 // each other, and neither those that free parts nor the log.
 func TestHalfWithoutLog(t *testing.T) {
+	t.Parallel()
 	runLostMember(t, "cut for 30 s", 19, 3, func(t *testing.T, f *partsFleet, _ *fleetNode) {
 		t.Helper()
 		apart := func(n *fleetNode) bool { return n.domain == "d0" }
@@ -92,6 +94,7 @@
 // TestSlowNodes guards against parts that are freed while they are fetched for a member that learns
 // late of the new version, as messages of nodes take long or arrive rarely.
 func TestSlowNodes(t *testing.T) {
+	t.Parallel()
 	run := func(name string, delay time.Duration, isSlow func(f *partsFleet, n, member *fleetNode) bool) {
 		runLostMember(t, name, 19, 3, func(t *testing.T, f *partsFleet, member *fleetNode) {
 			t.Helper()
--- a/internal/relayer/lost_members_test.go
+++ b/internal/relayer/lost_members_test.go
@@ -80,6 +80,7 @@
 // TestMemberWithoutPeers guards against parts that are freed while they are fetched for a node that
 // is in contact with the log, the engines and the stores, but with no other node.
 func TestMemberWithoutPeers(t *testing.T) {
+	t.Parallel()
 	sites(t, func(nodes, domains int) {
 		for _, r := range few(nodes, []replacement{
 			{500 * time.Millisecond, 500 * time.Millisecond},
@@ -105,6 +106,7 @@
 // TestMemberBetweenHomes guards against parts that are freed while they are fetched for a member
 // that has left its home, and whose new home has no contact to other domains.
 func TestMemberBetweenHomes(t *testing.T) {
+	t.Parallel()
 	sites(t, func(nodes, domains int) {
 		if nodes == 7 {
 			// All nodes are hubs.
@@ -136,6 +138,7 @@
 // TestLostHeartbeatsOfMember guards against parts that are freed while they are fetched for a member whose
 // heartbeats do not arrive anywhere, although it receives those of others.
 func TestLostHeartbeatsOfMember(t *testing.T) {
+	t.Parallel()
 	sites(t, func(nodes, domains int) {
 		for _, r := range few(nodes, []replacement{{3500 * time.Millisecond, 500 * time.Millisecond}, {500 * time.Millisecond, 500 * time.Millisecond}, {5 * time.Second, inForceBound}}) {
 			runLostMember(t, r.String(), nodes, domains, func(t *testing.T, f *partsFleet, member *fleetNode) {
@@ -152,6 +155,7 @@
 // TestMembersOfLostHome guards against parts that are freed while they are fetched for a member
 // whose home stops as planned, or is lost and started again.
 func TestMembersOfLostHome(t *testing.T) {
+	t.Parallel()
 	sites(t, func(nodes, domains int) {
 		if nodes == 7 {
 			// All nodes are hubs.
--- a/internal/relayer/separated_hubs_test.go
+++ b/internal/relayer/separated_hubs_test.go
@@ -10,6 +10,7 @@
 // TestSeparatedHubs guards against parts that are freed while they are fetched by nodes whose hubs
 // are cut off from the other hubs and from the log, but not from the stores.
 func TestSeparatedHubs(t *testing.T) {
+	t.Parallel()
 	run := func(nodes, domains int, cutFor time.Duration) {
 		t.Run(fmt.Sprintf("%d nodes, cut for %s", nodes, cutFor), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/relayer/size_test.go
+++ b/internal/relayer/size_test.go
@@ -335,6 +335,7 @@
 // TestFleetFaults covers losses of many nodes at once: within the bound all others know
 // how many are left, and so again after their return.
 func TestFleetFaults(t *testing.T) {
+	t.Parallel()
 	isolated := func(gone func(n *fleetNode) bool) func(a, b *fleetNode) bool {
 		return func(a, b *fleetNode) bool { return gone(a) || gone(b) }
 	}
--- a/internal/relayer/standstill_fetch_test.go
+++ b/internal/relayer/standstill_fetch_test.go
@@ -13,6 +13,7 @@
 // TestMemberWakes guards against parts that are freed while they are fetched for a member that
 // stood still, and takes heartbeats from before that for new ones. Its home is lost meanwhile.
 func TestMemberWakes(t *testing.T) {
+	t.Parallel()
 	for stood := 14 * time.Second; stood <= 15500*time.Millisecond; stood += 150 * time.Millisecond {
 		runLostMember(t, "member stood still for "+stood.String(), 19, 3, func(t *testing.T, f *partsFleet, member *fleetNode) {
 			t.Helper()
