Peers: one pass over a heartbeat's changes, one place that records older builds

What FreeDelay and updateRetained recorded alike is one method. The comment on rotation said heartbeats, it counts models.

--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -163,8 +163,8 @@
 	return changes
 }
 
-// storeRetained stores the retained versions that a peer announced, and that it bounds its
-// fetches.
+// storeRetained stores the retained versions that a peer announced, that it bounds its fetches,
+// and that, as the home of this node, it has no contact to a majority of the hubs.
 func (p *Peers) storeRetained(heartbeat peertracker.Heartbeat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -179,6 +179,8 @@
 			m.retained[change.Model] = change.Version
 		case boundedMarker:
 			m.boundedAt = m.lastReceived
+		case separatedMarker:
+			p.separatedAt = m.lastReceived
 		}
 	}
 }
--- a/internal/relayer/fetch_agreement.go
+++ b/internal/relayer/fetch_agreement.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
@@ -101,17 +100,6 @@
 	return peertracker.Change{Endpoint: separatedMarker, Version: 1}, kind == toMembers && p.role.Hub && !p.hubsAreMajority(now)
 }
 
-// recordSeparated records that the home has no contact to a majority of the hubs.
-func (p *Peers) recordSeparated(heartbeat peertracker.Heartbeat, now time.Time) {
-	separated := slices.ContainsFunc(heartbeat.Changes, func(change peertracker.Change) bool { return change.Endpoint == separatedMarker })
-	if !separated {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.separatedAt = now
-}
-
 // isOutdated reports whether a peer has had a newer configuration than this node for longer than
 // configurationGrace. The caller holds the lock.
 func (p *Peers) isOutdated(now time.Time) bool {
@@ -178,9 +166,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delay, timeout := freeDelay, catalog.LongestTimeout(unknownFetchTime)
-	if !p.bounded(now, false) {
-		p.unboundedAt = now
-	}
+	p.recordUnbounded(now)
 	if !p.unboundedAt.IsZero() && now.Sub(p.unboundedAt) < timeout {
 		delay += timeout
 	}
@@ -192,6 +178,13 @@
 	return delay
 }
 
+// recordUnbounded records that a live peer does not bound its fetches. The caller holds the lock.
+func (p *Peers) recordUnbounded(now time.Time) {
+	if !p.bounded(now, false) {
+		p.unboundedAt = now
+	}
+}
+
 // FetchLimit returns for how long engines may fetch parts after this node has placed a request. A
 // node without contact to a majority of the hubs may learn of a retained version seconds after those that
 // free its parts, as it arrives by the log only.
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -149,7 +149,7 @@
 	liveHigh    liveHigh
 	// relayed are streams that members have told of and other hubs have not been.
 	relayed []peertracker.StreamBuild
-	// rotation counts the heartbeats of each kind, to rotate through the models.
+	// rotation counts the models in heartbeats of each kind, to rotate through them.
 	rotation [kinds]int
 	// lastHubContact and lastLogContact are when a heartbeat of a hub last arrived and when
 	// RecordLogContact was last called, as times since boot.
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -37,9 +37,6 @@
 	if heartbeat.Parts != nil && reporter == balancer.Home {
 		p.HandleParts(heartbeat.Address, *heartbeat.Parts)
 	}
-	if reporter == balancer.Home {
-		p.recordSeparated(heartbeat, now)
-	}
 	p.storeRetained(heartbeat)
 	p.adoptTargetAges(heartbeat)
 	if reporter != balancer.Member {
--- a/internal/relayer/retained_versions.go
+++ b/internal/relayer/retained_versions.go
@@ -155,9 +155,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.retained.update(now, retained, p.hasHubContact() || p.isAlone(now), now.Sub(p.startedAt) < settleTime)
-	if !p.bounded(now, false) {
-		p.unboundedAt = now
-	}
+	p.recordUnbounded(now)
 }
 
 // keepRetained keeps what a member has announced when it leaves this node: its last fetches may
