--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -108,6 +108,10 @@
 	// Connections is the maximum number of connections that one endpoint accepts
 	// from all nodes together; zero for no limit.
 	Connections int
+	// ColdStart is how long an endpoint is cold after the start of its process, and ColdRate the
+	// number of requests per second that it can handle then; zero if there is no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Engine is nil for services without model engines.
 	Engine *Engine
 	// Store is nil for services that are no store.
--- a/internal/state/endpointtracker/endpointtracker.go
+++ b/internal/state/endpointtracker/endpointtracker.go
@@ -47,6 +47,12 @@
 	Leaving bool
 	// Weights maps each model to its loaded version.
 	Weights map[string]int64
+	// Cold is how much longer the endpoint was cold when it wrote the entry; HasCold is unset if
+	// the entry does not say. Neither they nor ReceivedAt, when the entry was read, change the
+	// table.
+	Cold       time.Duration
+	HasCold    bool
+	ReceivedAt time.Time
 }
 
 // SameProcess reports whether both entries describe the same process.
--- a/internal/state/endpointtracker/endpointtracker_test.go
+++ b/internal/state/endpointtracker/endpointtracker_test.go
@@ -24,6 +24,15 @@
 	assert.Len(t, table.Snapshot()["s"], want)
 }
 
+// TestColdRenewal guards against a new view at each renewal of a cold endpoint's entry.
+func TestColdRenewal(t *testing.T) {
+	table := &endpointtracker.Table{}
+	entry := endpointtracker.Endpoint{ID: "e", Renewal: 1, Cold: 3 * time.Second, HasCold: true, ReceivedAt: time.Now()}
+	assert.True(t, table.Put(entry))
+	entry.Renewal, entry.Cold, entry.ReceivedAt = 2, 2*time.Second, entry.ReceivedAt.Add(time.Second)
+	assert.False(t, table.Put(entry))
+}
+
 func TestRemove(t *testing.T) {
 	t.Run("immediately if the directory was available", func(t *testing.T) {
 		table := &endpointtracker.Table{Grace: 2 * time.Second}
