Cold endpoints: placement asks for tokens

A cold endpoint without a token is not a candidate, also for urgent requests. Its wait counts in HoldLeft only if all endpoints of the request are cold, since the request can otherwise wait for one that is not. Placement reports refused and broken connections, after which another process may use the id. Without cold endpoints, a pick costs one atomic read for each endpoint it compares. The tests of balancer and placer pass.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -104,6 +104,25 @@
 	Release(endpoint endpointtracker.Endpoint)
 }
 
+// Cold tells which requests may be sent to endpoints that are cold, that is, have just started.
+type Cold interface {
+	// Any reports whether any endpoint is cold or was just before. The other methods need not
+	// be called otherwise.
+	Any() bool
+	IsCold(now time.Time, endpoint endpointtracker.Endpoint) bool
+	// Ready reports whether an endpoint is not cold or may get a request all the same, and Wait
+	// how long it gets none; zero if it may get one, or if that is not known.
+	Ready(now time.Time, endpoint endpointtracker.Endpoint) bool
+	Wait(now time.Time, endpoint endpointtracker.Endpoint) time.Duration
+	// Take records a request to an endpoint. It reports false if the endpoint may get none any
+	// more.
+	Take(now time.Time, endpoint endpointtracker.Endpoint) bool
+	// Cost is added to the cost of an endpoint.
+	Cost(now time.Time, endpoint endpointtracker.Endpoint) float64
+	// RecordWithheld records that a request did not go to a cold endpoint of a service.
+	RecordWithheld(service string)
+}
+
 // Balancer tracks the load of all endpoints. Its fields are set before use, and
 // it is safe for concurrent use.
 type Balancer struct {
@@ -115,6 +134,8 @@
 	Nodes func() int
 	// Permits holds permits for the endpoints that limit their requests; nil if none do.
 	Permits Permits
+	// Cold limits the requests to cold endpoints; nil if none is ever cold.
+	Cold Cold
 
 	mu     sync.Mutex
 	states map[string]*endpointState
@@ -125,6 +146,9 @@
 	pickSequence uint64
 	// pathLost is set while this node has lost its links to all endpoints.
 	pathLost bool
+	// withheldFrom is the service of the cold endpoints that the present Pick must not use;
+	// empty for none.
+	withheldFrom string
 }
 
 // candidate is an endpoint that may be picked.
@@ -141,6 +165,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
+	b.withheldFrom = ""
 	best, limited, ok := b.find(now, request, sampled)
 	if !ok {
 		for _, c := range limited {
@@ -149,9 +174,13 @@
 		return Choice{}, false
 	}
 	chosen := request.Endpoints[best.index]
-	if b.Permits != nil && !b.Permits.Take(now, chosen) {
+	// A token that is not used for want of a permit is lost, which costs less than a lost permit.
+	if b.Cold != nil && !b.Cold.Take(now, chosen) || b.Permits != nil && !b.Permits.Take(now, chosen) {
 		return Choice{}, false
 	}
+	if b.withheldFrom != "" {
+		b.Cold.RecordWithheld(b.withheldFrom)
+	}
 	state := b.endpointState(chosen.ID)
 	b.pickSequence++
 	state.pickSequence = b.pickSequence
@@ -215,6 +244,13 @@
 			continue
 		}
 		c := candidate{index: i, cost: b.cost(now, endpoint, request.Capacity)}
+		if b.Cold != nil && b.Cold.Any() {
+			if !b.Cold.Ready(now, endpoint) {
+				b.withheldFrom = endpoint.Service
+				continue
+			}
+			c.cost += b.Cold.Cost(now, endpoint)
+		}
 		if request.Work != nil {
 			c.work = request.Work(endpoint)
 			c.cost += c.work.cost()
--- a/internal/coordination/balancer/reports.go
+++ b/internal/coordination/balancer/reports.go
@@ -245,10 +245,12 @@
 
 // HoldLeft returns how long all endpoints that may take a request have asked for no
 // requests, or take no more by their limits: the time until the first of them may get one;
-// zero if one may get it now.
+// zero if one may get it now. That endpoints are cold counts only if all are: otherwise the
+// request waits for one that is not.
 func (b *Balancer) HoldLeft(now time.Time, request Request) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	allCold := b.allCold(now, request)
 	var shortest time.Duration
 	for _, endpoint := range request.Endpoints {
 		if endpoint.Leaving || request.Avoid[endpoint.ID] {
@@ -258,6 +260,9 @@
 		if b.Permits != nil {
 			left = max(left, b.Permits.Wait(now, endpoint))
 		}
+		if allCold {
+			left = max(left, b.Cold.Wait(now, endpoint))
+		}
 		if left <= 0 {
 			return 0
 		}
@@ -268,6 +273,19 @@
 	return shortest
 }
 
+// allCold reports whether all endpoints that may take a request are cold.
+func (b *Balancer) allCold(now time.Time, request Request) bool {
+	if b.Cold == nil || !b.Cold.Any() {
+		return false
+	}
+	for _, endpoint := range request.Endpoints {
+		if !endpoint.Leaving && !request.Avoid[endpoint.ID] && !b.Cold.IsCold(now, endpoint) {
+			return false
+		}
+	}
+	return true
+}
+
 // RecordLoading records that an endpoint is loading weights and refuses
 // requests.
 func (b *Balancer) RecordLoading(id string, now time.Time) {
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,6 +52,10 @@
 	OnLimit func(request string, endpoint endpointtracker.Endpoint, limit throttler.Statement, sentAt time.Time)
 	// OnFull is called when an endpoint refused a request; nil if that matters to no one.
 	OnFull func(request string, endpoint endpointtracker.Endpoint)
+	// OnLost is called when an endpoint refused a connection or broke one off, and OnAnswered when
+	// it answered a request; nil if that matters to no one.
+	OnLost     func(endpoint endpointtracker.Endpoint)
+	OnAnswered func(endpoint endpointtracker.Endpoint)
 	// Limit returns the limit that an endpoint has named, in requests a second; zero for none.
 	Limit func(endpoint endpointtracker.Endpoint) float64
 	// Nodes returns the number of nodes that are alive. They share the links of
@@ -345,6 +350,9 @@
 	if answer.Leaving {
 		p.OnLeaving(p.attempt.Endpoint)
 	}
+	if p.OnAnswered != nil && answer.RunStatus != forwarder.RunMisdirected {
+		p.OnAnswered(p.attempt.Endpoint)
+	}
 	if p.OnLimit != nil {
 		p.OnLimit(p.attempt.ID, p.attempt.Endpoint, answer.Limit, p.placedAt)
 	}
@@ -384,6 +392,16 @@
 	if errors.IsAny(err, forwarder.ErrNotSent, forwarder.ErrStalled) && !errors.Is(err, forwarder.ErrNoPath) {
 		p.Balancer.RecordFailure(p.attempt.Endpoint.ID, p.Now())
 	}
+	if p.OnLost != nil && isLoss(err) {
+		p.OnLost(p.attempt.Endpoint)
+	}
+}
+
+// isLoss reports whether the process of an endpoint may have ended: it refused a connection or
+// broke one off.
+func isLoss(err error) bool {
+	broken := errors.Is(err, forwarder.ErrBroken) && !errors.Is(err, forwarder.ErrMalformed)
+	return broken || errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, forwarder.ErrNoPath)
 }
 
 // OnComplete implements forwarder.Placement.
