Relayer: evacuated domains, merged by position in the log

An operator's record evacuate/DOMAIN asks that nothing more is sent to the endpoints of a failure domain. Nodes learn of it from the log, from a full listing that lacks the key, and from peers, in any order.

Evacuations keeps, of each domain, the state with the highest position (era, then offset). A listing without a key ends the evacuation at the listing's end, so that a record from before it changes nothing. Feed passes the era of records and the end of listings on. A node sends a heartbeat as soon as a state changes, and takes a state from any peer, also from one that is not its home.

--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -142,8 +142,8 @@
 	}
 }
 
-// heartbeatChanges returns the changes for the next heartbeat of a kind: that fetches are
-// bounded, the model versions, then the announced changes, the newest first.
+// heartbeatChanges returns the changes for the next heartbeat of a kind: the evacuated domains,
+// that fetches are bounded, the model versions, then the announced changes, the newest first.
 func (p *Peers) heartbeatChanges(now time.Time, kind kind) []peertracker.Change {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -155,6 +155,7 @@
 	if change, ok := p.separatedChange(now, kind); ok {
 		changes = slices.Insert(changes, 0, change)
 	}
+	changes = slices.Insert(changes, 0, p.Node.evacuationChanges()...)
 	for _, a := range slices.Backward(p.announced) {
 		if kind == toMembers || !a.downward {
 			changes = append(changes, a.change)
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -34,6 +34,8 @@
 	Key    string
 	Value  []byte
 	Offset int64
+	// Era is set by a Feed: the era of the log in which the record was read.
+	Era int64
 	// Initial is set by a Feed for records of its first listing, which may be of any
 	// age, and Restored for those of its first listing after the log was restored.
 	Initial  bool
@@ -58,6 +60,14 @@
 	Peer netip.AddrPort
 }
 
+// KeyListing is a full listing of a keyed log.
+type KeyListing struct {
+	// Keys says of each key whether it has a value.
+	Keys map[string]bool
+	// Next is the listing's end: records that are not in it are at or after Next.
+	Next Position
+}
+
 // KeyedLog is a compacted log: it retains at least the newest record of each key.
 type KeyedLog interface {
 	// Newest returns the newest record of each key. Records that are not in the listing
@@ -88,6 +98,9 @@
 	// OnListed is called with each full listing: its keys, and whether each has a value;
 	// nil if not needed.
 	OnListed func(keys map[string]bool, interrupted bool)
+	// OnListing is called like OnListed, for users that compare listings by their positions;
+	// nil if not needed.
+	OnListing func(listing KeyListing)
 	// RecordRead is called after the records of a successful call have been applied, unless they
 	// come from a peer that recently had no contact with the log. All records that were
 	// appended before at, by Clock, have been applied; nil if not needed.
@@ -224,18 +237,30 @@
 	initial := !f.listedBefore
 	f.listedBefore = true
 	for _, record := range batch.Records {
-		record.Initial, record.Restored = initial, restored
+		record.Initial, record.Restored, record.Era = initial, restored, batch.Next.Era
 		keys[record.Key] = record.Value != nil
 		f.apply(record)
 	}
 	if f.OnListed != nil {
 		f.OnListed(keys, f.interrupted())
 	}
+	if f.OnListing != nil {
+		f.OnListing(newKeyListing(batch))
+	}
 	f.next = batch.Next
 	f.recordRead(at, batch.Peer)
 	return nil
 }
 
+func newKeyListing(batch Batch) KeyListing {
+	listing := KeyListing{Keys: map[string]bool{}, Next: batch.Next}
+	for _, record := range batch.Records {
+		// A listing of the log itself may have deleted keys with an empty value.
+		listing.Keys[record.Key] = len(record.Value) > 0
+	}
+	return listing
+}
+
 // restart forgets the offsets of an era that is over. Keys that the copy lacks count as
 // missing because of an outage, since they are written again.
 func (f *Feed) restart(next Position) {
@@ -254,6 +279,7 @@
 	at := began.Add(batch.Since)
 	f.share(batch, at, false)
 	for _, record := range batch.Records {
+		record.Era = batch.Next.Era
 		f.apply(record)
 	}
 	f.next = batch.Next
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -64,7 +64,8 @@
 	// that concern a model as a whole: its newest target version, the oldest version
 	// whose parts are fetched, and how long the newest target version has been that, in
 	// milliseconds. IDHash can return these values too: the changes of such an endpoint
-	// would be taken for those of the model. See also boundedMarker.
+	// would be taken for those of the model. See also boundedMarker
+	// and evacuationMarker.
 	targetMarker   = 0
 	retainedMarker = 1
 	ageMarker      = 3
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -22,6 +22,7 @@
 	if heartbeat.Address == p.Address || !p.accept(heartbeat, now) {
 		return
 	}
+	p.adoptEvacuations(heartbeat)
 	for _, suspect := range heartbeat.Suspects {
 		p.Suspects.Update(now, heartbeat.Name, suspect)
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -42,7 +42,7 @@
 )
 
 // Relayer is a node's control state. Its exported fields must be set before Run;
-// only OnChange may be nil.
+// only OnChange, OnEvacuation and RunningIn may be nil.
 type Relayer struct {
 	Log zerolog.Logger
 	// Now is the clock of the control state if Uptime does not know the time.
@@ -60,6 +60,11 @@
 	// new weights, OnLoaded after the entry or the weights of an endpoint changed.
 	RecordLoading func(id string)
 	OnLoaded      func(id string)
+	// OnEvacuation is called on the control goroutine after the evacuation of a failure domain
+	// began or ended. RunningIn returns the number of requests that this node runs on the
+	// endpoints of a domain; it is only logged.
+	OnEvacuation func()
+	RunningIn    func(domain string) int
 	// Uptime returns the time since the host was booted, including the time for which it
 	// was suspended, or false if that is unknown. New sets it to SinceBoot.
 	Uptime func() (time.Duration, bool)
@@ -76,6 +81,11 @@
 	// adopted holds the retained versions of peers, by the hash of the model's name.
 	adoptedMu sync.Mutex
 	adopted   map[uint32]int64
+	// evacuations are the evacuated domains, and announcedEvacuations what heartbeats say of them.
+	evacuations          Evacuations
+	announcedEvacuations atomic.Pointer[[]peertracker.Change]
+	// knowsEvacuations is what KnowsEvacuations returns.
+	knowsEvacuations atomic.Bool
 	// listed is set once the directory of endpoints has been listed.
 	listed bool
 	// scopesChanged is when the set of isolated teams last changed.
@@ -119,6 +129,7 @@
 			r.noteStep()
 			r.logSuspension()
 			r.sweep()
+			r.expireEvacuations()
 		}
 	}
 }
@@ -379,6 +390,7 @@
 		return
 	}
 	view := placer.View{Catalog: r.catalog, Endpoints: r.table.Snapshot(), TargetVersions: maps.Clone(r.targetVersions), Now: r.now}
+	view.Evacuated = r.evacuatedDomains(view.Endpoints)
 	r.updateRetained(view.Endpoints)
 	view.OldestRetained = maps.Clone(r.retained)
 	view.Prepare()
