Placer: no requests to endpoints of evacuated domains

View.Evacuated holds the domains. Their endpoints are excluded for all attempts, also urgent ones, retries and resumed streams, and their engines are no sources of prompt parts. Weights that only they have do not exclude the other endpoints at once, as with endpoints that are leaving.

A waiting request is placed by the view of the moment at which it starts. It would wait until its patience ends if all domains are evacuated, so the scheduler asks Request.Check when it queues the request and in StartOrRefuseWaiting, and refuses it then.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -287,6 +287,16 @@
 	return b.peerLoad(state.hash).Running + state.running
 }
 
+// OwnRunning returns the number of requests that this node runs on an endpoint.
+func (b *Balancer) OwnRunning(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if state, ok := b.states[id]; ok {
+		return state.running
+	}
+	return 0
+}
+
 // RemoveUnlisted removes endpoints that are not listed and have no running
 // requests.
 func (b *Balancer) RemoveUnlisted(listed map[string]bool) {
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -85,18 +85,15 @@
 // Place implements forwarder.Placer.
 func (p *Placer) Place(ctx context.Context, exchange *forwarder.Exchange, progress forwarder.Progress) (forwarder.Placement, error) {
 	s := &selection{Placer: p, Exchange: exchange, Progress: progress}
-	if !s.hasEligibleEndpoint() {
-		if s.Progress.Build != (resumer.Build{}) {
-			return nil, errors.Wrapf(forwarder.ErrBuildGone, "build %s", s.Progress.Build.Version)
-		}
-		return nil, forwarder.ErrUnavailable
+	if err := s.checkEligible(); err != nil {
+		return nil, err
 	}
 	replacedBefore := s.oldestRetained()
 	s.awaitPermits(ctx)
 	choice, err := p.Scheduler.Acquire(ctx, scheduler.Request{
 		Service: s.Service, Rank: s.Rank(), Received: s.Received, Objective: s.Route.Objective,
 		Deadline: s.EffectiveDeadline(), Urgent: s.isUrgent(), Begun: s.StreamStarted, Tokens: s.tokens(), Pick: s.pick,
-		Hold: s.hold,
+		Hold: s.hold, Check: s.checkEvacuated,
 	})
 	if err != nil {
 		return nil, err
@@ -186,6 +183,18 @@
 	return until
 }
 
+// checkEligible returns an error if no endpoint may run the request.
+func (s *selection) checkEligible() error {
+	switch {
+	case s.hasEligibleEndpoint():
+		return nil
+	case s.Progress.Build != (resumer.Build{}):
+		return errors.Wrapf(forwarder.ErrBuildGone, "build %s", s.Progress.Build.Version)
+	default:
+		return forwarder.ErrUnavailable
+	}
+}
+
 // hasEligibleEndpoint reports whether any endpoint may run the request, now or
 // when it has room.
 func (s *selection) hasEligibleEndpoint() bool {
@@ -287,6 +296,7 @@
 			excluded[endpoint.ID] = excluded[endpoint.ID] || endpoint.Build != s.Progress.Build.Version
 		}
 	}
+	view.excludeEvacuated(s.Service, excluded)
 	if len(excluded) == 0 {
 		return s.Progress.Misdirected
 	}
--- a/internal/coordination/placer/view.go
+++ b/internal/coordination/placer/view.go
@@ -19,6 +19,8 @@
 	// OldestRetained holds, for each model, the oldest version whose parts are
 	// kept in stores.
 	OldestRetained map[string]int64
+	// Evacuated holds the failure domains to whose endpoints no requests are sent.
+	Evacuated map[string]bool
 	// ScopesChanged is when the set of isolated teams last changed, by View.Now; zero if it did
 	// not since the start.
 	ScopesChanged time.Time
@@ -79,7 +81,7 @@
 	if known, ok := v.byService[service]; ok {
 		return known
 	}
-	return holders{engines: engines(v.Endpoints[service]), stores: stores(v.Catalog, service)}
+	return holders{engines: engines(v.usable(service)), stores: stores(v.Catalog, service)}
 }
 
 // TargetVersion is a version of a model's weights that the endpoints are to load.
@@ -172,7 +174,7 @@
 func (v View) excludedByWeights(service, model string, limits ageLimits) map[string]bool {
 	var newestLoaded int64
 	for _, endpoint := range v.Endpoints[service] {
-		if !endpoint.Leaving {
+		if !endpoint.Leaving && !v.Evacuated[endpoint.Domain] {
 			newestLoaded = max(newestLoaded, endpoint.Weights[model])
 		}
 	}
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -54,6 +54,9 @@
 	// limit them; zero if one takes some now. It is called with the Scheduler's lock held;
 	// nil if endpoints never ask for that.
 	Hold func() time.Duration
+	// Check returns an error once the request need not wait any longer, since no endpoint will
+	// run it. It is called with the Scheduler's lock held; nil if not needed.
+	Check func() error
 	// Tokens is the endpoint memory that the request needs, in tokens.
 	Tokens int
 	// Pick chooses an endpoint that has room now and counts the request on it. It
@@ -134,6 +137,9 @@
 			return nil, choice, nil
 		}
 	}
+	if err := request.check(); err != nil {
+		return nil, balancer.Choice{}, err
+	}
 	s.sequence++
 	w := &waiter{request: request, sequence: s.sequence, queuedAt: now, result: make(chan result, 1)}
 	q.waiting = insert(q.waiting, w, now)
@@ -167,6 +173,14 @@
 	return balancer.Choice{}, q.refuse(w, max(q.expectedWait(w, s.Now()), maxQueueTime(w.request), w.request.hold()))
 }
 
+// check returns an error if the request need not wait.
+func (r Request) check() error {
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check()
+}
+
 // hold returns how long all endpoints take no requests.
 func (r Request) hold() time.Duration {
 	if r.Hold == nil {
@@ -199,7 +213,7 @@
 }
 
 // StartOrRefuseWaiting starts waiting requests, and refuses those whose endpoints take no
-// requests for longer than they can still wait.
+// requests for longer than they can still wait, or that need not wait any longer.
 func (s *Scheduler) StartOrRefuseWaiting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -207,7 +221,10 @@
 	for _, q := range s.queues {
 		q.startWaiting(now)
 		q.waiting = slices.DeleteFunc(q.waiting, func(w *waiter) bool {
-			err := refuseHeld(w.request, maxQueueTime(w.request)-now.Sub(w.queuedAt))
+			err := w.request.check()
+			if err == nil {
+				err = refuseHeld(w.request, maxQueueTime(w.request)-now.Sub(w.queuedAt))
+			}
 			if err != nil {
 				w.end(balancer.Choice{}, err)
 			}
