Bound connections and unfinished requests of all listeners

Cause: a relay accepted any number of connections and of requests that do not finish, each with an uncounted head, buffers and the first 16 KiB of a body. MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs of the configuration were not enforced, the control address read bodies of any size, and the rest of a refused body was awaited without end.

Change: internal/transport/admitter bounds the connections of a listener and the requests that have arrived in part, and closes the one with the least progress. It enforces the limits of the configuration on heads and idle connections. Closed connections are counted by limit, and logged once a second.

--- /dev/null
+++ b/internal/transport/admitter/admitter.go
@@ -0,0 +1,241 @@
+// Package admitter limits the connections of a server, and the requests that have begun to arrive
+// and are not complete. When there are too many, the connection that has made the least progress is
+// closed, so that callers that finish what they begin are served. Requests that are being served
+// are ended only if their callers do not read the answers.
+//
+// # Usage
+//
+//	a := &admitter.Admitter{MaxConns: 500, MaxUnfinished: 100, Limits: limits, OnClosed: count}
+//	server := &http.Server{Handler: a.Handler(handler)}
+//	a.Watch(server)
+//	go a.Run(ctx)
+//	err := server.Serve(a.Listener(listener))
+package admitter
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	// checkPeriod is the time between checks for connections that take too long, and between
+	// reports.
+	checkPeriod = time.Second
+	// readAheadBytes is how much net/http reads beyond the head of a request.
+	readAheadBytes = 4 << 10
+	// stalledWriteTime is how long a write may take before the caller counts as one that does not
+	// read. It covers a lost packet that is sent again twice.
+	stalledWriteTime = time.Second
+	// unfinishedBytes and idleBytes are added to the bytes that a connection has received when its
+	// progress is compared. Requests that have just begun, and connections on which a request was
+	// served, thereby rank above requests that have stood still for a second.
+	unfinishedBytes = 64 << 10
+	idleBytes       = 1 << 20
+)
+
+// Cause is the limit for which a connection was closed.
+type Cause string
+
+// Causes of closed connections.
+const (
+	Conns         Cause = "connections"
+	Unfinished    Cause = "unfinished requests"
+	HeaderBytes   Cause = "header bytes"
+	HeaderTimeout Cause = "header time"
+	BodyTimeout   Cause = "body time"
+	IdleTimeout   Cause = "idle time"
+)
+
+// Limits are the limits of one connection; zero means no limit.
+type Limits struct {
+	// HeaderBytes bounds the head of a request, and HeaderTimeout the time from its first byte on.
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	// BodyTimeout bounds the time for a body.
+	BodyTimeout time.Duration
+	// IdleTimeout bounds the wait for the next request.
+	IdleTimeout time.Duration
+}
+
+// Closed are the connections that were closed for one cause since the last report.
+type Closed struct {
+	N int
+	// Last is the address of the last one.
+	Last netip.AddrPort
+}
+
+// Admitter limits the connections of one server. Its exported fields are set before use, and it is
+// safe for concurrent use.
+type Admitter struct {
+	// MaxConns is the largest number of open connections, and MaxUnfinished that of requests that
+	// have arrived in part.
+	MaxConns      int
+	MaxUnfinished int
+	// Limits returns the limits that hold now.
+	Limits func() Limits
+	// OnClosed is called with the closed connections of a cause, once a second at most.
+	OnClosed func(Cause, Closed)
+
+	mu         sync.Mutex
+	limits     Limits
+	conns      map[*conn]struct{}
+	unfinished map[*conn]struct{}
+	closed     map[Cause]Closed
+}
+
+type connKey struct{}
+
+// Watch makes a server report the states of its connections. It is called after all other changes
+// of the server's hooks.
+func (a *Admitter) Watch(server *http.Server) {
+	nextContext, nextState := server.ConnContext, server.ConnState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if nextContext != nil {
+			ctx = nextContext(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if own, ok := c.(*conn); ok && state == http.StateIdle {
+			own.wait()
+		}
+		if nextState != nil {
+			nextState(c, state)
+		}
+	}
+}
+
+// Handler wraps a handler to tell when requests are complete. A request whose connection was closed
+// before that is not served.
+func (a *Admitter) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		switch {
+		case !ok:
+		case r.ContentLength != 0:
+			c.beginBody()
+			r.Body = &body{ReadCloser: r.Body, conn: c}
+		case !c.serve():
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Run closes connections that take too long, and reports closed ones, until ctx ends.
+func (a *Admitter) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkPeriod)
+	defer ticker.Stop()
+	for {
+		a.check(a.Limits())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (a *Admitter) check(limits Limits) {
+	a.mu.Lock()
+	a.limits = limits
+	now := time.Now()
+	for c := range a.conns {
+		if cause, timeout := c.timeout(limits); timeout > 0 && now.Sub(c.since) > timeout {
+			a.close(c, cause)
+		}
+	}
+	closed := a.closed
+	a.closed = nil
+	a.mu.Unlock()
+	for cause, n := range closed {
+		a.OnClosed(cause, n)
+	}
+}
+
+// Listener wraps a listener. Its connections count until they are closed.
+func (a *Admitter) Listener(l net.Listener) net.Listener { return &listener{Listener: l, admitter: a} }
+
+type listener struct {
+	net.Listener
+	admitter *Admitter
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admitter.admit(accepted); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// admit adds a connection, in the place of another one if need be. It returns nil if requests are
+// served on all others.
+func (a *Admitter) admit(accepted net.Conn) net.Conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := &conn{Conn: accepted, admitter: a, since: time.Now()}
+	if a.conns == nil {
+		a.conns, a.unfinished = map[*conn]struct{}{}, map[*conn]struct{}{}
+	}
+	if len(a.conns) >= a.MaxConns {
+		slowest := a.slowest(a.conns)
+		if slowest == nil {
+			slowest = c
+		}
+		a.close(slowest, Conns)
+	}
+	if c.closed {
+		return nil
+	}
+	a.conns[c] = struct{}{}
+	return c
+}
+
+// slowest returns the connection of a set that has made the least progress; nil if all are busy.
+func (a *Admitter) slowest(set map[*conn]struct{}) *conn {
+	var found *conn
+	least, now := 0.0, time.Now()
+	for c := range set {
+		if c.busy(now) {
+			continue
+		}
+		if progress := c.progress(now); found == nil || progress < least {
+			found, least = c, progress
+		}
+	}
+	return found
+}
+
+// close closes a connection for a cause. The caller holds the lock.
+func (a *Admitter) close(c *conn, cause Cause) {
+	a.count(c, cause)
+	a.remove(c)
+	// An error means that the connection has ended.
+	_ = c.Conn.Close()
+}
+
+// count adds a connection to the next report. The caller holds the lock.
+func (a *Admitter) count(c *conn, cause Cause) {
+	if a.closed == nil {
+		a.closed = map[Cause]Closed{}
+	}
+	// Addresses of other networks than TCP are reported as invalid.
+	last, _ := netip.ParseAddrPort(c.RemoteAddr().String())
+	a.closed[cause] = Closed{N: a.closed[cause].N + 1, Last: last}
+}
+
+func (a *Admitter) remove(c *conn) {
+	c.closed = true
+	delete(a.conns, c)
+	delete(a.unfinished, c)
+}
--- /dev/null
+++ b/internal/transport/admitter/conn.go
@@ -0,0 +1,202 @@
+package admitter
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrClosed is returned by reads from a connection that was closed for a limit.
+var ErrClosed = errors.New("connection was closed for a limit on connections")
+
+// errHeader is returned to net/http, which then answers 400.
+var errHeader = errors.New("head of a request is too large")
+
+// phase is what a connection does.
+type phase int
+
+const (
+	// waiting is the phase of a connection on which no byte of the next request has arrived.
+	waiting phase = iota
+	readingHead
+	readingBody
+	serving
+)
+
+// conn is a connection of a server. Its fields are guarded by the lock of the admitter.
+type conn struct {
+	net.Conn
+	admitter *Admitter
+
+	phase phase
+	// since is when the phase began, and received the number of bytes since then.
+	since    time.Time
+	received int
+	// served is set once a request has been served.
+	served bool
+	closed bool
+	// writing is when the write under way began; zero if there is none.
+	writing time.Time
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headTooLarge() {
+		return 0, errHeader
+	}
+	n, err := c.Conn.Read(p)
+	a := c.admitter
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case n == 0, c.closed, c.phase == serving:
+		return n, err
+	case c.phase == waiting:
+		c.begin(readingHead)
+	}
+	c.received += n
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.setWriting(time.Now())
+	defer c.setWriting(time.Time{})
+	return c.Conn.Write(p)
+}
+
+func (c *conn) setWriting(since time.Time) {
+	c.admitter.mu.Lock()
+	defer c.admitter.mu.Unlock()
+	c.writing = since
+}
+
+// busy reports whether the connection may not be closed for another one: a request is being served,
+// and its caller reads the answer.
+func (c *conn) busy(now time.Time) bool {
+	return c.phase == serving && (c.writing.IsZero() || now.Sub(c.writing) < stalledWriteTime)
+}
+
+func (c *conn) headTooLarge() bool {
+	a := c.admitter
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.phase != readingHead || a.limits.HeaderBytes == 0 || c.received < a.limits.HeaderBytes+readAheadBytes {
+		return false
+	}
+	a.count(c, HeaderBytes)
+	return true
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.admitter.mu.Lock()
+	c.admitter.remove(c)
+	c.admitter.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite ends a TCP connection in one direction.
+func (c *conn) CloseWrite() error {
+	if socket, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return socket.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger sets what Close does with unsent bytes of a TCP connection.
+func (c *conn) SetLinger(seconds int) error {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return socket.SetLinger(seconds)
+	}
+	return nil
+}
+
+// SetKeepAliveConfig sets the keep-alive probes of a TCP connection.
+func (c *conn) SetKeepAliveConfig(config net.KeepAliveConfig) error {
+	if socket, ok := c.Conn.(interface {
+		SetKeepAliveConfig(config net.KeepAliveConfig) error
+	}); ok {
+		return socket.SetKeepAliveConfig(config)
+	}
+	return nil
+}
+
+func (c *conn) enter(p phase) { c.phase, c.since, c.received = p, time.Now(), 0 }
+
+// wait begins the wait for the next request.
+func (c *conn) wait() {
+	c.admitter.mu.Lock()
+	defer c.admitter.mu.Unlock()
+	delete(c.admitter.unfinished, c)
+	c.enter(waiting)
+	c.served = true
+}
+
+func (c *conn) beginBody() {
+	c.admitter.mu.Lock()
+	defer c.admitter.mu.Unlock()
+	if !c.closed {
+		c.begin(readingBody)
+	}
+}
+
+// begin begins a phase of an unfinished request, in the place of another one if need be. The caller
+// holds the lock.
+func (c *conn) begin(p phase) {
+	a := c.admitter
+	c.enter(p)
+	a.unfinished[c] = struct{}{}
+	if len(a.unfinished) > a.MaxUnfinished {
+		a.close(a.slowest(a.unfinished), Unfinished)
+	}
+}
+
+// serve begins the service of a complete request. It reports whether it may be served.
+func (c *conn) serve() bool {
+	c.admitter.mu.Lock()
+	defer c.admitter.mu.Unlock()
+	delete(c.admitter.unfinished, c)
+	c.enter(serving)
+	return !c.closed
+}
+
+// timeout returns the bound on the time of the current phase; zero if there is none.
+func (c *conn) timeout(limits Limits) (Cause, time.Duration) {
+	switch c.phase {
+	case waiting:
+		return IdleTimeout, limits.IdleTimeout
+	case readingHead:
+		return HeaderTimeout, limits.HeaderTimeout
+	case readingBody:
+		return BodyTimeout, limits.BodyTimeout
+	}
+	return "", 0
+}
+
+// progress returns the mean rate at which the connection has received in its phase, in bytes a
+// second.
+func (c *conn) progress(now time.Time) float64 {
+	bytes := c.received + unfinishedBytes
+	if c.phase == waiting && c.served {
+		bytes = idleBytes
+	}
+	return float64(bytes) / (now.Sub(c.since) + time.Millisecond).Seconds()
+}
+
+// body is the body of a request. At its end the request is complete.
+type body struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.conn.serve() {
+		return n, ErrClosed
+	}
+	return n, err
+}
--- a/internal/transport/tunneler/handler.go
+++ b/internal/transport/tunneler/handler.go
@@ -105,7 +105,9 @@
 		h.log(r, http.StatusBadRequest, errors.New("peer sent bytes before the tunnel was open"))
 		return
 	}
-	if socket, ok := peer.(*net.TCPConn); ok {
+	if socket, ok := peer.(interface {
+		SetKeepAliveConfig(config net.KeepAliveConfig) error
+	}); ok {
 		// An error means that the connection has ended.
 		_ = socket.SetKeepAliveConfig(keepAlive)
 	}
