Count unfinished requests by what has arrived of them

Cause: a bound on the number of unfinished requests (170 with 128 MiB) could be reached by a burst of small sound requests, which hold little memory.

Each request counts 4 KiB, five times its head and twice the first 16 KiB of its body, as far as they have arrived.

--- a/internal/transport/admitter/admitter.go
+++ b/internal/transport/admitter/admitter.go
@@ -1,11 +1,11 @@
-// Package admitter limits the connections of a server, and the requests that have begun to arrive
-// and are not complete. When there are too many, the connection that has made the least progress is
+// Package admitter limits the connections of a server, and the memory of requests that have begun to
+// arrive and are not complete. When there are too many, the connection that has made the least progress is
 // closed, so that callers that finish what they begin are served. Requests that are being served
 // are ended only if their callers do not read the answers.
 //
 // # Usage
 //
-//	a := &admitter.Admitter{MaxConns: 500, MaxUnfinished: 100, Limits: limits, OnClosed: count}
+//	a := &admitter.Admitter{MaxConns: 500, MaxUnfinished: 8 << 20, BodyBytes: 16 << 10, Limits: limits, OnClosed: count}
 //	server := &http.Server{Handler: a.Handler(handler)}
 //	a.Watch(server)
 //	go a.Run(ctx)
@@ -27,6 +27,12 @@
 	checkPeriod = time.Second
 	// readAheadBytes is how much net/http reads beyond the head of a request.
 	readAheadBytes = 4 << 10
+	// requestBytes is the memory of an unfinished request without its bytes. headFactor is how much
+	// a byte of a head takes at most, raw and parsed, when its lines are short; bodyFactor that of
+	// a body, as its buffer grows by doubling.
+	requestBytes = 4 << 10
+	headFactor   = 5
+	bodyFactor   = 2
 	// stalledWriteTime is how long a write may take before the caller counts as one that does not
 	// read. It covers a lost packet that is sent again twice.
 	stalledWriteTime = time.Second
@@ -71,10 +77,12 @@
 // Admitter limits the connections of one server. Its exported fields are set before use, and it is
 // safe for concurrent use.
 type Admitter struct {
-	// MaxConns is the largest number of open connections, and MaxUnfinished that of requests that
-	// have arrived in part.
-	MaxConns      int
+	// MaxConns is the largest number of open connections.
+	MaxConns int
+	// MaxUnfinished bounds the memory of requests that have arrived in part, in bytes. It grows with
+	// what has arrived. Of each body, BodyBytes count at most.
 	MaxUnfinished int
+	BodyBytes     int
 	// Limits returns the limits that hold now.
 	Limits func() Limits
 	// OnClosed is called with the closed connections of a cause, once a second at most.
@@ -84,7 +92,9 @@
 	limits     Limits
 	conns      map[*conn]struct{}
 	unfinished map[*conn]struct{}
-	closed     map[Cause]Closed
+	// held is the memory of the unfinished requests.
+	held   int
+	closed map[Cause]Closed
 }
 
 type connKey struct{}
@@ -234,8 +244,26 @@
 	a.closed[cause] = Closed{N: a.closed[cause].N + 1, Last: last}
 }
 
+// hold counts the memory of an unfinished request, in the place of others if need be. The caller
+// holds the lock.
+func (a *Admitter) hold(c *conn) {
+	a.unfinished[c] = struct{}{}
+	memory := c.memory()
+	a.held += memory - c.held
+	c.held = memory
+	for a.held > a.MaxUnfinished {
+		a.close(a.slowest(a.unfinished), Unfinished)
+	}
+}
+
+func (a *Admitter) finish(c *conn) {
+	delete(a.unfinished, c)
+	a.held -= c.held
+	c.held = 0
+}
+
 func (a *Admitter) remove(c *conn) {
 	c.closed = true
 	delete(a.conns, c)
-	delete(a.unfinished, c)
+	a.finish(c)
 }
--- a/internal/transport/admitter/conn.go
+++ b/internal/transport/admitter/conn.go
@@ -34,6 +34,8 @@
 	// since is when the phase began, and received the number of bytes since then.
 	since    time.Time
 	received int
+	// head is the number of bytes of the request's head, and held the memory that counts.
+	head, held int
 	// served is set once a request has been served.
 	served bool
 	closed bool
@@ -54,9 +56,10 @@
 	case n == 0, c.closed, c.phase == serving:
 		return n, err
 	case c.phase == waiting:
-		c.begin(readingHead)
+		c.enter(readingHead)
 	}
 	c.received += n
+	a.hold(c)
 	return n, err
 }
 
@@ -130,7 +133,7 @@
 func (c *conn) wait() {
 	c.admitter.mu.Lock()
 	defer c.admitter.mu.Unlock()
-	delete(c.admitter.unfinished, c)
+	c.admitter.finish(c)
 	c.enter(waiting)
 	c.served = true
 }
@@ -139,26 +142,25 @@
 	c.admitter.mu.Lock()
 	defer c.admitter.mu.Unlock()
 	if !c.closed {
-		c.begin(readingBody)
+		c.head = c.received
+		c.enter(readingBody)
+		c.admitter.hold(c)
 	}
 }
 
-// begin begins a phase of an unfinished request, in the place of another one if need be. The caller
-// holds the lock.
-func (c *conn) begin(p phase) {
-	a := c.admitter
-	c.enter(p)
-	a.unfinished[c] = struct{}{}
-	if len(a.unfinished) > a.MaxUnfinished {
-		a.close(a.slowest(a.unfinished), Unfinished)
+// memory returns what an unfinished request takes, in bytes.
+func (c *conn) memory() int {
+	if c.phase == readingHead {
+		return requestBytes + headFactor*c.received
 	}
+	return requestBytes + headFactor*c.head + bodyFactor*min(c.received, c.admitter.BodyBytes)
 }
 
 // serve begins the service of a complete request. It reports whether it may be served.
 func (c *conn) serve() bool {
 	c.admitter.mu.Lock()
 	defer c.admitter.mu.Unlock()
-	delete(c.admitter.unfinished, c)
+	c.admitter.finish(c)
 	c.enter(serving)
 	return !c.closed
 }
