A refused request's body is not asked for

Cause: the admitter replaced the body of net/http's own request, so that a refused request with Expect: 100-continue was told to send its body, and up to 256 KiB of a body of any announced length were read before the refusal.

Change: the handler gets a copy of the request.

Measured: TestRefusedBodyIsNotAskedFor failed before (the connection ended without an answer) and passes; the admitter's tests pass three times with -race.

--- a/internal/transport/admitter/admitter.go
+++ b/internal/transport/admitter/admitter.go
@@ -128,6 +128,8 @@
 		case !ok:
 		case r.ContentLength != 0:
 			c.beginBody()
+			// net/http goes by the body of its own request when it answers one that was not read.
+			r = r.WithContext(r.Context())
 			r.Body = &body{ReadCloser: r.Body, conn: c}
 		case !c.serve():
 			panic(http.ErrAbortHandler)
--- a/internal/transport/admitter/admitter_test.go
+++ b/internal/transport/admitter/admitter_test.go
@@ -85,6 +85,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *site) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/refuse" {
+		return
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
@@ -212,6 +215,14 @@
 	}
 }
 
+// TestRefusedBodyIsNotAskedFor guards against a server that asks for the body of a request that it
+// has refused.
+func TestRefusedBodyIsNotAskedFor(t *testing.T) {
+	run(t, 10, 1<<20, func(t *testing.T, s *site) {
+		assertAnswer(t, s.open(t, "POST /refuse HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n"))
+	})
+}
+
 // TestConns guards against a crowd that takes all connections from callers that finish what they
 // begin, and against the end of requests that are being served.
 func TestConns(t *testing.T) {
