--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -76,6 +76,8 @@
 	Attempts int
 	// Anonymous allows requests without a key.
 	Anonymous bool
+	// Regions are the regions in which requests may be processed.
+	Regions *Regions
 }
 
 // Engine describes the model engines of a service.
@@ -122,6 +124,8 @@
 	HasRank bool
 	// Isolated teams share no prompt parts with other teams.
 	Isolated bool
+	// Regions are the regions in which the team's requests may be processed.
+	Regions *Regions
 }
 
 // Limits are the limits on callers' requests; zero means no limit.
