Regions: requests are placed, and parts fetched and saved, in their regions only

Cause: a request of a restricted route or team was placed on any endpoint of its service, and its parts could be fetched from and saved to any holder.

Change: the placer excludes endpoints outside of the regions of route and team and leaves their engines and stores out of queries to the directory of parts. The scheduler goes on to other groups if a restricted request finds no room: before, a full region held up the requests for all others. Lines of attempts and requests name the regions.

--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -132,6 +132,10 @@
 	return deadline
 }
 
+// Regions returns the regions in which the request may be processed, by the configuration under
+// which it was admitted; nil for all.
+func (x *Exchange) Regions() *cataloger.Regions { return x.Route.Regions.Intersect(x.Team.Regions) }
+
 // Rank returns the priority of the request, from its team or else its route.
 // Lower ranks start first.
 func (x *Exchange) Rank() int {
--- a/internal/coordination/forwarder/recording.go
+++ b/internal/coordination/forwarder/recording.go
@@ -39,6 +39,7 @@
 	if reason.Fetch > 0 && !attempt.FetchEnd.IsZero() {
 		line.Interface("sources", fetchSources(attempt)).Time("fetchend", attempt.FetchEnd)
 	}
+	r.addRegions(line)
 	if reason.Limit > 0 {
 		line.Float64("limit", reason.Limit)
 	}
@@ -48,6 +49,13 @@
 	return line
 }
 
+// addRegions adds the regions of a restricted request to a log line.
+func (r *run) addRegions(line *zerolog.Event) {
+	if regions := r.Regions(); regions != nil {
+		line.Stringer("regions", regions)
+	}
+}
+
 // fetchSources returns the holders from which the endpoint is to fetch parts, each of them once.
 func fetchSources(attempt Attempt) []netip.AddrPort {
 	var sources []netip.AddrPort
@@ -89,6 +97,7 @@
 	if err != nil {
 		event = r.Log.Warn().Err(err)
 	}
+	r.addRegions(event)
 	event.Str("event", "request").Str("outcome", outcome(err)).Str("request", r.ID).Str("route", r.Route.Name).Str("service", r.Service).
 		Str("team", r.Team.Name).Int64("configuration", r.Configuration).Int("sends", r.attempts).Int("ran", r.executed).
 		Bool("begun", r.StreamStarted).Dur("elapsed", r.Now().Sub(r.Received)).Send()
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -26,6 +26,7 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/scheduler"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/throttler"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/endpointtracker"
 )
 
@@ -40,6 +41,9 @@
 	Locator  *locator.Locator
 	// Scheduler queues requests and refuses those that can't start in time.
 	Scheduler *scheduler.Scheduler
+	// DomainRegions are the regions of the failure domains, for requests that are restricted to
+	// regions.
+	DomainRegions cataloger.DomainRegions
 	// OnMisdirected is called when an endpoint answers RunMisdirected, with the
 	// version of the weights that it reported, or zero.
 	OnMisdirected func(endpoint endpointtracker.Endpoint, model string, version int64)
@@ -86,6 +90,9 @@
 func (p *Placer) Place(ctx context.Context, exchange *forwarder.Exchange, progress forwarder.Progress) (forwarder.Placement, error) {
 	s := &selection{Placer: p, Exchange: exchange, Progress: progress}
 	if !s.hasEligibleEndpoint() {
+		if err := s.regionError(); err != nil {
+			return nil, err
+		}
 		if s.Progress.Build != (resumer.Build{}) {
 			return nil, errors.Wrapf(forwarder.ErrBuildGone, "build %s", s.Progress.Build.Version)
 		}
@@ -96,7 +103,7 @@
 	choice, err := p.Scheduler.Acquire(ctx, scheduler.Request{
 		Service: s.Service, Rank: s.Rank(), Received: s.Received, Objective: s.Route.Objective,
 		Deadline: s.EffectiveDeadline(), Urgent: s.isUrgent(), Begun: s.StreamStarted, Tokens: s.tokens(), Pick: s.pick,
-		Hold: s.hold,
+		Hold: s.hold, Group: s.group(),
 	})
 	if err != nil {
 		return nil, err
@@ -259,7 +266,7 @@
 // query returns a locator query for the prompt's parts. forEndpoint adds the
 // endpoint.
 func (s *selection) query(view View) locator.Query {
-	holders := view.holders(s.Service)
+	holders := s.allowedHolders(view)
 	return locator.Query{Parts: s.Prompt.Parts, Engines: holders.engines, Stores: holders.stores}
 }
 
@@ -287,6 +294,9 @@
 			excluded[endpoint.ID] = excluded[endpoint.ID] || endpoint.Build != s.Progress.Build.Version
 		}
 	}
+	for id := range s.outsideRegions(view) {
+		excluded[id] = true
+	}
 	if len(excluded) == 0 {
 		return s.Progress.Misdirected
 	}
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -56,6 +56,9 @@
 	Hold func() time.Duration
 	// Tokens is the endpoint memory that the request needs, in tokens.
 	Tokens int
+	// Group names the requests that may use the same endpoints of the service; empty if the request
+	// may use all of them.
+	Group string
 	// Pick chooses an endpoint that has room now and counts the request on it. It
 	// reports false if there is none. It is called with the Scheduler's lock held.
 	Pick func() (balancer.Choice, bool)
@@ -239,19 +242,29 @@
 	return q
 }
 
-// startWaiting starts requests in queue order until one finds no endpoint with
-// room.
+// startWaiting starts requests in queue order until one finds no endpoint with room. One that may
+// use only some of the endpoints holds up only those of its group, since others may have room.
 func (q *serviceQueue) startWaiting(now time.Time) {
 	sortWaiting(q.waiting, now)
-	for len(q.waiting) > 0 {
-		w := q.waiting[0]
+	var full []string
+	for i := 0; i < len(q.waiting); {
+		w := q.waiting[i]
+		if slices.Contains(full, w.request.Group) {
+			i++
+			continue
+		}
 		choice, ok := w.request.Pick()
-		if !ok {
+		switch {
+		case ok:
+			q.waiting = slices.Delete(q.waiting, i, i+1)
+			q.startRate.start(now, w.request.Tokens)
+			w.end(choice, nil)
+		case w.request.Group == "":
 			return
+		default:
+			full = append(full, w.request.Group)
+			i++
 		}
-		q.waiting = q.waiting[1:]
-		q.startRate.start(now, w.request.Tokens)
-		w.end(choice, nil)
 	}
 }
 
