Regions: tunnels lead through peers in the request's regions or the node's own

Cause: a node without links to the endpoints sent the body of a restricted request through peers of any region.

Change: pathfinder.Detours leaves out peers that are neither in the request's regions nor in the node's own. The regions come with the context of the dial, as the request's id does.

--- a/internal/coordination/pathfinder/detours.go
+++ b/internal/coordination/pathfinder/detours.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 )
 
 const (
@@ -21,6 +23,9 @@
 type Detours struct {
 	// Domain is the failure domain of this node.
 	Domain string
+	// Region is that of this node, empty if unknown, and DomainRegions those of the peers' domains.
+	Region        string
+	DomainRegions cataloger.DomainRegions
 
 	mu sync.Mutex
 	// pausedUntil are the times until which peers are not asked.
@@ -29,6 +34,15 @@
 	refusedAt map[string]time.Time
 }
 
+// Allowed returns the peers through which a request may be sent that is restricted to regions:
+// those in one of them or in this node's own region. Its caller has chosen this node already.
+func (d *Detours) Allowed(peers []Peer, regions *cataloger.Regions) []Peer {
+	return slices.DeleteFunc(slices.Clone(peers), func(peer Peer) bool {
+		own := d.Region != "" && d.DomainRegions[peer.Domain] == d.Region
+		return !own && !d.DomainRegions.Allows(regions, peer.Domain)
+	})
+}
+
 // Order returns the peers to ask for a connection to an endpoint of a domain, the first choice
 // first: peers of this node's own domain, then those of the endpoint's, then others. Domains with a
 // peer that could not help come last, since all of the domain may have lost its links. The order
--- a/internal/coordination/pathfinder/pathfinder_test.go
+++ b/internal/coordination/pathfinder/pathfinder_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/pathfinder"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -75,6 +76,22 @@
 	return text
 }
 
+// TestDetourRegions guards against bodies that are sent through a peer outside of the request's
+// regions.
+func TestDetourRegions(t *testing.T) {
+	regions := cataloger.DomainRegions{"a": "north", "b": "south", "c": "west"}
+	assertAllowed := func(own, want string, names ...string) {
+		t.Helper()
+		d := &pathfinder.Detours{Domain: "a", Region: own, DomainRegions: regions}
+		assert.Equal(t, want, domainsOf(d.Allowed(peersOf("a", "b", "c", "d"), cataloger.NewRegions(names))))
+	}
+	assertAllowed("north", "abcd")
+	assertAllowed("north", "ab", "south")
+	assertAllowed("north", "a", "north")
+	assertAllowed("", "b", "south")
+	assertAllowed("north", "a", "elsewhere")
+}
+
 func TestDetours(t *testing.T) {
 	peers := peersOf("a", "b", "c", "a", "b", "c")
 	t.Run("own domain, then the endpoint's, then others", func(t *testing.T) {
--- a/internal/transport/tunneler/detour.go
+++ b/internal/transport/tunneler/detour.go
@@ -15,6 +15,7 @@
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/pathfinder"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 )
 
 const (
@@ -52,17 +53,34 @@
 	errHelpRefused = errors.New("peer opens no connection")
 )
 
-type requestKey struct{}
+type (
+	requestKey struct{}
+	regionsKey struct{}
+)
 
 // WithRequest returns a context that names the request for which a connection is opened.
 func WithRequest(ctx context.Context, id string) context.Context {
 	return context.WithValue(ctx, requestKey{}, id)
 }
 
+// WithRegions returns a context for a connection that may lead through peers only if they are in
+// one of the regions or in this node's own.
+func WithRegions(ctx context.Context, regions *cataloger.Regions) context.Context {
+	if regions == nil {
+		return ctx
+	}
+	return context.WithValue(ctx, regionsKey{}, regions)
+}
+
 // detour opens a connection through a peer that reaches the endpoint.
 func (d *Dialer) detour(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	regions, _ := ctx.Value(regionsKey{}).(*cataloger.Regions)
+	known, domain := d.Peers(), d.domainOf(address)
+	peers := d.Detours.Allowed(known, regions)
 	failures, last := 0, errors.New("no peer is known")
-	peers, domain := d.Peers(), d.domainOf(address)
+	if left := len(known) - len(peers); left > 0 {
+		last = errors.Newf("%d of %d peers are outside of the request's regions (%s) and of this node's (%q)", left, len(known), regions, d.Detours.Region)
+	}
 	for range maxAsked {
 		order := d.Detours.Order(d.Now(), peers, domain)
 		if len(order) == 0 {
