Slow callers: answers of endpoints are read ahead of their callers

Events were read and delivered in one loop, so an endpoint's answer remained unread while its caller was slow, and the attempt kept its connection and its place at the endpoint until the caller had everything.

Change: forwarder.delivery queues events, which another goroutine delivers. Complete answers are delivered after their attempt has ended. A retry waits until the caller has what was read, so that the resume position is still that of the last event it was given. Without a Backlog, as in package dispatcher, events are delivered as before.

--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// deliver passes an answer to the caller. It returns an error if the endpoint
+// deliver passes an answer to the caller, a complete one after the attempt. It returns an error if the endpoint
 // refused or failed the request, the stream was interrupted, or the caller did
 // not accept the answer.
 func (r *run) deliver(ctx context.Context, attempt Attempt, answer Answer, stallTimer *time.Timer) error {
@@ -130,12 +130,6 @@
 	}
 	r.logAttempt("answered", attempt).Int("status", answer.Status).Send()
 	r.placement.OnComplete()
-	return r.deliverComplete(answer)
-}
-
-func (r *run) deliverComplete(answer Answer) error {
-	if err := r.sink.DeliverComplete(answer); err != nil {
-		return errors.Mark(err, ErrCallerGone)
-	}
+	r.complete = &answer
 	return nil
 }
--- a/internal/coordination/forwarder/attempt.go
+++ b/internal/coordination/forwarder/attempt.go
@@ -23,6 +23,10 @@
 	r.Tried[attempt.Endpoint.ID] = true
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	r.cancelAttempt = cancel
+	if r.delivery != nil {
+		r.delivery.setCancel(cancel)
+	}
 	stallTimer := r.startStallTimer(cancel)
 	defer stallTimer.Stop()
 	r.beginTimer = startBeginTimer(cancel, attempt)
--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -276,3 +276,10 @@
 	// Event delivers one event without buffering.
 	Event(event Event) error
 }
+
+// Interrupter is a Sink whose deliveries can be ended.
+type Interrupter interface {
+	// Interrupt makes a delivery that is under way return an error soon, as well as later ones. It
+	// may be called by any goroutine and must not block.
+	Interrupt()
+}
--- a/internal/coordination/forwarder/forwarder.go
+++ b/internal/coordination/forwarder/forwarder.go
@@ -50,6 +50,9 @@
 	// Gone reports whether an endpoint is gone to which a connection broke. If it is not, or if that
 	// can't be told, the request is not to blame. Nil if each broken connection counts.
 	Gone func(ctx context.Context, endpoint endpointtracker.Endpoint) bool
+	// Backlog limits what callers have not read yet. Streams are read ahead of them, and the sink
+	// is called by another goroutine. If it is nil, an event is read once the caller has the last.
+	Backlog *Backlog
 	// Broadcast announces a new suspect to the peers at once.
 	Broadcast func()
 	// Backoff returns the wait after a failed attempt. Attempts are counted from
@@ -67,6 +70,12 @@
 	*Exchange
 	Progress
 	sink Sink
+	// delivery passes events to the caller; nil before the first one. complete is a complete answer
+	// that is delivered once the attempt has ended.
+	delivery *delivery
+	complete *Answer
+	// cancelAttempt ends the current attempt.
+	cancelAttempt context.CancelCauseFunc
 	// placement and beginTimer are those of the current attempt.
 	placement  Placement
 	beginTimer *time.Timer
@@ -117,6 +126,9 @@
 	if err == nil {
 		err = r.run(ctx)
 	}
+	if r.delivery != nil {
+		r.delivery.close()
+	}
 	r.recordResult(err)
 	return err
 }
@@ -126,7 +138,10 @@
 		return ErrPoison
 	}
 	for {
-		err := r.attempt(ctx)
+		err := r.settle(ctx, r.attempt(ctx))
+		if err == nil && r.complete != nil {
+			err = r.deliverComplete(*r.complete)
+		}
 		if err == nil {
 			return nil
 		}
--- a/internal/coordination/forwarder/recording.go
+++ b/internal/coordination/forwarder/recording.go
@@ -75,6 +75,8 @@
 		return "answered"
 	case errors.As(err, &refusal):
 		return "refused"
+	case errors.Is(err, ErrSlowCaller):
+		return "caller slow"
 	case errors.Is(err, ErrCallerGone):
 		return "caller gone"
 	case errors.Is(err, ErrTimeout):
--- a/internal/coordination/forwarder/relay.go
+++ b/internal/coordination/forwarder/relay.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// relayEvents passes the events of a stream to the caller as they arrive. The
+// relayEvents queues the events of a stream for the caller as they arrive. The
 // head is delivered with the first event; a stream that fails before its first
 // event can still be retried on another endpoint.
 func (r *run) relayEvents(ctx context.Context, attempt Attempt, answer Answer, stallTimer *time.Timer) error {
@@ -19,9 +19,7 @@
 			return r.completeStream(attempt, answer, events)
 		}
 		if err != nil {
-			// deliver counted this attempt already, and handleFailure counts it again.
-			r.executed--
-			return r.handleFailure(ctx, attempt, err)
+			return r.streamFailure(ctx, attempt, err)
 		}
 		if events == 0 {
 			if err := r.checkBuild(attempt); err != nil {
@@ -36,22 +34,28 @@
 		if r.hasBegun() {
 			r.recordSurvival()
 		}
-		if err := r.event(answer, event); err != nil {
-			return errors.Mark(err, ErrCallerGone)
+		if err := r.beginStream(answer); err != nil {
+			return err
+		}
+		if err := r.event(ctx, attempt, event); err != nil {
+			return err
 		}
+		// The stream was not read while the caller was too far behind.
+		stallTimer.Reset(r.stallTimeout())
 		events++
 	}
 }
 
-func (r *run) event(answer Answer, event Event) error {
-	if !r.StreamStarted {
-		r.StreamStarted = true
-		if err := r.sink.Begin(answer); err != nil {
-			return err
+// event queues an event for the caller, or delivers it if nothing is read ahead.
+func (r *run) event(ctx context.Context, attempt Attempt, event Event) error {
+	if r.delivery != nil {
+		if err := r.delivery.push(ctx, event); err != nil {
+			return r.streamFailure(ctx, attempt, err)
 		}
+		return nil
 	}
 	if err := r.sink.Event(event); err != nil {
-		return err
+		return r.callerGone(err)
 	}
 	if event.ID != "" {
 		r.Progress.LastEventID = event.ID
@@ -59,13 +63,22 @@
 	return nil
 }
 
-func (r *run) completeStream(attempt Attempt, answer Answer, events int) error {
-	if !r.StreamStarted {
-		r.StreamStarted = true
-		if err := r.sink.Begin(answer); err != nil {
-			return errors.Mark(err, ErrCallerGone)
+// streamFailure returns the error of a stream that can't be read or delivered any further.
+func (r *run) streamFailure(ctx context.Context, attempt Attempt, err error) error {
+	if r.delivery != nil {
+		if failed := r.delivery.failure(); failed != nil {
+			return r.callerGone(failed)
 		}
 	}
+	// deliver counted this attempt already, and handleFailure counts it again.
+	r.executed--
+	return r.handleFailure(ctx, attempt, err)
+}
+
+func (r *run) completeStream(attempt Attempt, answer Answer, events int) error {
+	if err := r.beginStream(answer); err != nil {
+		return err
+	}
 	r.Suspects.Clear(r.fingerprint)
 	r.recordEnd(attempt, answer)
 	r.placement.OnComplete()
