--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -132,6 +132,10 @@
 	return deadline
 }
 
+// Regions returns the regions in which the request may be processed, by the configuration under
+// which it was admitted; nil for all.
+func (x *Exchange) Regions() *cataloger.Regions { return x.Route.Regions.Intersect(x.Team.Regions) }
+
 // Rank returns the priority of the request, from its team or else its route.
 // Lower ranks start first.
 func (x *Exchange) Rank() int {
@@ -272,3 +276,10 @@
 	// Event delivers one event without buffering.
 	Event(event Event) error
 }
+
+// Interrupter is a Sink whose deliveries can be ended.
+type Interrupter interface {
+	// Interrupt makes a delivery that is under way return an error soon, as well as later ones. It
+	// may be called by any goroutine and must not block.
+	Interrupt()
+}
