Load reports with a pace are read, and nodes know whether endpoints report one

Cause: a Server-Load with four numbers counted as no report, so that on the deployments whose endpoints add the pace nothing of the load was known from answers.

Balancer.SharedHosts is true for 10 s after a report with a pace. Nodes tell each other the age of the last one in heartbeats: members tell their home, hubs tell each other, and homes tell their members, so that it does not travel in circles. Older builds ignore the marker.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -120,6 +120,7 @@
 	states map[string]*endpointState
 	peers  map[string]*peer
 	sums   sums
+	paces  paceState
 	// pickSequence counts the picks; on equal cost the endpoint that was picked
 	// least recently wins.
 	pickSequence uint64
--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -33,7 +33,10 @@
 	reported        Load
 	reportedAt      time.Time
 	runningAtReport int
-	backoffUntil    time.Time
+	// pace is the smoothed pace, last reported at pacedAt.
+	pace         float64
+	pacedAt      time.Time
+	backoffUntil time.Time
 	// holdUntil is until when the endpoint has asked for no requests.
 	holdUntil time.Time
 	// failures counts the failures since the last success.
--- a/internal/coordination/balancer/reports.go
+++ b/internal/coordination/balancer/reports.go
@@ -15,6 +15,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes on the endpoint's host at the moment, where 1 is normal; zero
+	// if the endpoint does not say.
+	Pace float64
 }
 
 // Reporter says whose load a peer reports; see package organizer.
@@ -221,6 +224,10 @@
 	defer b.mu.Unlock()
 	state := b.endpointState(id)
 	state.reported, state.reportedAt, state.runningAtReport = reported, now, state.running
+	if reported.Pace > 0 {
+		b.paces.own = now
+		state.recordPace(now, reported.Pace)
+	}
 }
 
 // RecordRefusal records that an endpoint refused a request for lack of capacity.
--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -155,6 +155,9 @@
 	if change, ok := p.separatedChange(now, kind); ok {
 		changes = slices.Insert(changes, 0, change)
 	}
+	if change, ok := p.pacedChange(now, kind); ok {
+		changes = slices.Insert(changes, 0, change)
+	}
 	for _, a := range slices.Backward(p.announced) {
 		if kind == toMembers || !a.downward {
 			changes = append(changes, a.change)
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -175,6 +175,8 @@
 	startedAt time.Time
 	// loggedRetained holds, for each model, the announced retained version that was last logged.
 	loggedRetained map[string]int64
+	// sharedHosts is what Run last found, for the log.
+	sharedHosts bool
 	// broadcasting is set while a broadcast is due.
 	broadcasting bool
 	sequence     atomic.Uint64
@@ -198,6 +200,7 @@
 			p.recordTick()
 			p.updateRetained(p.Now())
 			p.recordBehind(p.Now())
+			p.updateSharedHosts(p.Now())
 			p.heartbeat(false)
 		}
 	}
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -38,6 +38,7 @@
 		p.HandleParts(heartbeat.Address, *heartbeat.Parts)
 	}
 	p.storeRetained(heartbeat)
+	p.handlePaced(heartbeat, reporter, now)
 	p.adoptTargetAges(heartbeat)
 	if reporter != balancer.Member {
 		p.adoptRetained(heartbeat)
