Where endpoints report a pace, nodes exchange load every 30 and 60 ms and compare more endpoints

Cause: sums of running requests are old by the time they are used (150 ms a step within a domain, 600 ms between domains), and five compared endpoints of 90 hide the ones that are free.

Change: while SharedHosts is true, heartbeats with nothing but the sender's state and load go to hubs of the own domain, homes and members every 30 ms, and to hubs of other domains every 60 ms. Changes, limits and suspects stay at 150 and 600 ms, and so do the steps that timers count. One list of loads is made for each kind and moment, in reused maps. A node compares 10 endpoints of its domain and 6 of the others, out of 30 each. Elsewhere all stays as it was.

Report of 90 endpoints allocates at most twice.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -138,7 +138,7 @@
 // Pick chooses the endpoint with the lowest cost and counts the request on it
 // until Done. It returns false when no endpoint accepts the request.
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, bool) {
-	sampled := b.comparesSample(request.Endpoints)
+	sampled := b.comparesSample(now, request.Endpoints)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
@@ -172,7 +172,7 @@
 	if b.Permits == nil || !b.Permits.Any() {
 		return nil
 	}
-	sampled := b.comparesSample(request.Endpoints)
+	sampled := b.comparesSample(now, request.Endpoints)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	best, limited, ok := b.find(now, request, sampled)
@@ -191,7 +191,7 @@
 // sampled is set, or of all if none of them accepts the request.
 func (b *Balancer) find(now time.Time, request Request, sampled bool) (best candidate, limited []candidate, ok bool) {
 	if sampled {
-		if best, limited, ok = b.cheapest(now, request, b.sample(request.Endpoints)); ok {
+		if best, limited, ok = b.cheapest(now, request, b.sample(now, request.Endpoints)); ok {
 			return best, limited, ok
 		}
 	}
--- a/internal/coordination/balancer/pace.go
+++ b/internal/coordination/balancer/pace.go
@@ -29,7 +29,7 @@
 // reported is the time that the receivers of Report are told, newest that of Total.
 func (s paceState) reported() time.Time { return latest(s.own, s.members) }
 
-func (s paceState) newest() time.Time   { return latest(s.reported(), s.others) }
+func (s paceState) newest() time.Time { return latest(s.reported(), s.others) }
 
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/coordination/balancer/pace_test.go
+++ b/internal/coordination/balancer/pace_test.go
@@ -1,12 +1,14 @@
 package balancer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/balancer"
+	"github.com/lacewingrelay/lacewingrelay/internal/state/endpointtracker"
 )
 
 // TestPace guards against a single report deciding over the pace of an endpoint, and against a
@@ -49,3 +51,27 @@
 	assertShared(14*time.Second, true, true)
 	assertShared(15*time.Second, false, false)
 }
+
+// TestSampleOfSharedHosts guards against samples of another size than the load reports allow for.
+func TestSampleOfSharedHosts(t *testing.T) {
+	b := &balancer.Balancer{Domain: "d0", Name: "n0", Nodes: func() int { return 134 }}
+	var request balancer.Request
+	for i := range 90 {
+		request.Endpoints = append(request.Endpoints, endpoint(fmt.Sprint("e", i), fmt.Sprint("d", i%3), 64))
+	}
+	assertCompares := func(want int) {
+		t.Helper()
+		compared := 0
+		request.Work = func(endpointtracker.Endpoint) balancer.Work {
+			compared++
+			return balancer.Work{}
+		}
+		_, ok := b.Pick(now, request)
+		assert.True(t, ok)
+		assert.Equal(t, want, compared)
+	}
+	assertCompares(5)
+	b.UpdateEndpointLoad("e0", now, balancer.Load{Pace: 1})
+	assertCompares(16)
+	assert.LessOrEqual(t, testing.AllocsPerRun(10, func() { b.Report(now) }), 2.0)
+}
--- a/internal/coordination/balancer/reports.go
+++ b/internal/coordination/balancer/reports.go
@@ -47,6 +47,17 @@
 	others   map[uint32]peertracker.Load
 	members  map[uint32]peertracker.Load
 	reported map[uint32]peertracker.Load
+	// total is what Total last summed up, kept for its memory only.
+	total map[uint32]peertracker.Load
+}
+
+// emptied returns an empty map that reuses the memory of another one.
+func emptied(loads map[uint32]peertracker.Load) map[uint32]peertracker.Load {
+	if loads == nil {
+		return map[uint32]peertracker.Load{}
+	}
+	clear(loads)
+	return loads
 }
 
 // add adds a load n times; n is 1 or -1.
@@ -135,7 +146,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	b.sums.reported = map[uint32]peertracker.Load{}
+	b.sums.reported = emptied(b.sums.reported)
 	for _, load := range b.sums.members {
 		add(b.sums.reported, load, 1)
 	}
@@ -148,7 +159,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	total := map[uint32]peertracker.Load{}
+	b.sums.total = emptied(b.sums.total)
+	total := b.sums.total
 	for _, load := range b.sums.others {
 		add(total, load, 1)
 	}
--- a/internal/coordination/balancer/sample.go
+++ b/internal/coordination/balancer/sample.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/ranker"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/endpointtracker"
@@ -23,16 +24,36 @@
 	subsetSize  = 8
 	ownSample   = 3
 	otherSample = 2
+	// sharedSubsetSize, sharedOwnSample and sharedOtherSample replace them while endpoints share
+	// their hosts. Endpoints then differ more, and nodes exchange load more often.
+	sharedSubsetSize  = 30
+	sharedOwnSample   = 10
+	sharedOtherSample = 6
 )
 
+// sampling are the numbers of endpoints that a node compares.
+type sampling struct{ subset, own, others int }
+
+func newSampling(sharedHosts bool) sampling {
+	if sharedHosts {
+		return sampling{subset: sharedSubsetSize, own: sharedOwnSample, others: sharedOtherSample}
+	}
+	return sampling{subset: subsetSize, own: ownSample, others: otherSample}
+}
+
 // comparesSample reports whether this node compares a sample of the endpoints. It is called
 // without the lock.
-func (b *Balancer) comparesSample(endpoints []endpointtracker.Endpoint) bool {
-	return b.Nodes != nil && len(endpoints) > ownSample+otherSample && b.Nodes() > maxNodesComparingAll
+func (b *Balancer) comparesSample(now time.Time, endpoints []endpointtracker.Endpoint) bool {
+	if b.Nodes == nil || len(endpoints) <= ownSample+otherSample {
+		return false
+	}
+	sampling := newSampling(b.SharedHosts(now))
+	return len(endpoints) > sampling.own+sampling.others && b.Nodes() > maxNodesComparingAll
 }
 
 // sample returns the indices of the endpoints to compare.
-func (b *Balancer) sample(endpoints []endpointtracker.Endpoint) []int {
+func (b *Balancer) sample(now time.Time, endpoints []endpointtracker.Endpoint) []int {
+	sampling := newSampling(b.sharedHosts(now))
 	var own, others []int
 	for i, endpoint := range endpoints {
 		switch {
@@ -43,16 +64,19 @@
 			others = append(others, i)
 		}
 	}
-	own = b.subset(endpoints, own)
-	return append(pickRandom(own, ownSample), pickRandom(b.subset(endpoints, others), otherSample)...)
+	own, others = b.subset(endpoints, own, sampling.subset), b.subset(endpoints, others, sampling.subset)
+	return append(pickRandom(own, sampling.own), pickRandom(others, sampling.others)...)
 }
 
-// subset returns the endpoints of this node's subset.
-func (b *Balancer) subset(endpoints []endpointtracker.Endpoint, indices []int) []int {
+// subset returns the endpoints of this node's subset of a size.
+func (b *Balancer) subset(endpoints []endpointtracker.Endpoint, indices []int, size int) []int {
+	if len(indices) <= size {
+		return indices
+	}
 	slices.SortFunc(indices, func(i, j int) int {
 		return cmp.Compare(b.affinity(endpoints[j].ID), b.affinity(endpoints[i].ID))
 	})
-	return indices[:min(subsetSize, len(indices))]
+	return indices[:size]
 }
 
 // affinity is the rendezvous score of an endpoint for this node.
--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -190,6 +190,9 @@
 
 // hasNewerTarget reports whether a peer knows a newer target version than this node.
 func (p *Peers) hasNewerTarget(heartbeat peertracker.Heartbeat) bool {
+	if len(heartbeat.Changes) == 0 {
+		return false
+	}
 	own := map[uint32]int64{}
 	for model, version := range p.Node.NewestTarget() {
 		own[balancer.IDHash(model)] = version
--- a/internal/relayer/heartbeats.go
+++ b/internal/relayer/heartbeats.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -36,19 +35,14 @@
 
 // newHeartbeats returns the heartbeat of a kind, as one or more datagrams. The first one
 // has all but the loads, changes and limits for which it has no room.
-func (p *Peers) newHeartbeats(now time.Time, kind kind) []peertracker.Heartbeat {
+func (p *Peers) newHeartbeats(now time.Time, kind kind, lists *loadLists) []peertracker.Heartbeat {
 	base := p.baseHeartbeat(now, kind)
 	changes := p.heartbeatChanges(now, kind)
 	var limits []peertracker.EndpointLimit
 	if p.Limits != nil {
 		limits = p.Limits.Known(now, maxLimits)
 	}
-	var loads []peertracker.Load
-	if kind == toMembers {
-		loads = p.Balancer.Total(now)
-	} else {
-		loads = p.Balancer.Report(now)
-	}
+	loads := p.loads(now, kind, lists)
 	var heartbeats []peertracker.Heartbeat
 	next := uint32(0)
 	for {
@@ -63,17 +57,13 @@
 		fit := min(len(limits), room/limitBytes)
 		heartbeat.Limits, limits = limits[:fit], limits[fit:]
 		room -= fit * limitBytes
-		n = min(len(loads), room/loadBytes)
-		heartbeat.Loads = &peertracker.LoadReport{First: next, Last: math.MaxUint32, Loads: loads[:n]}
-		if loads = loads[n:]; len(loads) > 0 {
-			heartbeat.Loads.Last = loads[0].Endpoint - 1
-			next = loads[0].Endpoint
-		}
+		heartbeat.Loads, loads = takeLoads(loads, next, room)
 		heartbeats = append(heartbeats, heartbeat)
 		if len(loads) == 0 {
 			// What follows replaces no load.
 			return append(heartbeats, p.withoutLoads(base, changes, limits)...)
 		}
+		next = loads[0].Endpoint
 	}
 }
 
@@ -96,14 +86,20 @@
 
 // baseHeartbeat returns a heartbeat without sequence number, loads and changes.
 func (p *Peers) baseHeartbeat(now time.Time, kind kind) peertracker.Heartbeat {
-	heartbeat := peertracker.Heartbeat{
-		Name: p.Name, Domain: p.Domain, Address: p.Address, Incarnation: p.Incarnation, Leaving: p.Stopping.Load(),
-		Suspects: p.Suspects.Known(now, maxSuspects), Homed: kind == toHome, Digest: kind == toMembers,
-		LogContact: p.HasLogContact(),
-	}
+	heartbeat := p.stateHeartbeat(now, kind)
+	heartbeat.Suspects = p.Suspects.Known(now, maxSuspects)
 	if p.PartSuspects != nil {
 		heartbeat.PartSuspects = p.knownPartSuspects(now)
 	}
+	return heartbeat
+}
+
+// stateHeartbeat returns a heartbeat with nothing but the state of the sender.
+func (p *Peers) stateHeartbeat(now time.Time, kind kind) peertracker.Heartbeat {
+	heartbeat := peertracker.Heartbeat{
+		Name: p.Name, Domain: p.Domain, Address: p.Address, Incarnation: p.Incarnation, Leaving: p.Stopping.Load(),
+		Homed: kind == toHome, Digest: kind == toMembers, LogContact: p.HasLogContact(),
+	}
 	if catalog := p.Node.View().Catalog; catalog != nil {
 		heartbeat.Applied = uint64(catalog.Version)
 	}
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -21,8 +21,8 @@
 
 const (
 	// sameDomainPeriod is the time between heartbeats within a failure domain, and between
-	// ticks of Run. otherDomainPeriod, to hubs of other domains, is longer since bytes
-	// between domains cost more.
+	// steps of Run. otherDomainPeriod, to hubs of other domains, is longer since bytes
+	// between domains cost more. See loadPeriod for those with nothing but load.
 	sameDomainPeriod  = 150 * time.Millisecond
 	otherDomainPeriod = 600 * time.Millisecond
 	// heartbeatTimeout is the time without heartbeats after which a peer is considered
@@ -177,6 +177,10 @@
 	loggedRetained map[string]int64
 	// sharedHosts is what Run last found, for the log.
 	sharedHosts bool
+	// targets are the peers that get heartbeats, as of the last step of Run, and lastOtherLoads
+	// is when any of those of other domains last got load.
+	targets        due
+	lastOtherLoads time.Time
 	// broadcasting is set while a broadcast is due.
 	broadcasting bool
 	sequence     atomic.Uint64
@@ -190,22 +194,44 @@
 	p.mu.Lock()
 	p.startedAt = p.Now()
 	p.mu.Unlock()
-	ticker := time.NewTicker(sameDomainPeriod)
+	period, stepped := sameDomainPeriod, p.Now()
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			p.recordTick()
-			p.updateRetained(p.Now())
-			p.recordBehind(p.Now())
-			p.updateSharedHosts(p.Now())
-			p.heartbeat(false)
+		}
+		now := p.Now()
+		// Ticks are not exact, see due.
+		if period == loadPeriod && now.Sub(stepped) < sameDomainPeriod-loadPeriod/2 {
+			p.sendLoads(now, false)
+			continue
+		}
+		stepped = now
+		p.recordTick()
+		p.updateRetained(now)
+		p.recordBehind(now)
+		shared := p.updateSharedHosts(now)
+		p.heartbeat(false)
+		if shared {
+			p.sendLoads(now, true)
+		}
+		if next := tickPeriod(shared); next != period {
+			period = next
+			ticker.Reset(period)
 		}
 	}
 }
 
+func tickPeriod(sharedHosts bool) time.Duration {
+	if sharedHosts {
+		return loadPeriod
+	}
+	return sameDomainPeriod
+}
+
 // started returns when this process started.
 func (p *Peers) started() time.Time { return time.Unix(0, int64(p.Incarnation)) }
 
@@ -242,24 +268,30 @@
 	members   []netip.AddrPort
 }
 
-// heartbeat sends the heartbeats that are due, or all if all is set.
-func (p *Peers) heartbeat(all bool) {
-	now := p.Now()
-	p.updateRole(now)
-	due := p.due(now, all)
+// each calls send for each kind of heartbeat that is due.
+func (d due) each(send func(to []netip.AddrPort, kind kind)) {
 	for _, target := range []struct {
 		to   []netip.AddrPort
 		kind kind
-	}{{due.hubs, toHubs}, {due.otherHubs, toOtherHubs}, {due.homes, toHome}, {due.members, toMembers}} {
-		if len(target.to) == 0 {
-			continue
-		}
-		for _, heartbeat := range p.newHeartbeats(now, target.kind) {
-			p.send(target.to, heartbeat)
+	}{{d.hubs, toHubs}, {d.otherHubs, toOtherHubs}, {d.homes, toHome}, {d.members, toMembers}} {
+		if len(target.to) > 0 {
+			send(target.to, target.kind)
 		}
 	}
 }
 
+// heartbeat sends the heartbeats that are due, or all if all is set.
+func (p *Peers) heartbeat(all bool) {
+	now := p.Now()
+	p.updateRole(now)
+	var lists loadLists
+	p.due(now, all).each(func(to []netip.AddrPort, kind kind) {
+		for _, heartbeat := range p.newHeartbeats(now, kind, &lists) {
+			p.send(to, heartbeat)
+		}
+	})
+}
+
 // due returns the peers that get a heartbeat now, marks them as sent to, and peers that
 // have timed out as dead.
 func (p *Peers) due(now time.Time, all bool) due {
@@ -268,6 +300,7 @@
 	p.markDead(now)
 	p.liveHigh.note(now, p.liveNodes(now))
 	var due due
+	p.targets = due
 	take := func(address netip.AddrPort, period time.Duration) bool {
 		m := p.peerState(address)
 		// Ticks are not exact. A heartbeat that is due half a tick later is sent now, since
@@ -280,6 +313,7 @@
 	}
 	if p.role.Hub || len(p.role.Ask) == 0 {
 		own, others := p.organizer.Hubs(now)
+		p.targets.hubs, p.targets.otherHubs = own, others
 		for _, address := range own {
 			if take(address, sameDomainPeriod) {
 				due.hubs = append(due.hubs, address)
@@ -288,14 +322,18 @@
 		for _, address := range others {
 			if take(address, otherDomainPeriod) {
 				due.otherHubs = append(due.otherHubs, address)
+				// One with nothing but load must not overtake this one.
+				p.lastOtherLoads = now
 			}
 		}
 		due.hubs = append(due.hubs, p.organizer.Probes(now)...)
 		due.hubs = append(due.hubs, p.silentSeeds(now)...)
 	} else {
 		due.homes = p.role.Ask
+		p.targets.homes = due.homes
 	}
 	due.members = p.members(now)
+	p.targets.members = due.members
 	return due
 }
 
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -85,7 +85,7 @@
 	if !isNew {
 		return
 	}
-	for _, digest := range p.newHeartbeats(now, toMembers) {
+	for _, digest := range p.newHeartbeats(now, toMembers, &loadLists{}) {
 		p.send([]netip.AddrPort{member}, digest)
 	}
 }
--- a/internal/relayer/size_test.go
+++ b/internal/relayer/size_test.go
@@ -101,6 +101,8 @@
 	bytes    atomic.Int64
 	// asked counts the calls for permits.
 	asked atomic.Int64
+	// old is set for a node of a build that does not know of shared hosts.
+	old atomic.Bool
 	// stood is the time for which the node stood still, in nanoseconds.
 	stood atomic.Int64
 }
@@ -119,14 +121,29 @@
 		if !ok {
 			continue
 		}
+		sent := message
+		if n.old.Load() || target.old.Load() {
+			sent = asOlderBuild(message)
+		}
 		time.AfterFunc(delay, func() {
 			target.received.Add(1)
-			target.peers.HandleHeartbeat(message)
+			target.peers.HandleHeartbeat(sent)
 		})
 	}
 	return nil
 }
 
+// pacedMarker is relayer's marker for changes that older builds ignore.
+const pacedMarker = 7
+
+// asOlderBuild returns what an older build sends or understands of a message.
+func asOlderBuild(message packer.Message) packer.Message {
+	message.Sender.Changes = slices.DeleteFunc(slices.Clone(message.Sender.Changes), func(change peertracker.Change) bool {
+		return change.Endpoint == pacedMarker
+	})
+	return message
+}
+
 // Permits implements relayer.PermitClient.
 func (n *fleetNode) Permits(ctx context.Context, peer netip.AddrPort, request messenger.PermitsRequest) (throttler.Grant, error) {
 	n.asked.Add(1)
