--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -141,6 +142,22 @@
 	return x.Route.Rank
 }
 
+// enginePriorities is the number of priorities that engines distinguish, 0 being the highest.
+const enginePriorities = 10
+
+// EnginePriority returns the priority at an engine: requests of a better rank come first, and those
+// of equal rank in the order of their routes' ranks. With many ranks, neighboring ranks of routes
+// share a priority, and with more ranks of requests than enginePriorities, so do the worst of these.
+func (x *Exchange) EnginePriority(ranks cataloger.Ranks) int {
+	width := max(enginePriorities/max(len(ranks.Requests), 1), 1)
+	request, _ := slices.BinarySearch(ranks.Requests, x.Rank())
+	route, _ := slices.BinarySearch(ranks.Routes, x.Route.Rank)
+	if n := len(ranks.Routes); n > width {
+		route = route * width / n
+	}
+	return min(request*width+min(route, width-1), enginePriorities-1)
+}
+
 // Attempt is one attempt at an exchange, as it is sent to an endpoint.
 type Attempt struct {
 	*Exchange
@@ -158,6 +175,8 @@
 	// limit. It is set if newer weights are the target, so that answers must not begin on
 	// these much longer.
 	BeginTimeout time.Duration
+	// Priority is that of the prompt at the engine; 0 is the highest.
+	Priority int
 	// Salt is the cache salt. It separates cached parts by model, weights and,
 	// for isolated teams, team.
 	Salt string
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -157,6 +157,12 @@
 	if s.Prompt == nil {
 		return attempt
 	}
+	attempt.Priority = s.Rank()
+	if view.Catalog != nil && s.Balancer.SharedHosts(now) {
+		// Short and long prompts of teams of one rank would otherwise wait in one queue at the
+		// engine, which is where they wait while hosts are shared.
+		attempt.Priority = s.EnginePriority(view.Catalog.Ranks())
+	}
 	attempt.Weights = endpoint.Weights[s.Prompt.Model]
 	if target, ok := view.replacedBy(endpoint, s.Prompt.Model); ok {
 		attempt.PlacementReason.ReplacedBy = target.Version
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -148,6 +148,19 @@
 	// names are the names of all teams, and isolated those of the isolated ones in order.
 	names    map[string]bool
 	isolated []string
+	// teamRanks and routeRanks are the distinct ranks of teams and routes in order. hasUnranked is
+	// set if requests may have no team with a rank.
+	teamRanks   []int
+	routeRanks  []int
+	hasUnranked bool
+}
+
+// Ranks are the distinct ranks that a configuration gives, each in order.
+type Ranks struct {
+	// Requests are the ranks of requests: those of teams and, if requests may have no team with a
+	// rank, those of routes.
+	Requests []int
+	Routes   []int
 }
 
 // New returns a catalog. teams maps keys to teams; nil disables the check of
@@ -160,6 +173,7 @@
 		routes:       map[string][]Route{},
 		teams:        teams,
 		keysRequired: teams != nil,
+		hasUnranked:  teams == nil,
 		names:        map[string]bool{},
 	}
 	for _, team := range teams {
@@ -175,6 +189,8 @@
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		c.routes[host] = append(c.routes[host], route)
+		c.routeRanks = insertRank(c.routeRanks, route.Rank)
+		c.hasUnranked = c.hasUnranked || route.Anonymous
 	}
 	for _, hostRoutes := range c.routes {
 		slices.SortStableFunc(hostRoutes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -192,11 +208,36 @@
 
 func (c *Catalog) addTeam(team Team) {
 	c.names[team.Name] = true
+	if team.HasRank {
+		c.teamRanks = insertRank(c.teamRanks, team.Rank)
+	} else {
+		c.hasUnranked = true
+	}
 	if i, known := slices.BinarySearch(c.isolated, team.Name); team.Isolated && !known {
 		c.isolated = slices.Insert(c.isolated, i, team.Name)
 	}
 }
 
+func insertRank(ranks []int, rank int) []int {
+	i, known := slices.BinarySearch(ranks, rank)
+	if known {
+		return ranks
+	}
+	return slices.Insert(ranks, i, rank)
+}
+
+// Ranks returns the ranks that the configuration gives.
+func (c *Catalog) Ranks() Ranks {
+	ranks := Ranks{Requests: c.teamRanks, Routes: c.routeRanks}
+	if c.hasUnranked {
+		ranks.Requests = slices.Clone(ranks.Requests)
+		for _, rank := range c.routeRanks {
+			ranks.Requests = insertRank(ranks.Requests, rank)
+		}
+	}
+	return ranks
+}
+
 // HasTeam reports whether there is a team of a name.
 func (c *Catalog) HasTeam(name string) bool { return c.names[name] }
 
