Where endpoints report a pace, requests avoid endpoints that are silent to all nodes

Cause: an endpoint that sends nothing any more was avoided only by nodes that had a request there themselves, after 700 ms; each node sees few requests.

Change: load reports carry the time since any of the nodes concerned last got data from an endpoint; a home takes the least of its members. An endpoint that has had running requests for 600 ms in which no node got anything from it is not a candidate unless no other endpoint is left. Running streams get an event every few dozen milliseconds and reports add up to 150 ms, so 600 ms is several times what a working endpoint needs. A missing field means unknown, and then the rule does not apply.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -84,6 +84,9 @@
 	Tried map[string]bool
 	// Avoid holds IDs of endpoints that must not be used.
 	Avoid map[string]bool
+
+	// avoidSilent is set by find if silent endpoints must not be used.
+	avoidSilent bool
 }
 
 // Permits tells which requests may be sent to endpoints that limit them.
@@ -116,11 +119,12 @@
 	// Permits holds permits for the endpoints that limit their requests; nil if none do.
 	Permits Permits
 
-	mu     sync.Mutex
-	states map[string]*endpointState
-	peers  map[string]*peer
-	sums   sums
-	paces  paceState
+	mu       sync.Mutex
+	states   map[string]*endpointState
+	peers    map[string]*peer
+	sums     sums
+	paces    paceState
+	silences silences
 	// pickSequence counts the picks; on equal cost the endpoint that was picked
 	// least recently wins.
 	pickSequence uint64
@@ -190,6 +194,7 @@
 // find returns the cheapest endpoint of those that this node compares, which are a sample if
 // sampled is set, or of all if none of them accepts the request.
 func (b *Balancer) find(now time.Time, request Request, sampled bool) (best candidate, limited []candidate, ok bool) {
+	request.avoidSilent = b.sharedHosts(now) && b.hasResponsive(now, request)
 	if sampled {
 		if best, limited, ok = b.cheapest(now, request, b.sample(now, request.Endpoints)); ok {
 			return best, limited, ok
--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -44,6 +44,10 @@
 	// lastActivity is when the endpoint last sent data or, if later, when it got
 	// a request while this node had none running on it.
 	lastActivity time.Time
+	// heardAt is when the endpoint last sent data, and busySince since when it has had running
+	// requests of any node, as of the last report; zero if it has none.
+	heardAt   time.Time
+	busySince time.Time
 	// pickSequence is the balancer's pickSequence at the last pick of the endpoint.
 	pickSequence uint64
 }
@@ -72,8 +76,7 @@
 // accepts reports whether the request may be sent to the endpoint now.
 func (b *Balancer) accepts(now time.Time, endpoint endpointtracker.Endpoint, request Request) bool {
 	state := b.endpointState(endpoint.ID)
-	stalled := !b.pathLost && state.running > 0 && now.Sub(state.lastActivity) > stallTimeout
-	if now.Before(state.backoffUntil) || now.Before(state.holdUntil) || stalled {
+	if b.isUnavailable(now, state) || request.avoidSilent && b.isSilent(now, state) {
 		return false
 	}
 	peerLoad := b.peerLoad(state.hash)
@@ -87,6 +90,12 @@
 	return float64(running) < maxSlotShare*slots(endpoint)
 }
 
+// isUnavailable reports whether an endpoint gets no requests now, whatever its load is.
+func (b *Balancer) isUnavailable(now time.Time, state *endpointState) bool {
+	stalled := !b.pathLost && state.running > 0 && now.Sub(state.lastActivity) > stallTimeout
+	return now.Before(state.backoffUntil) || now.Before(state.holdUntil) || stalled
+}
+
 // slots returns the number of requests that an endpoint runs at once.
 func slots(endpoint endpointtracker.Endpoint) float64 {
 	if endpoint.Slots <= 0 {
--- a/internal/coordination/balancer/pace.go
+++ b/internal/coordination/balancer/pace.go
@@ -20,8 +20,8 @@
 	maxPace = 10
 )
 
-// paceState holds when reports with a pace came last, by who received them; see Report and
-// Total for who is told what.
+// paceState holds when reports with a pace came last, by who received them: this node, its members
+// or other nodes.
 type paceState struct {
 	own, members, others time.Time
 }
--- a/internal/coordination/balancer/reports.go
+++ b/internal/coordination/balancer/reports.go
@@ -100,11 +100,13 @@
 	}
 	for _, load := range report.Loads {
 		b.count(p, load, 1)
+		b.silences.record(reporter, now, load)
 		p.loads[load.Endpoint] = load
 	}
 }
 
 func (b *Balancer) count(p *peer, load peertracker.Load, n int) {
+	b.silences.count(p.reporter, load, n)
 	if p.reporter != Home {
 		add(b.sums.others, load, n)
 	}
@@ -151,6 +153,8 @@
 		add(b.sums.reported, load, 1)
 	}
 	b.addOwn(b.sums.reported)
+	b.addSilences(now, b.sums.reported, false)
+	b.updateBusy(now)
 	return sorted(b.sums.reported)
 }
 
@@ -173,6 +177,7 @@
 		}
 	}
 	b.addOwn(total)
+	b.addSilences(now, total, true)
 	return sorted(total)
 }
 
@@ -331,7 +336,8 @@
 func (b *Balancer) RecordActivity(id string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.endpointState(id).lastActivity = now
+	state := b.endpointState(id)
+	state.lastActivity, state.heardAt = now, now
 }
 
 func (b *Balancer) backoff(id string, until time.Time) {
--- a/internal/protocol/packer/lists.go
+++ b/internal/protocol/packer/lists.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,10 +22,25 @@
 		encoded.Running = append(encoded.Running, uint32(load.Running))
 		encoded.Blocks = append(encoded.Blocks, uint32(load.Tokens/blockTokens))
 		encoded.Reading = append(encoded.Reading, uint32(load.Reading/blockTokens))
+		encoded.Silent = append(encoded.Silent, encodeSilent(load))
+	}
+	if !slices.ContainsFunc(report.Loads, func(load peertracker.Load) bool { return load.HasSilent }) {
+		encoded.Silent = nil
 	}
 	return encoded
 }
 
+// silentUnit is the unit of the time since the last data from an endpoint. Times up to 2.5 s take
+// one byte.
+const silentUnit = 20 * time.Millisecond
+
+func encodeSilent(load peertracker.Load) uint32 {
+	if !load.HasSilent {
+		return 0
+	}
+	return uint32(min(max(load.Silent/silentUnit, 0), math.MaxUint16)) + 1
+}
+
 func decodeLoads(encoded *wire.LoadReport) (*peertracker.LoadReport, error) {
 	if encoded == nil {
 		return nil, nil
@@ -33,6 +49,9 @@
 	if len(encoded.Running) != n || len(encoded.Blocks) != n || len(encoded.Reading) != n {
 		return nil, errors.Wrapf(ErrMalformed, "lists of loads have %d, %d, %d and %d entries", n, len(encoded.Running), len(encoded.Blocks), len(encoded.Reading))
 	}
+	if len(encoded.Silent) != 0 && len(encoded.Silent) != n {
+		return nil, errors.Wrapf(ErrMalformed, "%d loads have %d times without data", n, len(encoded.Silent))
+	}
 	report := &peertracker.LoadReport{First: encoded.First, Last: encoded.Last, Loads: make([]peertracker.Load, n)}
 	for i := range n {
 		report.Loads[i] = peertracker.Load{
@@ -40,6 +59,11 @@
 			Tokens: int(encoded.Blocks[i]) * blockTokens, Reading: int(encoded.Reading[i]) * blockTokens,
 		}
 	}
+	for i, silent := range encoded.Silent {
+		if silent > 0 {
+			report.Loads[i].Silent, report.Loads[i].HasSilent = time.Duration(silent-1)*silentUnit, true
+		}
+	}
 	return report, nil
 }
 
--- a/internal/relayer/heartbeats.go
+++ b/internal/relayer/heartbeats.go
@@ -26,7 +26,7 @@
 	fixedBytes    = 200
 	suspectBytes  = 19
 	changeBytes   = 18
-	loadBytes     = 11
+	loadBytes     = 12
 	// partSuspectBytes is the size without crashes, and partCrashBytes that of each of them.
 	partSuspectBytes = 24
 	partCrashBytes   = 13
--- a/internal/relayer/shared_hosts_test.go
+++ b/internal/relayer/shared_hosts_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -205,3 +206,66 @@
 		assert.LessOrEqual(t, shared, 30)
 	})
 }
+
+// TestSilentEngines guards against requests that go to engines that have sent nothing to any node,
+// also to nodes that have no request there themselves. The same site without that knowledge sends
+// clearly more.
+func TestSilentEngines(t *testing.T) {
+	const engines = 40
+	toSilent := func(mute, oneOld bool) (sent int) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 60, 3)
+			c := newCrowd(f, engines)
+			for i := range c.endpoints {
+				c.endpoints[i].Slots = 256
+			}
+			silentIDs := map[string]bool{}
+			for i := 0; i < engines; i += 4 {
+				silentIDs[c.endpoints[i].ID] = true
+			}
+			var silent atomic.Bool
+			falls := func(id string) bool { return silent.Load() && silentIDs[id] }
+			for _, n := range f.nodes {
+				n.mute.Store(mute)
+			}
+			f.nodes[50].old.Store(oneOld)
+			f.wait(membershipBound)
+			f.nodes[0].reportPace()
+			place := func(n int) {
+				for range n {
+					by := f.nodes[rand.IntN(len(f.nodes))]
+					choice, ok := by.balancer.Pick(time.Now(), balancer.Request{Endpoints: c.endpoints, Urgent: true})
+					require.True(t, ok)
+					if falls(choice.Endpoint.ID) {
+						sent++
+					}
+					go func() {
+						for range 16 {
+							time.Sleep(40 * time.Millisecond)
+							if !falls(choice.Endpoint.ID) {
+								by.balancer.RecordActivity(choice.Endpoint.ID, time.Now())
+							}
+						}
+						if falls(choice.Endpoint.ID) {
+							time.Sleep(5 * time.Second)
+						}
+						by.balancer.Done(choice)
+					}()
+					time.Sleep(2 * time.Millisecond)
+				}
+			}
+			place(400)
+			silent.Store(true)
+			// Within the time that the rule takes to notice, nothing differs.
+			place(400)
+			sent = 0
+			place(800)
+			time.Sleep(6 * time.Second)
+		})
+		return sent
+	}
+	without, with, beside := toSilent(true, false), toSilent(false, false), toSilent(false, true)
+	t.Logf("requests sent to silent engines, of 800 from 0.8 s on: %d, with shared silences %d, beside one older node %d", without, with, beside)
+	assert.Less(t, 2*with, without)
+	assert.LessOrEqual(t, beside, without)
+}
--- a/internal/relayer/size_test.go
+++ b/internal/relayer/size_test.go
@@ -103,6 +103,8 @@
 	asked atomic.Int64
 	// old is set for a node of a build that does not know of shared hosts.
 	old atomic.Bool
+	// mute is set for a node that does not tell when it last got data from endpoints.
+	mute atomic.Bool
 	// stood is the time for which the node stood still, in nanoseconds.
 	stood atomic.Int64
 }
@@ -125,6 +127,9 @@
 		if n.old.Load() || target.old.Load() {
 			sent = asOlderBuild(message)
 		}
+		if n.mute.Load() {
+			sent = withoutSilences(message)
+		}
 		time.AfterFunc(delay, func() {
 			target.received.Add(1)
 			target.peers.HandleHeartbeat(sent)
@@ -141,6 +146,20 @@
 	message.Sender.Changes = slices.DeleteFunc(slices.Clone(message.Sender.Changes), func(change peertracker.Change) bool {
 		return change.Endpoint == pacedMarker
 	})
+	return withoutSilences(message)
+}
+
+// withoutSilences returns a message without the times since the last data from endpoints.
+func withoutSilences(message packer.Message) packer.Message {
+	if message.Sender.Loads == nil {
+		return message
+	}
+	loads := *message.Sender.Loads
+	loads.Loads = slices.Clone(loads.Loads)
+	for i := range loads.Loads {
+		loads.Loads[i].Silent, loads.Loads[i].HasSilent = 0, false
+	}
+	message.Sender.Loads = &loads
 	return message
 }
 
--- a/internal/state/peertracker/peertracker.go
+++ b/internal/state/peertracker/peertracker.go
@@ -137,6 +137,10 @@
 	Tokens int
 	// Reading is the number of prompt tokens that still wait for prefill.
 	Reading int
+	// Silent is the time since any of the nodes concerned got data from the endpoint; valid only
+	// if HasSilent is set.
+	Silent    time.Duration
+	HasSilent bool
 }
 
 // Suspect is the fingerprint of a request that may crash endpoints, with the
