--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -84,6 +84,9 @@
 	Tried map[string]bool
 	// Avoid holds IDs of endpoints that must not be used.
 	Avoid map[string]bool
+
+	// avoidSilent is set by find if silent endpoints must not be used.
+	avoidSilent bool
 }
 
 // Permits tells which requests may be sent to endpoints that limit them.
@@ -137,10 +140,12 @@
 	// Cold limits the requests to cold endpoints; nil if none is ever cold.
 	Cold Cold
 
-	mu     sync.Mutex
-	states map[string]*endpointState
-	peers  map[string]*peer
-	sums   sums
+	mu       sync.Mutex
+	states   map[string]*endpointState
+	peers    map[string]*peer
+	sums     sums
+	paces    paceState
+	silences silences
 	// pickSequence counts the picks; on equal cost the endpoint that was picked
 	// least recently wins.
 	pickSequence uint64
@@ -161,7 +166,7 @@
 // Pick chooses the endpoint with the lowest cost and counts the request on it
 // until Done. It returns false when no endpoint accepts the request.
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, bool) {
-	sampled := b.comparesSample(request.Endpoints)
+	sampled := b.comparesSample(now, request.Endpoints)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
@@ -200,7 +205,7 @@
 	if b.Permits == nil || !b.Permits.Any() {
 		return nil
 	}
-	sampled := b.comparesSample(request.Endpoints)
+	sampled := b.comparesSample(now, request.Endpoints)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	best, limited, ok := b.find(now, request, sampled)
@@ -218,8 +223,9 @@
 // find returns the cheapest endpoint of those that this node compares, which are a sample if
 // sampled is set, or of all if none of them accepts the request.
 func (b *Balancer) find(now time.Time, request Request, sampled bool) (best candidate, limited []candidate, ok bool) {
+	request.avoidSilent = b.sharedHosts(now) && b.hasResponsive(now, request)
 	if sampled {
-		if best, limited, ok = b.cheapest(now, request, b.sample(request.Endpoints)); ok {
+		if best, limited, ok = b.cheapest(now, request, b.sample(now, request.Endpoints)); ok {
 			return best, limited, ok
 		}
 	}
--- a/internal/coordination/balancer/reports.go
+++ b/internal/coordination/balancer/reports.go
@@ -15,6 +15,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes on the endpoint's host at the moment, where 1 is normal; zero
+	// if the endpoint does not say.
+	Pace float64
 }
 
 // Reporter says whose load a peer reports; see package organizer.
@@ -44,6 +47,17 @@
 	others   map[uint32]peertracker.Load
 	members  map[uint32]peertracker.Load
 	reported map[uint32]peertracker.Load
+	// total is what Total last summed up, kept for its memory only.
+	total map[uint32]peertracker.Load
+}
+
+// emptied returns an empty map that reuses the memory of another one.
+func emptied(loads map[uint32]peertracker.Load) map[uint32]peertracker.Load {
+	if loads == nil {
+		return map[uint32]peertracker.Load{}
+	}
+	clear(loads)
+	return loads
 }
 
 // add adds a load n times; n is 1 or -1.
@@ -86,11 +100,13 @@
 	}
 	for _, load := range report.Loads {
 		b.count(p, load, 1)
+		b.silences.record(reporter, now, load)
 		p.loads[load.Endpoint] = load
 	}
 }
 
 func (b *Balancer) count(p *peer, load peertracker.Load, n int) {
+	b.silences.count(p.reporter, load, n)
 	if p.reporter != Home {
 		add(b.sums.others, load, n)
 	}
@@ -132,11 +148,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	b.sums.reported = map[uint32]peertracker.Load{}
+	b.sums.reported = emptied(b.sums.reported)
 	for _, load := range b.sums.members {
 		add(b.sums.reported, load, 1)
 	}
 	b.addOwn(b.sums.reported)
+	b.addSilences(now, b.sums.reported, false)
+	b.updateBusy(now)
 	return sorted(b.sums.reported)
 }
 
@@ -145,7 +163,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	total := map[uint32]peertracker.Load{}
+	b.sums.total = emptied(b.sums.total)
+	total := b.sums.total
 	for _, load := range b.sums.others {
 		add(total, load, 1)
 	}
@@ -158,6 +177,7 @@
 		}
 	}
 	b.addOwn(total)
+	b.addSilences(now, total, true)
 	return sorted(total)
 }
 
@@ -221,6 +241,10 @@
 	defer b.mu.Unlock()
 	state := b.endpointState(id)
 	state.reported, state.reportedAt, state.runningAtReport = reported, now, state.running
+	if reported.Pace > 0 {
+		b.paces.own = now
+		state.recordPace(now, reported.Pace)
+	}
 }
 
 // RecordRefusal records that an endpoint refused a request for lack of capacity.
@@ -330,7 +354,8 @@
 func (b *Balancer) RecordActivity(id string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.endpointState(id).lastActivity = now
+	state := b.endpointState(id)
+	state.lastActivity, state.heardAt = now, now
 }
 
 func (b *Balancer) backoff(id string, until time.Time) {
--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -156,6 +156,9 @@
 		changes = slices.Insert(changes, 0, change)
 	}
 	changes = slices.Insert(changes, 0, p.Node.evacuationChanges()...)
+	if change, ok := p.pacedChange(now, kind); ok {
+		changes = slices.Insert(changes, 0, change)
+	}
 	for _, a := range slices.Backward(p.announced) {
 		if kind == toMembers || !a.downward {
 			changes = append(changes, a.change)
@@ -188,6 +191,9 @@
 
 // hasNewerTarget reports whether a peer knows a newer target version than this node.
 func (p *Peers) hasNewerTarget(heartbeat peertracker.Heartbeat) bool {
+	if len(heartbeat.Changes) == 0 {
+		return false
+	}
 	own := map[uint32]int64{}
 	for model, version := range p.Node.NewestTarget() {
 		own[balancer.IDHash(model)] = version
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -39,6 +39,7 @@
 		p.HandleParts(heartbeat.Address, *heartbeat.Parts)
 	}
 	p.storeRetained(heartbeat)
+	p.handlePaced(heartbeat, reporter, now)
 	p.adoptTargetAges(heartbeat)
 	if reporter != balancer.Member {
 		p.adoptRetained(heartbeat)
@@ -85,7 +86,7 @@
 	if !isNew {
 		return
 	}
-	for _, digest := range p.newHeartbeats(now, toMembers) {
+	for _, digest := range p.newHeartbeats(now, toMembers, &loadLists{}) {
 		p.send([]netip.AddrPort{member}, digest)
 	}
 }
