--- a/internal/coordination/placer/evacuation_test.go
+++ b/internal/coordination/placer/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,9 +88,11 @@
 	})
 	for name, domains := range map[string][]string{"waiting requests": {"d1"}, "waiting requests, all domains": {"d1", "d2", "d3"}} {
 		run(name, func(t *testing.T) {
-			view := evacuatedView()
+			var current atomic.Pointer[placer.View]
+			view, changed := evacuatedView(), evacuatedView(domains...)
+			current.Store(&view)
 			p := newPlacer(view)
-			p.View = func() placer.View { return view }
+			p.View = func() placer.View { return *current.Load() }
 			choices := fill(p, view)
 			attempts, failed := make(chan forwarder.Attempt, 1), make(chan error, 1)
 			go func() {
@@ -98,7 +101,7 @@
 				failed <- err
 			}()
 			time.Sleep(10 * time.Millisecond)
-			view = evacuatedView(domains...)
+			current.Store(&changed)
 			for _, choice := range choices {
 				p.Balancer.Done(choice)
 			}
