--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -137,6 +137,9 @@
 	Nodes func() int
 	// Permits holds permits for the endpoints that limit their requests; nil if none do.
 	Permits Permits
+	// Pressure is set if the engines run under memory pressure: their load then changes as fast as
+	// that of endpoints that share their hosts, see SharedHosts.
+	Pressure bool
 	// Cold limits the requests to cold endpoints; nil if none is ever cold.
 	Cold Cold
 
--- a/internal/coordination/balancer/pace.go
+++ b/internal/coordination/balancer/pace.go
@@ -39,7 +39,8 @@
 }
 
 // SharedHosts reports whether endpoints report a pace, since they share their hosts with other
-// work: a report with a pace came within paceTTL, to this node or to one that has told it.
+// work: a report with a pace came within paceTTL, to this node or to one that has told it. It is
+// always true with Pressure.
 func (b *Balancer) SharedHosts(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -48,7 +49,7 @@
 
 func (b *Balancer) sharedHosts(now time.Time) bool {
 	newest := b.paces.newest()
-	return !newest.IsZero() && now.Sub(newest) < paceTTL
+	return b.Pressure || !newest.IsZero() && now.Sub(newest) < paceTTL
 }
 
 // PaceAge returns how long ago the last report with a pace came, of those that the receivers of
--- a/internal/coordination/balancer/pace_test.go
+++ b/internal/coordination/balancer/pace_test.go
@@ -50,6 +50,8 @@
 	b.UpdateEndpointLoad("e", now.Add(5*time.Second), balancer.Load{Pace: 1})
 	assertShared(14*time.Second, true, true)
 	assertShared(15*time.Second, false, false)
+	b.Pressure = true
+	assert.True(t, b.SharedHosts(now.Add(time.Hour)))
 }
 
 // TestSampleOfSharedHosts guards against samples of another size than the load reports allow for.
