Placer: the platform says which errors are refused connections

TestCoordinationAndStateDoNoIO failed on the merged parts: placer imported syscall to tell refused connections, and the coordination layer must not know of the network.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -16,7 +16,6 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,6 +59,8 @@
 	// it answered a request; nil if that matters to no one.
 	OnLost     func(endpoint endpointtracker.Endpoint)
 	OnAnswered func(endpoint endpointtracker.Endpoint)
+	// IsRefused reports whether an error is that of a refused connection; it is set with OnLost.
+	IsRefused func(err error) bool
 	// Limit returns the limit that an endpoint has named, in requests a second; zero for none.
 	Limit func(endpoint endpointtracker.Endpoint) float64
 	// Nodes returns the number of nodes that are alive. They share the links of
@@ -419,16 +420,16 @@
 	if errors.IsAny(err, forwarder.ErrNotSent, forwarder.ErrStalled) && !errors.Is(err, forwarder.ErrNoPath) {
 		p.Balancer.RecordFailure(p.attempt.Endpoint.ID, p.Now())
 	}
-	if p.OnLost != nil && isLoss(err) {
+	if p.OnLost != nil && p.isLoss(err) {
 		p.OnLost(p.attempt.Endpoint)
 	}
 }
 
 // isLoss reports whether the process of an endpoint may have ended: it refused a connection or
 // broke one off.
-func isLoss(err error) bool {
+func (p *Placer) isLoss(err error) bool {
 	broken := errors.Is(err, forwarder.ErrBroken) && !errors.Is(err, forwarder.ErrMalformed)
-	return broken || errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, forwarder.ErrNoPath)
+	return broken || p.IsRefused(err) && !errors.Is(err, forwarder.ErrNoPath)
 }
 
 // OnComplete implements forwarder.Placement.
