Peers: the Balancer is asked for the age of a pace without the lock of Peers

Cause, from the stacks of a hung node: heartbeatChanges held the lock of Peers and waited in Balancer.PaceAge, while Balancer.Pick held its own lock and waited, through Request.Work, in Peers.FetchLimit. The age is now read before the lock is taken.

--- a/internal/relayer/announcements.go
+++ b/internal/relayer/announcements.go
@@ -145,6 +145,8 @@
 // heartbeatChanges returns the changes for the next heartbeat of a kind: the evacuated domains,
 // that fetches are bounded, the model versions, then the announced changes, the newest first.
 func (p *Peers) heartbeatChanges(now time.Time, kind kind) []peertracker.Change {
+	// The Balancer calls functions that take the lock of Peers, so it is asked without that lock.
+	paced, isPaced := p.pacedChange(now, kind)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.announced = slices.DeleteFunc(p.announced, func(a announced) bool { return !now.Before(a.expires) })
@@ -156,8 +158,8 @@
 		changes = slices.Insert(changes, 0, change)
 	}
 	changes = slices.Insert(changes, 0, p.Node.evacuationChanges()...)
-	if change, ok := p.pacedChange(now, kind); ok {
-		changes = slices.Insert(changes, 0, change)
+	if isPaced {
+		changes = slices.Insert(changes, 0, paced)
 	}
 	for _, a := range slices.Backward(p.announced) {
 		if kind == toMembers || !a.downward {
