--- a/review/driver2/leaving.go
+++ b/review/driver2/leaving.go
@@ -124,8 +124,8 @@
 			map[string]any{"Name": shopService, "HealthPath": "/health", "MaxConnections": 100},
 			map[string]any{"Name": deskService, "HealthPath": "/health", "MaxConnections": 100},
 		},
-		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants":  []any{map[string]any{"Name": "tenant", "ApiKeys": []string{"key-1"}, "Priority": 1}},
+		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Tenants": []any{map[string]any{"Name": "tenant", "ApiKeys": []string{"key-1"}, "Priority": 1}},
 	})
 	for range 3 {
 		if _, err := s.addNode(ctx); err != nil {
