--- a/review/driver2/leaving.go
+++ b/review/driver2/leaving.go
@@ -119,6 +119,9 @@
 		"Routes": []any{map[string]any{
 			"Name": "r-1", "Host": "site.example", "PathPrefix": "/order/", "Type": "unsafe", "TimeoutMs": 3000, "TargetLatencyMs": 300, "Priority": 0,
 			"Service": shopService, "MaxAttempts": 1, "AllowAnonymous": false,
+		}, map[string]any{
+			"Name": "r-2", "Host": "site.example", "PathPrefix": "/desk/", "Type": "safe", "TimeoutMs": 15000, "TargetLatencyMs": 1000, "Priority": 1,
+			"Service": deskService, "MaxAttempts": 2, "AllowAnonymous": false,
 		}},
 		"Services": []any{
 			map[string]any{"Name": shopService, "HealthPath": "/health", "MaxConnections": 100},
--- a/review/driver2/site.go
+++ b/review/driver2/site.go
@@ -157,10 +157,13 @@
 	exited  chan struct{}
 }
 
-// addNode starts a node with settings like those of DEPLOY.md.
+// addNode starts a node in the next zone, with settings like those of DEPLOY.md.
 func (s *site) addNode(ctx context.Context) (*node, error) {
-	i := len(s.nodes)
-	n := &node{site: s, name: fmt.Sprintf("front-%s-%d", s.zones[i%len(s.zones)], i+1), zone: s.zones[i%len(s.zones)], ip: s.address()}
+	return s.addNodeIn(ctx, s.zones[len(s.nodes)%len(s.zones)])
+}
+
+func (s *site) addNodeIn(ctx context.Context, zone string) (*node, error) {
+	n := &node{site: s, name: fmt.Sprintf("front-%s-%d", zone, len(s.nodes)+1), zone: zone, ip: s.address()}
 	n.settings = filepath.Join(s.directory, n.name+".conf")
 	n.logPath = filepath.Join(s.directory, n.name+".log")
 	n.log = &link{store: s.store, cut: make(chan struct{})}
@@ -256,16 +259,17 @@
 	<-exited
 }
 
-// peakMb returns the largest resident memory of the process so far, in MB (2^20 bytes).
-func (n *node) peakMb() float64 {
+// memoryMb returns the anonymous resident memory of the process, in MB (2^20 bytes); zero if it has ended.
+func (n *node) memoryMb() float64 {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
+	pid := n.process.Process.Pid
+	n.mu.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.Lines(string(status)) {
-		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+		if text, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			var kb float64
 			_, _ = fmt.Sscan(text, &kb)
 			return kb / 1024
@@ -274,16 +278,21 @@
 	return 0
 }
 
-// awaitReady waits until the node answers 200 at its Ready address.
-func (n *node) awaitReady(limit time.Duration) bool {
+// isReady reports whether the node answers 200 at its Ready address within a second.
+func (n *node) isReady() bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + n.at(readyPort) + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// awaitReady waits until the node is ready.
+func (n *node) awaitReady(limit time.Duration) bool {
 	for begun := time.Now(); time.Since(begun) < limit; time.Sleep(50 * time.Millisecond) {
-		response, err := client.Get("http://" + n.at(readyPort) + "/ready")
-		if err != nil {
-			continue
-		}
-		_ = response.Body.Close()
-		if response.StatusCode == http.StatusOK {
+		if n.isReady() {
 			n.site.record.printf("%s is ready", n.name)
 			return true
 		}
