--- a/review/driver2/platform/main.go
+++ b/review/driver2/platform/main.go
@@ -25,7 +25,6 @@
 		"leaving-after-cut": leavingAfterCut,
 		"late-heartbeat":    lateHeartbeat,
 		"partial-entries":   partialEntries,
-		"crowd-of-heads":    crowdOfHeads,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: driver2 CASE RECORD")
--- a/review/driver2/platform/site.go
+++ b/review/driver2/platform/site.go
@@ -259,25 +259,6 @@
 	<-exited
 }
 
-// memoryMb returns the anonymous resident memory of the process, in MB (2^20 bytes); zero if it has ended.
-func (n *node) memoryMb() float64 {
-	n.mu.Lock()
-	pid := n.process.Process.Pid
-	n.mu.Unlock()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(status)) {
-		if text, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			var kb float64
-			_, _ = fmt.Sscan(text, &kb)
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
 // isReady reports whether the node answers 200 at its Ready address within a second.
 func (n *node) isReady() bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/driver2/platform/worker.go
+++ b/review/driver2/platform/worker.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lacewingrelay/lacewingrelay/platform/soak/logkeeper"
@@ -38,7 +37,6 @@
 	born    int64
 	server  *http.Server
 	slots   chan struct{}
-	work    atomic.Int64 // a time.Duration
 
 	mu       sync.Mutex
 	beats    int
@@ -50,7 +48,6 @@
 func (s *site) addWorker(ctx context.Context, service, zone string) (*worker, error) {
 	w := &worker{site: s, service: service, zone: zone, born: time.Now().UnixMilli(), slots: make(chan struct{}, plainSlots)}
 	w.id = fmt.Sprintf("i-%08x", w.born+int64(s.hosts))
-	w.work.Store(int64(plainWork))
 	var err error
 	if w.address, w.server, err = s.serve(ctx, w); err != nil {
 		return nil, err
@@ -163,7 +160,7 @@
 	defer func() { <-w.slots }()
 	out.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", len(w.slots), plainSlots))
 	select {
-	case <-time.After(time.Duration(w.work.Load())):
+	case <-time.After(plainWork):
 	case <-r.Context().Done():
 		return
 	}
