Entries that expired in an outage are kept until two seconds after the log's return

Cause: whether a removed entry counts as expired, and how long its endpoint stays, were measured from two different times. So an entry that was removed when the node was in touch again could be kept for two seconds more.

Change: the grace ends at one time for all entries, two seconds after the return. The return is known to lie between the start of the last failed call and the end of the first successful one; the grace ends at the latest 200 ms before ContactLimit has passed since the former, which is when the node counts as in touch again. Reads do not wait while the log is out of reach, so that the two are close together. A hub sends its members what is left of its grace, in place of a flag that each of them timed by itself; failed calls to peers, which say nothing of the log, no longer begin a grace. After a failed call without an outage the grace is counted from when the log was last read, which every removal that is read then is later than.

Ruled out: the routes of other words that an endpoint leaves (its own word, a peer's) take no grace; an entry that is draining is removed at once as before.

--- a/internal/relayer/configuration_age_test.go
+++ b/internal/relayer/configuration_age_test.go
@@ -257,12 +257,12 @@
 			Topic: "operators", Direct: link, Peer: peerTopic{link}, Source: peers.Source, IsHub: peers.IsHub,
 			RecordLogContact: peers.RecordLogContact, RecordFed: peers.RecordFed, MaxAge: maxAge, Clock: time.Now,
 		},
-		Apply: func(record relayer.Record, _ bool) {
+		Apply: func(record relayer.Record, _ time.Time) {
 			version, err := strconv.ParseInt(string(record.Value), 10, 64)
 			assert.NoError(t, err)
 			node.Configure(catalog(version), "log")
 		},
-		Logger: zerolog.Nop(), Now: time.Now, Clock: time.Now,
+		Logger: zerolog.Nop(), Clock: time.Now,
 	}
 	go feed.Run(t.Context())
 }
--- a/internal/relayer/directory_age_test.go
+++ b/internal/relayer/directory_age_test.go
@@ -148,8 +148,8 @@
 		shared.Peer = replicaPeer{home.replica, &r.peerReads}
 	}
 	feed := &relayer.Feed{
-		Name: "x", Log: shared, Wait: directoryWait, Period: directoryPeriod, Replica: r.replica, Logger: zerolog.Nop(), Now: time.Now, Clock: time.Now, MaxAge: readMaxAge,
-		Apply: func(record relayer.Record, _ bool) { r.applied.Store(max(r.applied.Load(), record.Offset+1)) },
+		Name: "x", Log: shared, Wait: directoryWait, Period: directoryPeriod, Replica: r.replica, Logger: zerolog.Nop(), Clock: time.Now, MaxAge: readMaxAge,
+		Apply: func(record relayer.Record, _ time.Time) { r.applied.Store(max(r.applied.Load(), record.Offset+1)) },
 		RecordRead: func(at time.Time) {
 			assert.LessOrEqual(t, log.before(at), r.applied.Load(), "records applied, of those appended by %s", at)
 			r.readAt.Store(max(r.readAt.Load(), at.UnixNano()))
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -24,8 +24,8 @@
 const (
 	retryBase  = 100 * time.Millisecond
 	retryLimit = 400 * time.Millisecond
-	// interruptionWindow is how long after a failed call a removed entry is assumed to
-	// have expired because of the outage.
+	// interruptionWindow is how long after a failed call a node counts as one that recently
+	// had no contact with the log.
 	interruptionWindow = 3 * time.Second
 )
 
@@ -53,6 +53,9 @@
 	// Interrupted is set if the records come from a peer that recently had no contact with
 	// the log.
 	Interrupted bool
+	// Grace is how much longer, at a peer that answers, missing entries may have expired in an
+	// outage of the log.
+	Grace time.Duration
 	// Since is the time after the call reached the log as of which the records are complete.
 	// It is negative if they come from a peer that read the log longer ago.
 	Since time.Duration
@@ -91,13 +94,14 @@
 	// Period is the pause between reads.
 	Period time.Duration
 	// Apply is called for each record that is newer than the last one of its key.
-	// interrupted is set if a call to the log failed within interruptionWindow.
-	Apply func(record Record, interrupted bool)
+	// Until graceEnd, keys without a value may have expired in an outage of the log and may be
+	// written again; it is in the past or zero if there was no outage.
+	Apply func(record Record, graceEnd time.Time)
 	// Replica gets what the feed reads, for peers; nil for none.
 	Replica *Replica
 	// OnListed is called with each full listing: its keys, and whether each has a value;
 	// nil if not needed.
-	OnListed func(keys map[string]bool, interrupted bool)
+	OnListed func(keys map[string]bool, graceEnd time.Time)
 	// OnListing is called like OnListed, for users that compare listings by their positions;
 	// nil if not needed.
 	OnListing func(listing KeyListing)
@@ -108,10 +112,12 @@
 	// MaxAge is the age of what was read over which it is old. Reads are made so that it gets no
 	// older than Wait and Period together while the log answers. Zero if any age will do.
 	MaxAge time.Duration
+	// ContactLimit is how long after an outage this node may still take entries that were removed
+	// for expired ones. Zero for no limit.
+	ContactLimit time.Duration
 	// Clock counts the time for which the host was suspended.
 	Clock  func() time.Time
 	Logger zerolog.Logger
-	Now    func() time.Time
 
 	offsets map[string]int64
 	// sourceInterrupted is Batch.Interrupted of the last call.
@@ -120,11 +126,15 @@
 	next              Position
 	// readAt is the time by Clock as of which the log was last read, and since Batch.Since of the
 	// last call.
-	readAt      time.Time
-	since       time.Duration
-	lastFailure time.Time
-	down        bool
-	tries       int
+	readAt time.Time
+	since  time.Duration
+	// outage is that of the log itself, and sourceGraceEnd what a peer said of its own.
+	outage         outage
+	sourceGraceEnd time.Time
+	// callBegan is when the last call began, by Clock.
+	callBegan time.Time
+	down      bool
+	tries     int
 	// old is set while what was last read is older than MaxAge.
 	old bool
 }
@@ -184,6 +194,10 @@
 // wait returns how long the next read waits for new records: less than Wait if the log was
 // read longer ago than Period, so that what has been read gets no older than both together.
 func (f *Feed) wait() time.Duration {
+	if f.down {
+		// The time of the log's return is known the better the shorter the calls are.
+		return 0
+	}
 	if f.MaxAge == 0 {
 		return f.Wait
 	}
@@ -208,21 +222,36 @@
 		f.Logger.Warn().Str("event", "dependency lost").Str("feed", f.Name).Err(err).Send()
 	}
 	f.down = true
-	f.lastFailure = f.Now()
+	if !errors.Is(err, errPeerCall) {
+		f.outage.recordFailure(f.callBegan)
+	}
 	if f.Replica != nil {
-		f.Replica.SetInterrupted(f.lastFailure)
+		f.Replica.SetInterrupted(time.Now())
 	}
 	_ = retrier.Sleep(ctx, retrier.Backoff(f.tries, retryBase, retryLimit, retrier.UniformJitter))
 	f.tries++
 	return false
 }
 
-func (f *Feed) interrupted() bool {
-	return f.sourceInterrupted || !f.lastFailure.IsZero() && f.Now().Sub(f.lastFailure) < interruptionWindow
+// graceEnd returns until when missing entries may have expired in an outage of the log.
+func (f *Feed) graceEnd() time.Time {
+	if f.sourceGraceEnd.After(f.outage.graceEnd) {
+		return f.sourceGraceEnd
+	}
+	return f.outage.graceEnd
+}
+
+// endOutage records that a call succeeded, and logs until when entries may be missing.
+func (f *Feed) endOutage() {
+	now, failedCall := f.Clock(), f.outage.failedCall
+	if f.outage.recordSuccess(now, f.readAt, f.ContactLimit) {
+		f.Logger.Info().Str("event", "outage over").Str("feed", f.Name).Dur("since failed call", now.Sub(failedCall)).
+			Dur("since read", now.Sub(f.readAt)).Dur("grace", f.outage.graceEnd.Sub(now)).Send()
+	}
 }
 
 func (f *Feed) list(ctx context.Context) error {
-	began := f.Clock()
+	f.callBegan = f.Clock()
 	batch, err := f.Log.Newest(ctx)
 	if err != nil {
 		return err
@@ -231,7 +260,8 @@
 	if restored {
 		f.restart(batch.Next)
 	}
-	at := began.Add(batch.Since)
+	f.endOutage()
+	at := f.callBegan.Add(batch.Since)
 	f.share(batch, at, true)
 	keys := map[string]bool{}
 	initial := !f.listedBefore
@@ -242,7 +272,7 @@
 		f.apply(record)
 	}
 	if f.OnListed != nil {
-		f.OnListed(keys, f.interrupted())
+		f.OnListed(keys, f.graceEnd())
 	}
 	if f.OnListing != nil {
 		f.OnListing(newKeyListing(batch))
@@ -267,16 +297,19 @@
 	f.Logger.Warn().Str("event", "log restored").Str("feed", f.Name).Int64("era", next.Era).Int64("end", next.Offset).
 		Int64("previous era", f.next.Era).Int64("previous end", f.next.Offset).Send()
 	clear(f.offsets)
-	f.lastFailure = f.Now()
+	if f.outage.failedCall.IsZero() {
+		f.outage.recordFailure(f.readAt)
+	}
 }
 
 func (f *Feed) read(ctx context.Context) error {
-	began := f.Clock()
+	f.callBegan = f.Clock()
 	batch, err := f.Log.Read(ctx, f.next, f.wait())
 	if err != nil {
 		return err
 	}
-	at := began.Add(batch.Since)
+	f.endOutage()
+	at := f.callBegan.Add(batch.Since)
 	f.share(batch, at, false)
 	for _, record := range batch.Records {
 		record.Era = batch.Next.Era
@@ -290,12 +323,16 @@
 // share passes a batch that is complete as of a time on to the replica.
 func (f *Feed) share(batch Batch, at time.Time, listing bool) {
 	f.sourceInterrupted, f.since = batch.Interrupted, batch.Since
+	if batch.Grace > 0 {
+		f.sourceGraceEnd = f.Clock().Add(batch.Grace)
+	}
 	if f.Replica == nil {
 		return
 	}
+	f.Replica.SetGraceEnd(f.graceEnd())
 	f.Replica.Put(batch, at, listing)
 	if batch.Interrupted {
-		f.Replica.SetInterrupted(f.Now())
+		f.Replica.SetInterrupted(time.Now())
 	}
 }
 
@@ -306,5 +343,5 @@
 		return
 	}
 	f.offsets[record.Key] = record.Offset
-	f.Apply(record, f.interrupted())
+	f.Apply(record, f.graceEnd())
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -35,10 +35,6 @@
 	inboxSize = 256
 	// sweepPeriod is the time between checks for endpoints whose grace period is over.
 	sweepPeriod = 200 * time.Millisecond
-	// expiredEntryGrace is how long an endpoint is kept after its directory entry
-	// expired during an outage of the directory. Live endpoints register again
-	// within two seconds.
-	expiredEntryGrace = 2 * time.Second
 )
 
 // Relayer is a node's control state. Its exported fields must be set before Run;
@@ -89,6 +85,8 @@
 	announcedEvacuations atomic.Pointer[[]peertracker.Change]
 	// knowsEvacuations is what KnowsEvacuations returns.
 	knowsEvacuations atomic.Bool
+	// sweepsAt is the end of the last grace period for which a sweep was scheduled.
+	sweepsAt time.Time
 	// listed is set once the directory of endpoints has been listed.
 	listed bool
 	// scopesChanged is when the set of isolated teams last changed.
@@ -108,7 +106,6 @@
 	return &Relayer{
 		Log: log, Now: now, Uptime: SinceBoot,
 		inbox:          make(chan func(), inboxSize),
-		table:          endpointtracker.Table{Grace: expiredEntryGrace},
 		targetVersions: map[string][]placer.TargetVersion{},
 		retained:       map[string]int64{},
 		adopted:        map[uint32]int64{},
@@ -217,31 +214,34 @@
 		Time("started", endpoint.StartedAt).Str("source", source).Send()
 }
 
-// RemoveEndpoint removes an endpoint whose directory entry is gone. interrupted is
-// set if the directory was recently unreachable; the endpoint then stays for a
-// grace period.
-func (r *Relayer) RemoveEndpoint(id string, interrupted bool) {
+// RemoveEndpoint removes an endpoint whose directory entry is gone. Before graceEnd, by
+// Clock, the entry may have expired in an outage of the directory; the endpoint then stays
+// until that time.
+func (r *Relayer) RemoveEndpoint(id string, graceEnd time.Time) {
 	r.do(func() {
-		if r.table.Remove(id, r.now(), interrupted) {
+		if r.table.Remove(id, r.now(), graceEnd) {
 			r.publish()
-			r.Log.Info().Str("event", "endpoint gone").Str("endpoint", id).Bool("interrupted", interrupted).Send()
+			r.Log.Info().Str("event", "endpoint gone").Str("endpoint", id).Send()
+			return
 		}
+		r.sweepAt(graceEnd)
 	})
 }
 
 // RemoveUnlistedEndpoints removes all endpoints that are missing in a full
-// listing of the directory, after those that it has were put. interrupted is as in
+// listing of the directory, after those that it has were put. graceEnd is as in
 // RemoveEndpoint.
-func (r *Relayer) RemoveUnlistedEndpoints(listed map[string]bool, interrupted bool) {
+func (r *Relayer) RemoveUnlistedEndpoints(listed map[string]bool, graceEnd time.Time) {
 	r.do(func() {
 		first := !r.listed
 		r.listed = true
-		removed := r.table.RemoveUnlisted(listed, r.now(), interrupted)
+		removed := r.table.RemoveUnlisted(listed, r.now(), graceEnd)
+		r.sweepAt(graceEnd)
 		if first || removed {
 			r.publish()
 		}
 		if removed {
-			r.Log.Info().Str("event", "endpoints gone").Int("listed", len(listed)).Bool("interrupted", interrupted).Send()
+			r.Log.Info().Str("event", "endpoints gone").Int("listed", len(listed)).Send()
 		}
 	})
 }
@@ -363,6 +363,17 @@
 	}
 }
 
+// sweepAt sweeps at the end of a grace period, if it is not over.
+func (r *Relayer) sweepAt(graceEnd time.Time) {
+	left := graceEnd.Sub(r.now())
+	if left <= 0 || graceEnd.Equal(r.sweepsAt) {
+		return
+	}
+	r.sweepsAt = graceEnd
+	r.Log.Info().Str("event", "endpoints missing").Dur("grace", left).Msg("entries that expired in an outage may return")
+	time.AfterFunc(left, func() { r.do(r.sweep) })
+}
+
 func (r *Relayer) sweep() {
 	removed := r.table.RemoveExpired(r.now())
 	if len(removed) == 0 {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -95,7 +95,7 @@
 		node.PutEndpoint(endpoint, false)
 		listed[endpoint.ID] = true
 	}
-	node.RemoveUnlistedEndpoints(listed, false)
+	node.RemoveUnlistedEndpoints(listed, time.Time{})
 }
 
 func assertVersion(t *testing.T, node *relayer.Relayer, want int64) {
--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -39,7 +39,9 @@
 	readAt time.Time
 	// interrupted is when this node last had no contact with the log.
 	interrupted time.Time
-	changed     chan struct{}
+	// graceEnd is until when missing entries may have expired in an outage of the log, by Clock.
+	graceEnd time.Time
+	changed  chan struct{}
 }
 
 // Put adds a batch that is complete as of a time. A full listing replaces all records.
@@ -85,6 +87,13 @@
 	r.interrupted = now
 }
 
+// SetGraceEnd sets until when missing entries may have expired in an outage of the log.
+func (r *Replica) SetGraceEnd(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.graceEnd = at
+}
+
 // Newest implements KeyedLog. It returns ErrUnavailable before the first listing.
 func (r *Replica) Newest(context.Context) (Batch, error) {
 	r.mu.Lock()
@@ -155,7 +164,7 @@
 func (r *Replica) batch(arrived time.Time) Batch {
 	return Batch{
 		Next: r.next, Interrupted: !r.interrupted.IsZero() && time.Since(r.interrupted) < interruptionWindow,
-		Since: r.readAt.Sub(arrived),
+		Since: r.readAt.Sub(arrived), Grace: max(r.graceEnd.Sub(r.Clock()), 0),
 	}
 }
 
--- a/internal/relayer/shared_log.go
+++ b/internal/relayer/shared_log.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/retrier"
 )
 
@@ -35,6 +37,9 @@
 	minPeerCall = 10 * time.Millisecond
 )
 
+// errPeerCall marks failed calls to a peer, which say nothing of the log.
+var errPeerCall = errors.New("call to a peer failed")
+
 // PeerLog reads a log through a peer.
 type PeerLog interface {
 	Newest(ctx context.Context, peer netip.AddrPort, topic string) (Batch, error)
@@ -234,8 +239,9 @@
 		batch.Peer = peer
 		s.recordRead(began.Add(batch.Since))
 		s.RecordFed()
+		return batch, nil
 	}
-	return batch, err
+	return batch, errors.Mark(err, errPeerCall)
 }
 
 // recordDirect records the result of a call to the log. After a failure a node that is no hub
--- a/internal/relayer/sharing_test.go
+++ b/internal/relayer/sharing_test.go
@@ -188,7 +188,7 @@
 		Topic: "x", Direct: &r.direct, Peer: &r.peer, Source: r.source, IsHub: r.hub.Load,
 		RecordLogContact: func() { r.contact.Add(1) }, RecordFed: func() {}, Clock: time.Now,
 	}
-	feed := &relayer.Feed{Name: "x", Log: shared, Wait: time.Second, Apply: func(relayer.Record, bool) {}, Logger: zerolog.Nop(), Now: time.Now, Clock: time.Now}
+	feed := &relayer.Feed{Name: "x", Log: shared, Wait: time.Second, Apply: func(relayer.Record, time.Time) {}, Logger: zerolog.Nop(), Clock: time.Now}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go feed.Run(ctx)
--- a/internal/relayer/topics.go
+++ b/internal/relayer/topics.go
@@ -44,7 +44,7 @@
 	case err != nil:
 		return messenger.TopicBatch{}, messenger.ErrTopicUnavailable
 	}
-	encoded := messenger.TopicBatch{Next: messenger.TopicPosition(batch.Next), Interrupted: batch.Interrupted, Since: batch.Since}
+	encoded := messenger.TopicBatch{Next: messenger.TopicPosition(batch.Next), Interrupted: batch.Interrupted, Since: batch.Since, Grace: batch.Grace}
 	for _, record := range batch.Records {
 		if !utf8.ValidString(record.Key) {
 			// It can't be sent, and names nothing.
@@ -83,7 +83,7 @@
 	case err != nil:
 		return Batch{}, err
 	}
-	decoded := Batch{Next: Position(batch.Next), Interrupted: batch.Interrupted, Since: batch.Since}
+	decoded := Batch{Next: Position(batch.Next), Interrupted: batch.Interrupted, Since: batch.Since, Grace: batch.Grace}
 	for _, record := range batch.Records {
 		decoded.Records = append(decoded.Records, Record{Key: record.Key, Value: record.Value, Offset: record.Offset})
 	}
--- a/internal/state/endpointtracker/endpointtracker.go
+++ b/internal/state/endpointtracker/endpointtracker.go
@@ -4,17 +4,17 @@
 //
 // An endpoint goes away in three ways: its entry is marked as leaving, its entry
 // is removed, or its process restarts under the same id. Entries that expire
-// during an outage of the directory are kept for a grace period, since live
-// endpoints register again after the outage.
+// during an outage of the directory are kept until a time after its return by which
+// live endpoints have registered again.
 //
 // The directory may be restored from an older copy, so entries may come back that are
 // older than those known, also of removed endpoints; see PutRestored.
 //
 // # Usage
 //
-//	table := &endpointtracker.Table{Grace: 2 * time.Second}
+//	table := &endpointtracker.Table{}
 //	table.Put(endpoint)
-//	table.Remove(id, now, recentOutage)
+//	table.Remove(id, now, graceEnd)
 //	table.RemoveExpired(now)
 //	endpoints := table.Snapshot()
 package endpointtracker
@@ -82,10 +82,6 @@
 // Table holds the known endpoints. It is owned by the control goroutine and not
 // safe for concurrent use.
 type Table struct {
-	// Grace is how long an entry whose removal may be due to an outage of the
-	// directory is kept after the removal was seen.
-	Grace time.Duration
-
 	rows map[string]row
 	// removed holds the last entries of removed endpoints.
 	removed map[string]removedEntry
@@ -163,20 +159,20 @@
 }
 
 // Remove handles the removal of an entry from the directory and reports whether
-// that changed the table. If recentOutage is set, the directory was unavailable
-// recently, and the entry is kept for Grace unless it was leaving; this does not
-// count as a change.
-func (t *Table) Remove(id string, now time.Time, recentOutage bool) bool {
+// that changed the table. Before graceEnd the entry may have expired in an outage of the
+// directory, and is kept until then unless it was leaving; this does not count as a
+// change.
+func (t *Table) Remove(id string, now, graceEnd time.Time) bool {
 	current, ok := t.rows[id]
 	if !ok {
 		return false
 	}
-	if !recentOutage || current.endpoint.Leaving {
+	if !now.Before(graceEnd) || current.endpoint.Leaving {
 		t.remove(id, now)
 		return true
 	}
 	if current.removeAt.IsZero() {
-		current.removeAt = now.Add(t.Grace)
+		current.removeAt = graceEnd
 		t.rows[id] = current
 	}
 	return false
@@ -184,11 +180,11 @@
 
 // RemoveUnlisted removes, as Remove does, all endpoints that a full listing
 // does not contain. It reports whether that changed the table.
-func (t *Table) RemoveUnlisted(listed map[string]bool, now time.Time, recentOutage bool) bool {
+func (t *Table) RemoveUnlisted(listed map[string]bool, now, graceEnd time.Time) bool {
 	changed := false
 	for id := range t.rows {
 		if !listed[id] {
-			changed = t.Remove(id, now, recentOutage) || changed
+			changed = t.Remove(id, now, graceEnd) || changed
 		}
 	}
 	return changed
--- a/internal/state/endpointtracker/endpointtracker_test.go
+++ b/internal/state/endpointtracker/endpointtracker_test.go
@@ -35,41 +35,53 @@
 
 func TestRemove(t *testing.T) {
 	t.Run("immediately if the directory was available", func(t *testing.T) {
-		table := &endpointtracker.Table{Grace: 2 * time.Second}
+		table := &endpointtracker.Table{}
 		table.Put(endpoint(1))
-		assert.True(t, table.Remove("e1", start, false))
+		assert.True(t, table.Remove("e1", start, time.Time{}))
 		assertListed(t, table, 0)
 	})
 	t.Run("after the grace period if it was unavailable", func(t *testing.T) {
-		table := &endpointtracker.Table{Grace: 2 * time.Second}
+		table := &endpointtracker.Table{}
 		table.Put(endpoint(1))
-		table.Remove("e1", start, true)
+		table.Remove("e1", start, start.Add(2*time.Second))
 		assert.Empty(t, table.RemoveExpired(start.Add(1999*time.Millisecond)))
 		assertListed(t, table, 1)
 		assert.Equal(t, []string{"e1"}, table.RemoveExpired(start.Add(2*time.Second)))
 		assertListed(t, table, 0)
 	})
+	t.Run("at the end of the grace period, whenever in it the removal is seen", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(endpoint(1))
+		table.Remove("e1", start.Add(1900*time.Millisecond), start.Add(2*time.Second))
+		assert.Equal(t, []string{"e1"}, table.RemoveExpired(start.Add(2*time.Second)))
+	})
+	t.Run("immediately if the grace period is over", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(endpoint(1))
+		assert.True(t, table.Remove("e1", start.Add(2*time.Second), start.Add(2*time.Second)))
+		assertListed(t, table, 0)
+	})
 	t.Run("not if the endpoint registers again", func(t *testing.T) {
-		table := &endpointtracker.Table{Grace: 2 * time.Second}
+		table := &endpointtracker.Table{}
 		table.Put(endpoint(1))
-		table.Remove("e1", start, true)
+		table.Remove("e1", start, start.Add(2*time.Second))
 		table.Put(endpoint(1))
 		assert.Empty(t, table.RemoveExpired(start.Add(time.Hour)))
 		assertListed(t, table, 1)
 	})
 	t.Run("immediately if the endpoint was leaving", func(t *testing.T) {
-		table := &endpointtracker.Table{Grace: 2 * time.Second}
+		table := &endpointtracker.Table{}
 		leaving := endpoint(1)
 		leaving.Leaving = true
 		table.Put(leaving)
-		table.Remove("e1", start, true)
+		table.Remove("e1", start, start.Add(2*time.Second))
 		assertListed(t, table, 0)
 	})
 	t.Run("if a full listing lacks the endpoint", func(t *testing.T) {
 		table := &endpointtracker.Table{}
 		table.Put(endpoint(1))
-		assert.False(t, table.RemoveUnlisted(map[string]bool{"e1": true}, start, false))
-		assert.True(t, table.RemoveUnlisted(map[string]bool{"e2": true}, start, false))
+		assert.False(t, table.RemoveUnlisted(map[string]bool{"e1": true}, start, time.Time{}))
+		assert.True(t, table.RemoveUnlisted(map[string]bool{"e2": true}, start, time.Time{}))
 		assertListed(t, table, 0)
 	})
 }
@@ -129,7 +141,7 @@
 	t.Run("does not bring back a removed endpoint", func(t *testing.T) {
 		table := &endpointtracker.Table{}
 		table.Put(renewed(7, false))
-		table.Remove("e1", start, false)
+		table.Remove("e1", start, time.Time{})
 		assert.False(t, table.PutRestored(renewed(5, false)))
 		assert.False(t, table.PutRestored(renewed(7, false)))
 		assertListed(t, table, 0)
@@ -137,14 +149,14 @@
 	t.Run("an endpoint that was removed and has renewed its entry since is back", func(t *testing.T) {
 		table := &endpointtracker.Table{}
 		table.Put(renewed(7, false))
-		table.Remove("e1", start, false)
+		table.Remove("e1", start, time.Time{})
 		assert.True(t, table.PutRestored(renewed(8, false)))
 		assertListed(t, table, 1)
 	})
 	t.Run("an endpoint that registers again after the restoration is back", func(t *testing.T) {
 		table := &endpointtracker.Table{}
 		table.Put(renewed(7, false))
-		table.Remove("e1", start, false)
+		table.Remove("e1", start, time.Time{})
 		table.PutRestored(renewed(7, false))
 		assert.True(t, table.Put(renewed(7, false)))
 		assertListed(t, table, 1)
--- a/internal/state/endpointtracker/model_test.go
+++ b/internal/state/endpointtracker/model_test.go
@@ -16,7 +16,7 @@
 // endpointTable is implemented by Table and by broken variants of it.
 type endpointTable interface {
 	Put(endpoint endpointtracker.Endpoint) bool
-	Remove(id string, now time.Time, recentOutage bool) bool
+	Remove(id string, now, graceEnd time.Time) bool
 	RemoveExpired(now time.Time) []string
 	UpdateWeights(endpoint endpointtracker.Endpoint, model string, version int64) bool
 	Snapshot() map[string][]endpointtracker.Endpoint
@@ -25,9 +25,10 @@
 // expectedEntry is the expected state of one endpoint's entry, in a simple
 // reference model.
 type expectedEntry struct {
-	present       bool
-	endpoint      endpointtracker.Endpoint
-	removedAt     time.Time
+	present  bool
+	endpoint endpointtracker.Endpoint
+	// removeAt is when a missing entry is removed; zero if it is not missing.
+	removeAt      time.Time
 	newestVersion int64
 }
 
@@ -38,19 +39,21 @@
 // returns the first difference, or "".
 func runOperations(table endpointTable, choose chooser, steps int) string {
 	now := start
+	// graceEnd is the end of the grace period of the last outage.
+	var graceEnd time.Time
 	expected := map[string]*expectedEntry{"a": {}, "b": {}}
 	for range steps {
 		id := []string{"a", "b"}[choose(2, "id")]
 		want := expected[id]
 		now = now.Add(time.Duration(choose(4, "pause")) * 700 * time.Millisecond)
 		for _, other := range expected {
-			if other.present && !other.removedAt.IsZero() && now.Sub(other.removedAt) >= grace {
+			if other.present && !other.removeAt.IsZero() && !now.Before(other.removeAt) {
 				other.present = false
 			}
 		}
 		table.RemoveExpired(now)
-		// In the fourth case only time passes.
-		switch choose(4, "operation") {
+		// In the fifth case only time passes.
+		switch choose(5, "operation") {
 		case 0:
 			entry := endpointtracker.Endpoint{
 				ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Leaving: choose(4, "leaving") == 0,
@@ -60,17 +63,16 @@
 				want.newestVersion = 0
 			}
 			want.newestVersion = max(want.newestVersion, entry.Weights["m"])
-			want.present, want.endpoint, want.removedAt = true, entry, time.Time{}
+			want.present, want.endpoint, want.removeAt = true, entry, time.Time{}
 			table.Put(entry)
 		case 1:
-			recentOutage := choose(2, "interrupted") == 0
-			table.Remove(id, now, recentOutage)
+			table.Remove(id, now, graceEnd)
 			switch {
 			case !want.present:
-			case !recentOutage || want.endpoint.Leaving:
+			case !now.Before(graceEnd) || want.endpoint.Leaving:
 				want.present = false
-			case want.removedAt.IsZero():
-				want.removedAt = now
+			case want.removeAt.IsZero():
+				want.removeAt = graceEnd
 			}
 		case 2:
 			version := int64(1 + choose(4, "shown"))
@@ -78,6 +80,8 @@
 			if want.present {
 				want.newestVersion = max(want.newestVersion, version)
 			}
+		case 3:
+			graceEnd = now.Add(grace)
 		}
 		if violation := compareWithExpected(table, expected); violation != "" {
 			return violation
@@ -109,7 +113,7 @@
 func TestTableMatchesReference(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		choose := func(n int, label string) int { return rapid.IntRange(0, n-1).Draw(rt, label) }
-		if violation := runOperations(&endpointtracker.Table{Grace: grace}, choose, 60); violation != "" {
+		if violation := runOperations(&endpointtracker.Table{}, choose, 60); violation != "" {
 			rt.Fatal(violation)
 		}
 	})
@@ -125,15 +129,25 @@
 type ignoresGrace struct{ *endpointtracker.Table }
 
 // Remove implements endpointTable.
-func (t ignoresGrace) Remove(id string, now time.Time, _ bool) bool {
-	return t.Table.Remove(id, now, false)
+func (t ignoresGrace) Remove(id string, now, _ time.Time) bool {
+	return t.Table.Remove(id, now, time.Time{})
+}
+
+type countsGraceFromRemoval struct{ *endpointtracker.Table }
+
+// Remove implements endpointTable.
+func (t countsGraceFromRemoval) Remove(id string, now, graceEnd time.Time) bool {
+	if now.Before(graceEnd) {
+		graceEnd = now.Add(grace)
+	}
+	return t.Table.Remove(id, now, graceEnd)
 }
 
 type forgetsVersions struct{ *endpointtracker.Table }
 
 // Put implements endpointTable.
 func (t forgetsVersions) Put(endpoint endpointtracker.Endpoint) bool {
-	t.Table.Remove(endpoint.ID, start, false)
+	t.Table.Remove(endpoint.ID, start, time.Time{})
 	return t.Table.Put(endpoint)
 }
 
@@ -141,6 +155,7 @@
 	for name, variant := range map[string]func(table *endpointtracker.Table) endpointTable{
 		"expired entries stay":                 func(table *endpointtracker.Table) endpointTable { return neverRemovesExpired{table} },
 		"entries are removed during an outage": func(table *endpointtracker.Table) endpointTable { return ignoresGrace{table} },
+		"grace counts from the removal":        func(table *endpointtracker.Table) endpointTable { return countsGraceFromRemoval{table} },
 		"outdated entries lower versions":      func(table *endpointtracker.Table) endpointTable { return forgetsVersions{table} },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -148,7 +163,7 @@
 			for seed := 0; seed < 500 && !found; seed++ {
 				violation := rapid.Custom(func(rt *rapid.T) string {
 					choose := func(n int, label string) int { return rapid.IntRange(0, n-1).Draw(rt, label) }
-					return runOperations(variant(&endpointtracker.Table{Grace: grace}), choose, 60)
+					return runOperations(variant(&endpointtracker.Table{}), choose, 60)
 				}).Example(seed)
 				found = violation != ""
 			}
--- a/internal/transport/messenger/relay.go
+++ b/internal/transport/messenger/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/throttler"
@@ -46,6 +47,8 @@
 	Next    TopicPosition
 	// Interrupted is set if the peer recently had no contact with the log.
 	Interrupted bool
+	// Grace is how much longer missing entries may have expired in an outage of the log.
+	Grace time.Duration
 	// Since is the time after the call reached the peer as of which the records are complete;
 	// negative if the peer read the log longer ago.
 	Since time.Duration
@@ -158,12 +161,16 @@
 	}
 }
 
+// graceOfEarlierBuilds is the grace after an outage at peers whose builds do not send it.
+const graceOfEarlierBuilds = 2 * time.Second
+
 // maxTopicWait bounds how long a peer's read waits for records.
 const maxTopicWait = 30 * time.Second
 
 func encodeTopicBatch(batch TopicBatch) *wire.TopicReply {
 	reply := &wire.TopicReply{
 		Result: wire.TopicResult_TOPIC_RESULT_OK, Era: batch.Next.Era, Next: batch.Next.Offset, Interrupted: batch.Interrupted, SinceNs: int64(batch.Since),
+		GraceNs: proto.Int64(int64(batch.Grace)),
 	}
 	for _, record := range batch.Records {
 		reply.Records = append(reply.Records, &wire.TopicRecord{
@@ -199,6 +206,12 @@
 		return TopicBatch{}, errors.Wrapf(ErrTopicUnavailable, "%s at %s", request.Topic, peer)
 	}
 	batch := TopicBatch{Next: TopicPosition{Era: reply.Era, Offset: reply.Next}, Interrupted: reply.Interrupted, Since: time.Duration(reply.SinceNs)}
+	switch {
+	case reply.GraceNs != nil:
+		batch.Grace = time.Duration(*reply.GraceNs)
+	case reply.Interrupted:
+		batch.Grace = graceOfEarlierBuilds
+	}
 	for _, record := range reply.Records {
 		decoded := TopicRecord{Key: record.Key, Offset: record.Offset}
 		if !record.Deleted {
