Entries of endpoints are ordered by process and renewal wherever they are read

Cause: the table took any entry of an id as newer than the one before, unless it came from the first listing of a restored store. A write that got no response may be executed seconds later; the entry then has a lower number (Sequence) or is of an earlier process (born).

Change: History orders the entries of each id by the start of the process and by its renewals, for late writes, restored copies and listings alike, and also against the last entry of a removed endpoint. An entry without a start is older than one with it. A process that started again with a clock that was set back is taken once the known one has been silent for 10 s, as late writes are executed within seconds.

Same cause on related paths: - that an endpoint said it is leaving, and the weights that it showed, outlive a lapse of its entry now (the table forgot them); - a hold outlives a lapse as well (Balancer.RemoveUnlisted dropped it); - a process that a late order has set back to older weights was known with the newer ones for good, and answered 421: three successive entries that say so are believed; - a late registration of a node's earlier process under another address: the node registers again. Read, no fault found: claims (appends with a condition), configuration and weights (versions), orders (Precondition, fencing token), freed parts (epoch and until_ms). An operator's late record of an evacuation has nothing that orders it but its offset.

TestOutdatedEntries has the cases of TestRestoredDirectory, each for a restored directory and for a late write, and expects more in one of them: an entry with the number of the removed one does not bring the endpoint back, since it was written before the removal; the next one does. The model test expects known weights to outlive a removal.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -343,12 +343,13 @@
 }
 
 // RemoveUnlisted removes endpoints that are not listed and have no running
-// requests.
-func (b *Balancer) RemoveUnlisted(listed map[string]bool) {
+// requests. Those that have asked for no requests are kept until then, since their
+// entries may return.
+func (b *Balancer) RemoveUnlisted(now time.Time, listed map[string]bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, state := range b.states {
-		if !listed[id] && state.running == 0 {
+		if !listed[id] && state.running == 0 && !now.Before(state.holdUntil) {
 			delete(b.states, id)
 		}
 	}
--- a/internal/coordination/balancer/balancer_test.go
+++ b/internal/coordination/balancer/balancer_test.go
@@ -303,3 +303,13 @@
 	}
 	assertPicks(t, b, request, "")
 }
+
+// TestHoldOutlivesEntry guards against requests to an endpoint that has asked for none, after its
+// entry lapsed and came back.
+func TestHoldOutlivesEntry(t *testing.T) {
+	b := &balancer.Balancer{}
+	now := time.Now()
+	b.RecordHold("e", now, 2*time.Second)
+	b.RemoveUnlisted(now.Add(time.Second), nil)
+	assert.True(t, b.Held("e", now.Add(time.Second)))
+}
--- a/internal/relayer/brittle_test.go
+++ b/internal/relayer/brittle_test.go
@@ -89,7 +89,7 @@
 	}
 	for _, n := range s.nodes {
 		for _, e := range s.endpoints {
-			n.node.PutEndpoint(e.Endpoint, false)
+			n.node.PutEndpoint(e.Endpoint)
 		}
 	}
 	s.wait(membershipBound)
--- a/internal/relayer/evacuations_test.go
+++ b/internal/relayer/evacuations_test.go
@@ -111,7 +111,7 @@
 			for _, n := range f.nodes {
 				n.node.OnEvacuation = n.peers.Broadcast
 				for i := range domains {
-					n.node.PutEndpoint(endpointtracker.Endpoint{ID: fmt.Sprint("e", i), Service: "llm", Domain: fmt.Sprint("d", i)}, false)
+					n.node.PutEndpoint(endpointtracker.Endpoint{ID: fmt.Sprint("e", i), Service: "llm", Domain: fmt.Sprint("d", i)})
 				}
 				n.run(t.Context())
 			}
--- a/internal/relayer/fetch_agreement_test.go
+++ b/internal/relayer/fetch_agreement_test.go
@@ -331,7 +331,7 @@
 		for i := range 3 * domains {
 			e := engine(fmt.Sprintf("e%d", i), 1)
 			e.Domain = fmt.Sprintf("d%d", i%domains)
-			n.node.PutEndpoint(e, false)
+			n.node.PutEndpoint(e)
 		}
 		client := storeClient{node: n, stores: f.stores, isCut: f.isCut}
 		follower := &relayer.PartFollower{
--- a/internal/relayer/long_separation_test.go
+++ b/internal/relayer/long_separation_test.go
@@ -144,7 +144,7 @@
 		hub.Sender.Hub = true
 		peers.HandleHeartbeat(hub)
 		time.Sleep(10 * time.Second)
-		node.PutEndpoint(engine("a", 2), false)
+		node.PutEndpoint(engine("a", 2))
 		time.Sleep(time.Second)
 		assert.False(t, peers.Acknowledged("m", 2))
 	})
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -167,15 +167,11 @@
 	})
 }
 
-// PutEndpoint adds or updates an endpoint from its directory entry. restored is set for
-// an entry from a directory that was just restored from an older copy.
-func (r *Relayer) PutEndpoint(endpoint endpointtracker.Endpoint, restored bool) {
+// PutEndpoint adds or updates an endpoint from its directory entry, which must not be older
+// than those before.
+func (r *Relayer) PutEndpoint(endpoint endpointtracker.Endpoint) {
 	r.do(func() {
-		put := r.table.Put
-		if restored {
-			put = r.table.PutRestored
-		}
-		if !put(endpoint) {
+		if !r.table.Put(endpoint) {
 			return
 		}
 		r.publish()
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -92,7 +92,7 @@
 func listEndpoints(node *relayer.Relayer, endpoints ...endpointtracker.Endpoint) {
 	listed := map[string]bool{}
 	for _, endpoint := range endpoints {
-		node.PutEndpoint(endpoint, false)
+		node.PutEndpoint(endpoint)
 		listed[endpoint.ID] = true
 	}
 	node.RemoveUnlistedEndpoints(listed, time.Time{})
--- a/internal/relayer/retained_versions_test.go
+++ b/internal/relayer/retained_versions_test.go
@@ -54,7 +54,7 @@
 		node.Configure(catalog(1), "test")
 	})
 	run("configuration between the endpoints", func(node *relayer.Relayer) {
-		node.PutEndpoint(oneLoaded()[0], false)
+		node.PutEndpoint(oneLoaded()[0])
 		node.Configure(catalog(1), "test")
 		listEndpoints(node, oneLoaded()...)
 	})
@@ -71,7 +71,7 @@
 				for _, n := range f.nodes {
 					if n != started {
 						listEndpoints(n.node, oneLoaded()[1:]...)
-						n.node.PutEndpoint(oneLoaded()[0], false)
+						n.node.PutEndpoint(oneLoaded()[0])
 						n.run(ctx)
 					}
 				}
--- a/internal/relayer/size_test.go
+++ b/internal/relayer/size_test.go
@@ -452,7 +452,7 @@
 	runFleet(t, "load and changes", 195, 5, func(t *testing.T, f *fleet) {
 		target := engine("e", 1)
 		for _, n := range f.nodes {
-			n.node.PutEndpoint(target, false)
+			n.node.PutEndpoint(target)
 		}
 		f.wait(membershipBound)
 		for _, n := range f.nodes {
--- a/internal/state/endpointtracker/endpointtracker.go
+++ b/internal/state/endpointtracker/endpointtracker.go
@@ -7,13 +7,16 @@
 // during an outage of the directory are kept until a time after its return by which
 // live endpoints have registered again.
 //
-// The directory may be restored from an older copy, so entries may come back that are
-// older than those known, also of removed endpoints; see PutRestored.
+// Entries may be read that are older than those known, also of removed endpoints, since
+// writes are executed late and directories are restored from copies. History tells them.
 //
 // # Usage
 //
+//	var history endpointtracker.History
 //	table := &endpointtracker.Table{}
-//	table.Put(endpoint)
+//	if history.Accept(endpoint, now, restored) {
+//		table.Put(endpoint)
+//	}
 //	table.Remove(id, now, graceEnd)
 //	table.RemoveExpired(now)
 //	endpoints := table.Snapshot()
@@ -60,20 +63,13 @@
 	return e.ID == other.ID && e.Address == other.Address && e.StartedAt.Equal(other.StartedAt)
 }
 
-// outdatedBy reports whether an entry was written before a known one of the same id: by an
-// earlier process, or earlier by the same process.
-func (e Endpoint) outdatedBy(known Endpoint) bool {
-	if e.SameProcess(known) {
-		return e.Renewal < known.Renewal
-	}
-	return !e.StartedAt.IsZero() && e.StartedAt.Before(known.StartedAt)
-}
-
 type row struct {
 	endpoint Endpoint
 	// saidLeaving is set once the endpoint itself said that it is leaving. Its process
 	// does not return from that, whatever its entry says.
 	saidLeaving bool
+	// lowerEntries counts the successive entries that report older weights than known.
+	lowerEntries int
 	// removeAt is when an entry that the directory no longer lists is removed;
 	// zero for a listed one.
 	removeAt time.Time
@@ -83,52 +79,59 @@
 // safe for concurrent use.
 type Table struct {
 	rows map[string]row
-	// removed holds the last entries of removed endpoints.
-	removed map[string]removedEntry
+	// removed holds the rows of removed endpoints, whose processes may live and write
+	// their entries again.
+	removed map[string]removedRow
 }
 
-// removedEntry is the last entry of an endpoint that was removed at a time.
-type removedEntry struct {
-	endpoint Endpoint
-	at       time.Time
+// removedRow is the row of an endpoint that was removed at a time.
+type removedRow struct {
+	row
+	at time.Time
 }
 
-// removedTTL is how long the last entry of a removed endpoint is kept. A directory is
-// restored from copies that are some seconds old.
-const removedTTL = 2 * time.Minute
+// maxLowerEntries is how many successive entries must report older weights than an endpoint
+// itself has shown before they are believed. The first ones may have been written before
+// the endpoint loaded newer weights.
+const maxLowerEntries = 3
 
-// Put adds or updates an entry. It reports whether that changed the table, which
-// a renewal of the same entry does not.
+// Put adds or updates an entry, which must not be older than the known one. It reports
+// whether that changed the table, which a renewal of the same entry does not.
 func (t *Table) Put(endpoint Endpoint) bool {
 	if t.rows == nil {
 		t.rows = map[string]row{}
 	}
 	current, ok := t.rows[endpoint.ID]
+	known := current
+	if !ok {
+		known = t.removed[endpoint.ID].row
+	}
 	updated := row{endpoint: endpoint}
-	if ok && current.endpoint.SameProcess(endpoint) {
-		updated.endpoint.Weights = mergeVersions(current.endpoint.Weights, endpoint.Weights)
-		updated.saidLeaving = current.saidLeaving
-		updated.endpoint.Leaving = endpoint.Leaving || current.saidLeaving
+	if known.endpoint.SameProcess(endpoint) {
+		updated.adopt(known)
 	}
+	delete(t.removed, endpoint.ID)
 	t.rows[endpoint.ID] = updated
-	endpoint = updated.endpoint
-	return !ok || !current.removeAt.IsZero() || !equal(current.endpoint, endpoint)
+	return !ok || !current.removeAt.IsZero() || !equal(current.endpoint, updated.endpoint)
 }
 
-// PutRestored is Put for an entry from a directory that was just restored from an older
-// copy. An entry that is older than the known one is ignored, and so is one of a removed
-// endpoint, unless its process has renewed it since.
-func (t *Table) PutRestored(endpoint Endpoint) bool {
-	if current, ok := t.rows[endpoint.ID]; ok {
-		return !endpoint.outdatedBy(current.endpoint) && t.Put(endpoint)
+// adopt keeps what the process of an entry has said itself: that it is leaving, and newer
+// weights than the entry has. A late order may set a process back to older weights; its
+// next entries say so.
+func (r *row) adopt(known row) {
+	r.saidLeaving = known.saidLeaving
+	r.endpoint.Leaving = r.endpoint.Leaving || known.saidLeaving
+	merged := mergeVersions(known.endpoint.Weights, r.endpoint.Weights)
+	if maps.Equal(merged, r.endpoint.Weights) {
+		return
 	}
-	if removed, ok := t.removed[endpoint.ID]; ok {
-		sameEntry := endpoint.SameProcess(removed.endpoint) && endpoint.Renewal == removed.endpoint.Renewal
-		if sameEntry || endpoint.outdatedBy(removed.endpoint) {
-			return false
-		}
+	r.lowerEntries = known.lowerEntries
+	if r.endpoint.Renewal > known.endpoint.Renewal {
+		r.lowerEntries++
+	}
+	if r.lowerEntries < maxLowerEntries {
+		r.endpoint.Weights = merged
 	}
-	return t.Put(endpoint)
 }
 
 // MarkLeaving records that an endpoint itself said that it is leaving. It reports whether
@@ -147,14 +150,14 @@
 // remove removes an entry and remembers it.
 func (t *Table) remove(id string, now time.Time) {
 	if t.removed == nil {
-		t.removed = map[string]removedEntry{}
+		t.removed = map[string]removedRow{}
 	}
 	for other, entry := range t.removed {
 		if now.Sub(entry.at) >= removedTTL {
 			delete(t.removed, other)
 		}
 	}
-	t.removed[id] = removedEntry{endpoint: t.rows[id].endpoint, at: now}
+	t.removed[id] = removedRow{row: t.rows[id], at: now}
 	delete(t.rows, id)
 }
 
@@ -232,14 +235,13 @@
 	weights := make(map[string]int64, len(current.endpoint.Weights)+1)
 	maps.Copy(weights, current.endpoint.Weights)
 	weights[model] = version
-	current.endpoint.Weights = weights
+	current.endpoint.Weights, current.lowerEntries = weights, 0
 	t.rows[endpoint.ID] = current
 	return true
 }
 
 // mergeVersions returns the higher version of each reported model. Directory
-// entries may be older than what the endpoint itself reported, and a process
-// never returns to an older version.
+// entries may be older than what the endpoint itself reported.
 func mergeVersions(known, reported map[string]int64) map[string]int64 {
 	merged := make(map[string]int64, len(reported))
 	for model, version := range reported {
--- a/internal/state/endpointtracker/endpointtracker_test.go
+++ b/internal/state/endpointtracker/endpointtracker_test.go
@@ -107,6 +107,18 @@
 		assert.True(t, table.Put(restarted))
 		assertVersion(t, table, 1)
 	})
+	t.Run("entries that go on reporting an older version are believed", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(endpoint(1))
+		table.UpdateWeights(endpoint(1), "m", 2)
+		for n := range int64(2) {
+			assert.False(t, table.Put(renewed(n+1, false)))
+			assert.False(t, table.Put(renewed(n+1, false)), "the same entry")
+		}
+		assertVersion(t, table, 2)
+		assert.True(t, table.Put(renewed(3, false)))
+		assertVersion(t, table, 1)
+	})
 	t.Run("a version reported by an earlier process is ignored", func(t *testing.T) {
 		table := &endpointtracker.Table{}
 		restarted := endpoint(1)
@@ -129,52 +141,86 @@
 	return e
 }
 
-// TestRestoredDirectory covers a directory that comes back from a copy that is some
-// seconds old.
-func TestRestoredDirectory(t *testing.T) {
-	t.Run("does not take back that an endpoint is leaving", func(t *testing.T) {
-		table := &endpointtracker.Table{}
-		table.Put(renewed(7, true))
-		assert.False(t, table.PutRestored(renewed(5, false)))
-		assertLeaving(t, table, true)
-	})
-	t.Run("does not bring back a removed endpoint", func(t *testing.T) {
-		table := &endpointtracker.Table{}
-		table.Put(renewed(7, false))
-		table.Remove("e1", start, time.Time{})
-		assert.False(t, table.PutRestored(renewed(5, false)))
-		assert.False(t, table.PutRestored(renewed(7, false)))
-		assertListed(t, table, 0)
-	})
-	t.Run("an endpoint that was removed and has renewed its entry since is back", func(t *testing.T) {
-		table := &endpointtracker.Table{}
-		table.Put(renewed(7, false))
-		table.Remove("e1", start, time.Time{})
-		assert.True(t, table.PutRestored(renewed(8, false)))
-		assertListed(t, table, 1)
-	})
-	t.Run("an endpoint that registers again after the restoration is back", func(t *testing.T) {
-		table := &endpointtracker.Table{}
-		table.Put(renewed(7, false))
-		table.Remove("e1", start, time.Time{})
-		table.PutRestored(renewed(7, false))
-		assert.True(t, table.Put(renewed(7, false)))
-		assertListed(t, table, 1)
-	})
-	t.Run("an entry of an earlier process is ignored", func(t *testing.T) {
-		table := &endpointtracker.Table{}
-		table.Put(renewed(1, false))
-		earlier := renewed(90, false)
-		earlier.StartedAt = start.Add(-time.Minute)
-		assert.False(t, table.PutRestored(earlier))
-	})
-	t.Run("a new process is taken", func(t *testing.T) {
-		table := &endpointtracker.Table{}
-		table.Put(renewed(7, true))
-		restarted := renewed(1, false)
-		restarted.StartedAt = start.Add(time.Second)
-		assert.True(t, table.PutRestored(restarted))
-		assertLeaving(t, table, false)
+// directory applies entries to a table as its history accepts them.
+type directory struct {
+	endpointtracker.Table
+	history endpointtracker.History
+	now     time.Time
+}
+
+func (d *directory) put(e endpointtracker.Endpoint, restored bool) bool {
+	return d.history.Accept(e, d.now, restored) && d.Put(e)
+}
+
+func (d *directory) remove(id string) {
+	d.history.Remove(id, d.now)
+	d.Remove(id, d.now, time.Time{})
+}
+
+// TestOutdatedEntries guards against entries that take back what newer ones said: from a
+// directory that comes back from a copy that is some seconds old, or by writes that are executed
+// late.
+func TestOutdatedEntries(t *testing.T) {
+	startedAt := func(e endpointtracker.Endpoint, at time.Time) endpointtracker.Endpoint {
+		e.StartedAt = at
+		return e
+	}
+	for name, restored := range map[string]bool{"restored directory": true, "late write": false} {
+		run := func(what string, check func(t *testing.T, d *directory)) {
+			t.Run(name+" "+what, func(t *testing.T) { check(t, &directory{now: start}) })
+		}
+		run("does not take back that an endpoint is leaving", func(t *testing.T, d *directory) {
+			d.put(renewed(7, true), false)
+			assert.False(t, d.put(renewed(5, false), restored))
+			assertLeaving(t, &d.Table, true)
+		})
+		run("does not bring back a removed endpoint", func(t *testing.T, d *directory) {
+			d.put(renewed(7, false), false)
+			d.remove("e1")
+			assert.False(t, d.put(renewed(5, false), restored))
+			assert.False(t, d.put(renewed(7, false), restored))
+			assertListed(t, &d.Table, 0)
+		})
+		run("an endpoint that was removed and has renewed its entry since is back", func(t *testing.T, d *directory) {
+			d.put(renewed(7, false), false)
+			d.remove("e1")
+			assert.True(t, d.put(renewed(8, false), restored))
+			assertListed(t, &d.Table, 1)
+		})
+		run("an endpoint that registers again after an ignored entry is back", func(t *testing.T, d *directory) {
+			d.put(renewed(7, false), false)
+			d.remove("e1")
+			d.put(renewed(7, false), restored)
+			assert.True(t, d.put(renewed(8, false), false))
+			assertListed(t, &d.Table, 1)
+		})
+		run("an entry of an earlier process is ignored", func(t *testing.T, d *directory) {
+			d.put(renewed(1, false), false)
+			assert.False(t, d.put(startedAt(renewed(90, false), start.Add(-time.Minute)), restored))
+			assert.False(t, d.put(startedAt(renewed(90, false), time.Time{}), restored))
+		})
+		run("a new process is taken", func(t *testing.T, d *directory) {
+			d.put(renewed(7, true), false)
+			assert.True(t, d.put(startedAt(renewed(1, false), start.Add(time.Second)), restored))
+			assertLeaving(t, &d.Table, false)
+		})
+	}
+	t.Run("a process that started with a clock that was set back is taken once the former is silent", func(t *testing.T) {
+		d := &directory{now: start}
+		d.put(renewed(7, false), false)
+		earlier := startedAt(renewed(1, false), start.Add(-time.Minute))
+		d.now = start.Add(9 * time.Second)
+		assert.False(t, d.put(earlier, false))
+		d.now = start.Add(10 * time.Second)
+		assert.False(t, d.put(earlier, true))
+		assert.True(t, d.put(earlier, false))
+	})
+	t.Run("a listing that lacks an entry counts as its removal", func(t *testing.T) {
+		d := &directory{now: start}
+		d.put(renewed(7, false), false)
+		d.history.RemoveUnlisted(map[string]bool{"e2": true}, start)
+		assert.False(t, d.history.Accept(renewed(7, false), start, false))
+		assert.True(t, d.history.Accept(renewed(8, false), start, false))
 	})
 }
 
@@ -187,6 +233,14 @@
 		assert.False(t, table.Put(renewed(2, false)))
 		assertLeaving(t, table, true)
 	})
+	t.Run("holds for an entry that comes back", func(t *testing.T) {
+		table := &endpointtracker.Table{}
+		table.Put(renewed(1, false))
+		table.MarkLeaving(renewed(1, false))
+		table.Remove("e1", start, time.Time{})
+		table.Put(renewed(2, false))
+		assertLeaving(t, table, true)
+	})
 	t.Run("does not hold for another process of the same id", func(t *testing.T) {
 		table := &endpointtracker.Table{}
 		table.Put(renewed(1, false))
--- a/internal/state/endpointtracker/model_test.go
+++ b/internal/state/endpointtracker/model_test.go
@@ -59,7 +59,7 @@
 				ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Leaving: choose(4, "leaving") == 0,
 				StartedAt: start.Add(time.Duration(choose(2, "born")) * time.Hour), Weights: map[string]int64{"m": int64(1 + choose(3, "version"))},
 			}
-			if !want.present || !want.endpoint.SameProcess(entry) {
+			if !want.endpoint.SameProcess(entry) {
 				want.newestVersion = 0
 			}
 			want.newestVersion = max(want.newestVersion, entry.Weights["m"])
@@ -147,7 +147,9 @@
 
 // Put implements endpointTable.
 func (t forgetsVersions) Put(endpoint endpointtracker.Endpoint) bool {
-	t.Table.Remove(endpoint.ID, start, time.Time{})
+	other := endpoint
+	other.StartedAt = start.Add(-time.Hour)
+	t.Table.Put(other)
 	return t.Table.Put(endpoint)
 }
 
