Connections that wait for a request are closed by the goroutine that reads from them

Callers saw connections that ended without an answer although their request had been read in whole, around planned stops and changes of the configuration (LOST).

Cause: whether a connection is idle was read from the states of net/http, which change once a whole head has been parsed, and it was closed from another goroutine: at a stop (callerConns.closeIdle), at the idle limit (admitter.check), and at once on many connections when a configuration shortened that limit. Bytes of a request may lie in the socket, or in the goroutine that has read them and does not run, for hundreds of milliseconds on a host with a tenth of a core. A stopping node also counted requests only from their handlers on, and ended while one was being read.

Change: a waiting connection is closed after a last read of 50 ms that found nothing, by the goroutine that reads; what arrives before is served. Admitter.Drain takes the place of callerConns and of the five checks for open requests: it accepts the connections that wait to be accepted, closes idle ones in that way, and waits for all others from their first byte on. Requests that are read in the last 0.4 s of the grace are refused with 503. The idle limit of a connection is at least the one that held when it became idle, by which its caller goes. Complete heads are not closed for other connections. A request that ends without a complete answer is logged with the cause ("connection ended") and counted (ended_requests).

Tests: TestRequestsReadInPlannedStop failed before in both cases (by a copy with the former types), TestRequestAtIdleTimeout in both cases. TestDrain and TestRequestAtEndOfStop take the place of TestRequestCrossesClose: a request that has been read when its idle connection is closed was not served there; now it is answered, and one that comes after the close is not served, as before. The others of its cases are kept.

--- a/internal/transport/admitter/admitter.go
+++ b/internal/transport/admitter/admitter.go
@@ -3,13 +3,22 @@
 // closed, so that callers that finish what they begin are served. Requests that are being served
 // are ended only if their callers do not read the answers.
 //
+// A connection that waits for a request is closed by the goroutine that reads from it, after a last
+// read has found nothing. Bytes of a request may lie in the socket or in a buffer while that
+// goroutine does not run, which on a host with little processor time takes hundreds of
+// milliseconds; closing the connection from elsewhere would lose the request.
+//
 // # Usage
 //
-//	a := &admitter.Admitter{MaxConns: 500, MaxUnfinished: 8 << 20, BodyBytes: 16 << 10, Limits: limits, OnClosed: count}
+//	a := &admitter.Admitter{MaxConns: 500, MaxUnfinished: 8 << 20, BodyBytes: 16 << 10, Limits: limits, OnClosed: count, OnEnded: log}
 //	server := &http.Server{Handler: a.Handler(handler)}
 //	a.Watch(server)
 //	go a.Run(ctx)
 //	err := server.Serve(a.Listener(listener))
+//
+// To stop:
+//
+//	err := a.Drain(ctx)
 package admitter
 
 import (
@@ -54,8 +63,16 @@
 	HeaderTimeout Cause = "header time"
 	BodyTimeout   Cause = "body time"
 	IdleTimeout   Cause = "idle time"
+	Stop          Cause = "stop"
 )
 
+// Ended is a request that was read in whole, and whose connection was closed before its service began.
+type Ended struct {
+	Cause Cause
+	// Waited is the time since the first byte of the request was read.
+	Waited time.Duration
+}
+
 // Limits are the limits of one connection; zero means no limit.
 type Limits struct {
 	// HeaderBytes bounds the head of a request, and HeaderTimeout the time from its first byte on.
@@ -87,9 +104,13 @@
 	Limits func() Limits
 	// OnClosed is called with the closed connections of a cause, once a second at most.
 	OnClosed func(Cause, Closed)
+	// OnEnded is called with each request that is not served since its connection was closed; nil if
+	// not needed.
+	OnEnded func(r *http.Request, ended Ended)
 
 	mu         sync.Mutex
 	limits     Limits
+	listeners  []*listener
 	conns      map[*conn]struct{}
 	unfinished map[*conn]struct{}
 	// held is the memory of the unfinished requests.
@@ -130,8 +151,9 @@
 			c.beginBody()
 			// net/http goes by the body of its own request when it answers one that was not read.
 			r = r.WithContext(r.Context())
-			r.Body = &body{ReadCloser: r.Body, conn: c}
+			r.Body = &body{ReadCloser: r.Body, conn: c, request: r}
 		case !c.serve():
+			a.recordEnded(r, c)
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
@@ -157,7 +179,12 @@
 	a.limits = limits
 	now := time.Now()
 	for c := range a.conns {
-		if cause, timeout := c.timeout(limits); timeout > 0 && now.Sub(c.since) > timeout {
+		cause, timeout := c.timeout(limits)
+		switch {
+		case timeout == 0 || now.Sub(c.since) <= timeout:
+		case c.phase == waiting:
+			c.expire(cause)
+		default:
 			a.close(c, cause)
 		}
 	}
@@ -169,33 +196,12 @@
 	}
 }
 
-// Listener wraps a listener. Its connections count until they are closed.
-func (a *Admitter) Listener(l net.Listener) net.Listener { return &listener{Listener: l, admitter: a} }
-
-type listener struct {
-	net.Listener
-	admitter *Admitter
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		accepted, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if c := l.admitter.admit(accepted); c != nil {
-			return c, nil
-		}
-	}
-}
-
 // admit adds a connection, in the place of another one if need be. It returns nil if requests are
 // served on all others.
 func (a *Admitter) admit(accepted net.Conn) net.Conn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c := &conn{Conn: accepted, admitter: a, since: time.Now()}
+	c := &conn{Conn: accepted, admitter: a, since: time.Now(), idleTimeout: a.limits.IdleTimeout}
 	if a.conns == nil {
 		a.conns, a.unfinished = map[*conn]struct{}{}, map[*conn]struct{}{}
 	}
@@ -231,6 +237,7 @@
 // close closes a connection for a cause. The caller holds the lock.
 func (a *Admitter) close(c *conn, cause Cause) {
 	a.count(c, cause)
+	c.cause = cause
 	a.remove(c)
 	// An error means that the connection has ended.
 	_ = c.Conn.Close()
@@ -254,8 +261,34 @@
 	a.held += memory - c.held
 	c.held = memory
 	for a.held > a.MaxUnfinished {
-		a.close(a.slowest(a.unfinished), Unfinished)
+		slowest := a.slowest(a.unfinished)
+		if slowest == nil {
+			return
+		}
+		a.close(slowest, Unfinished)
+	}
+}
+
+// recordEnded reports a request that is not served.
+func (a *Admitter) recordEnded(r *http.Request, c *conn) {
+	if a.OnEnded == nil {
+		return
+	}
+	a.mu.Lock()
+	ended := Ended{Cause: c.cause, Waited: time.Since(c.began)}
+	a.mu.Unlock()
+	a.OnEnded(r, ended)
+}
+
+// EndCause returns the limit for which the connection of a request was closed, if it was.
+func EndCause(r *http.Request) (Cause, bool) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		return "", false
 	}
+	c.admitter.mu.Lock()
+	defer c.admitter.mu.Unlock()
+	return c.cause, c.cause != ""
 }
 
 func (a *Admitter) finish(c *conn) {
--- a/internal/transport/admitter/admitter_test.go
+++ b/internal/transport/admitter/admitter_test.go
@@ -48,6 +48,7 @@
 	// closed counts the closed connections, and served the requests whose bodies were read.
 	closed map[admitter.Cause]int
 	served int
+	idle   time.Duration
 	// hold blocks the service of requests to /hold.
 	hold chan struct{}
 }
@@ -56,11 +57,13 @@
 // requests.
 func run(t *testing.T, conns, unfinished int, test func(t *testing.T, s *site)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &site{pipes: make(pipes), closed: map[admitter.Cause]int{}, hold: make(chan struct{})}
+		s := &site{pipes: make(pipes), closed: map[admitter.Cause]int{}, hold: make(chan struct{}), idle: idleTimeout}
 		s.Admitter = &admitter.Admitter{
 			MaxConns: conns, MaxUnfinished: unfinished, BodyBytes: 16 << 10,
 			Limits: func() admitter.Limits {
-				return admitter.Limits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, BodyTimeout: headerTimeout}
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return admitter.Limits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: s.idle, BodyTimeout: headerTimeout}
 			},
 			OnClosed: func(cause admitter.Cause, closed admitter.Closed) {
 				s.mu.Lock()
@@ -102,6 +105,13 @@
 	}
 }
 
+// setIdleTimeout changes the configured idle time.
+func (s *site) setIdleTimeout(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = d
+}
+
 // counts returns the numbers of closed connections by cause, and that of served requests.
 func (s *site) counts() (closed map[admitter.Cause]int, served int) {
 	s.mu.Lock()
