Relay: signals are taken before the settings are read

A SIGHUP in the first moments of the process ended it, as is the default for signals that are not handled; a SIGTERM ended it without a planned stop. Found by reading for the requests lost in planned work; not played.

--- a/cmd/platformrelay/main.go
+++ b/cmd/platformrelay/main.go
@@ -49,14 +49,15 @@
 const logLinesPerSecond = 400
 
 func run(path string) error {
-	settings, err := platform.ReadSettings(path)
-	if err != nil {
-		return err
-	}
+	// Signals that come during the start must not end the process.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
 	logWriter, stopLog := startLog()
 	defer stopLog()
 	program := &platform.Program{
