Peers: the Balancer is told to forget a node without the lock of Peers

Nodes could hang: Balancer.Pick holds its lock and asks Peers.MayFetch through Request.Work, while Peers.updateRole and Peers.accept held the lock of Peers and waited in Balancer.Forget. It needs a role that changes, or a heartbeat of a peer that is neither hub nor member, as while nodes stop and start one after the other, and may be among the causes of requests that got no answer in planned work: not shown.

Both call Forget after the lock is released.

--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -197,7 +197,8 @@
 	return p.organizer
 }
 
-// updateRole decides anew whether this node is a hub, or which node is its home.
+// updateRole decides anew whether this node is a hub, or which node is its home. It does not call
+// the Balancer with the lock of Peers, which the Balancer takes while it holds its own.
 func (p *Peers) updateRole(now time.Time) {
 	p.mu.Lock()
 	o := p.hubOrganizer()
@@ -211,9 +212,10 @@
 		own, others := o.Hubs(now)
 		left = slices.Concat(own, others)
 	}
+	var formerHome string
 	if changed {
 		if former, ok := p.peers[p.role.Home]; ok {
-			p.Balancer.Forget(former.heartbeat.Name)
+			formerHome = former.heartbeat.Name
 		}
 		close(p.roleChanged)
 		p.roleChanged = make(chan struct{})
@@ -221,6 +223,9 @@
 	}
 	p.role = role
 	p.mu.Unlock()
+	if formerHome != "" {
+		p.Balancer.Forget(formerHome)
+	}
 	if len(left) > 0 {
 		// Those that this node reported to no longer count it.
 		farewell := p.baseHeartbeat(now, toHubs)
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -22,6 +22,10 @@
 	if heartbeat.Address == p.Address || !p.accept(heartbeat, now) {
 		return
 	}
+	if !heartbeat.Homed && !heartbeat.Hub {
+		// The peer reports to another hub now.
+		p.Balancer.Forget(heartbeat.Name)
+	}
 	p.adoptEvacuations(heartbeat)
 	for _, suspect := range heartbeat.Suspects {
 		p.Suspects.Update(now, heartbeat.Name, suspect)
@@ -148,10 +152,6 @@
 		// It may be of another build.
 		m.boundedAt, m.retained = time.Time{}, nil
 	}
-	if !heartbeat.Homed && !heartbeat.Hub {
-		// The peer reports to another hub now.
-		p.Balancer.Forget(m.heartbeat.Name)
-	}
 	if !m.alive {
 		p.Log.Info().Str("event", "peer heard").Str("peer", heartbeat.Name).Stringer("address", heartbeat.Address).
 			Str("domain", heartbeat.Domain).Bool("hub", heartbeat.Hub).Bool("member", heartbeat.Homed).Send()
