--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -308,7 +308,9 @@
 	if err != nil {
 		return err
 	}
-	f.endOutage()
+	if batch.Since > nothingRead {
+		f.endOutage()
+	}
 	at := f.callBegan.Add(batch.Since)
 	f.share(batch, at, false)
 	for _, record := range batch.Records {
