--- a/internal/transport/messenger/compressed_test.go
+++ b/internal/transport/messenger/compressed_test.go
@@ -52,7 +52,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	var out bytes.Buffer
 	for range routes {
-		fmt.Fprintf(&out, `{"Name":"r-%x","Host":"pule%d.example","PathPrefix":"/%x/%x/","Type":"stream","TimeoutMs":3000,"TargetLatencyMs":800,"Priority":0,"Service":"huvo11a","MaxAttempts":1,"AllowAnonymous":false,"SessionAffinity":true,"Resumable":false,"GapTargetMs":300},`,
+		fmt.Fprintf(&out, `{"name":"r-%x","host":"host%d.example","prefix":"/%x/%x/","kind":"stream","timeout":3000,"objective":800,"priority":0,"service":"service-1","attempts":1,"anonymous":false,"affinity":true,"resumable":false,"gap":300,"split":[],"regions":["r1"],"budget":0.2,"queue":200},`,
 			random.Uint32(), random.IntN(20), random.Uint32N(1<<20), random.Uint32N(1<<16))
 	}
 	return out.Bytes()
@@ -74,7 +74,7 @@
 	peer, transport := serve(t, hub{value: value}), &countingTransport{}
 	client := NewClient(transport, 0, nil)
 	for range members {
-		batch, err := client.ReadTopic(t.Context(), peer, "keyed.op", TopicPosition{}, 0)
+		batch, err := client.ReadTopic(t.Context(), peer, "operators", TopicPosition{}, 0)
 		require.NoError(t, err)
 		assert.Equal(t, value, batch.Records[0].Value)
 		assert.Equal(t, time.Second, batch.Grace)
@@ -95,7 +95,7 @@
 		assert.Equal(t, value, state.Data)
 	})
 	t.Run("a peer of an earlier build gets the value itself", func(t *testing.T) {
-		reply, err := (&relayServer{node: hub{value: value}}).Topic(t.Context(), &wire.TopicRequest{Topic: "keyed.op"})
+		reply, err := (&relayServer{node: hub{value: value}}).Topic(t.Context(), &wire.TopicRequest{Topic: "operators"})
 		require.NoError(t, err)
 		assert.False(t, reply.Records[0].Compressed)
 		assert.Equal(t, value, reply.Records[0].Value)
