Tests: the crowd of the tests of shared hosts counts under one lock

go test -race -short ./internal/relayer on x86-64 (without the two tests in which the race detector crashes) found a data race in the test's own code: place wrote the counts of running requests without the lock that the ends of requests hold. The counts are written and read under the lock now; checks and bounds are the same. Before: four races in TestSumsOfRunningRequests; after: the tests of shared hosts pass under the detector.

--- a/internal/relayer/shared_hosts_test.go
+++ b/internal/relayer/shared_hosts_test.go
@@ -134,8 +134,10 @@
 		}
 		choice, ok := by.balancer.Pick(time.Now(), balancer.Request{Endpoints: endpoints})
 		require.True(t, ok)
+		c.fleet.mu.Lock()
 		placed(by, choice)
 		c.running[choice.Endpoint.ID]++
+		c.fleet.mu.Unlock()
 		time.AfterFunc(200*time.Millisecond+rand.N(800*time.Millisecond), func() {
 			c.fleet.mu.Lock()
 			defer c.fleet.mu.Unlock()
