Answers that have begun and can't be resumed are not ended by silence of their endpoint

Its endpoint was slow under the load of the roll; 3.2 s after the first event no further one had come, the stall timer closed the connection in the middle of the answer, and the caller had 9 s left. Streams that are not resumable, or have used up their attempts, can't go on elsewhere, so that the caller only loses what it has. Ruled out: the drain (no node concerned was stopping), the configuration itself (the requests ran under the former one to the end), the idle time.

Change: after each event, the timer is restarted only if the answer can be resumed in another attempt; otherwise the answer ends by itself or at the deadline. Attempts without an event are ended as before.

Measured: TestSilenceInAnswer failed before in all four cases.

--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -31,6 +31,17 @@
 	})
 }
 
+// restartStallTimer restarts the timer after an event. It stops the timer if the answer can't be
+// resumed elsewhere: the caller then keeps it until its deadline.
+func (r *run) restartStallTimer(timer *time.Timer) {
+	resumable := r.Route.RetryPolicy == cataloger.RetryResumable && r.executed < r.Route.Attempts && r.attempts < MaxSends
+	if !resumable {
+		timer.Stop()
+		return
+	}
+	timer.Reset(r.stallTimeout())
+}
+
 // startBeginTimer returns a timer that cancels an attempt whose answer does not begin in
 // time.
 func startBeginTimer(cancel context.CancelCauseFunc, attempt Attempt) *time.Timer {
--- a/internal/coordination/forwarder/forwarder_test.go
+++ b/internal/coordination/forwarder/forwarder_test.go
@@ -348,6 +348,47 @@
 	})
 }
 
+// TestSilenceInAnswer guards against answers that have begun and are cut because the endpoint is
+// silent, although they can't be resumed elsewhere.
+func TestSilenceInAnswer(t *testing.T) {
+	// The stall timeout of the exchanges is 4 s, their timeout 10 s.
+	run := func(name string, x func() *forwarder.Exchange, responses []response, check func(t *testing.T, e *standinSender, c *standinSink, err error, took time.Duration)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, started := &standinSink{}, time.Now()
+				e, err := runExchange(t, x(), c, responses...)
+				check(t, e, c, err, time.Since(started))
+			})
+		})
+	}
+	assertWhole := func(t *testing.T, e *standinSender, c *standinSink, err error, _ time.Duration) {
+		require.NoError(t, err)
+		assertSends(t, e, 1)
+		assert.Equal(t, []string{"1", "2"}, c.events)
+	}
+	once := func() *forwarder.Exchange { return exchange(cataloger.RetryIfNotRun) }
+	resumable := func() *forwarder.Exchange { return exchange(cataloger.RetryResumable) }
+	silent := streamAfter(0, 6*time.Second)
+	run("sent once", once, []response{silent}, assertWhole)
+	run("a route with one attempt", func() *forwarder.Exchange {
+		x := resumable()
+		x.Route.Attempts = 1
+		return x
+	}, []response{silent}, assertWhole)
+	run("resumed elsewhere, and then silent again", resumable, []response{streamAfter(0, time.Minute), streamAfter(0, 5*time.Second)},
+		func(t *testing.T, e *standinSender, c *standinSink, err error, took time.Duration) {
+			require.NoError(t, err)
+			assertSends(t, e, 2)
+			assert.Len(t, c.events, 3)
+			assert.Equal(t, 9*time.Second, took)
+		})
+	run("until the timeout", once, []response{streamAfter(0, time.Minute)},
+		func(t *testing.T, _ *standinSender, _ *standinSink, err error, took time.Duration) {
+			assertFails(t, err, forwarder.ErrTimeout)
+			assert.Equal(t, 10*time.Second, took)
+		})
+}
+
 // beginsWithin makes answers of all attempts begin within d.
 type beginsWithin struct {
 	forwarder.Placer
--- a/internal/coordination/forwarder/relay.go
+++ b/internal/coordination/forwarder/relay.go
@@ -27,7 +27,7 @@
 				return r.handleFailure(ctx, attempt, errors.Mark(err, ErrMalformed))
 			}
 		}
-		stallTimer.Reset(r.stallTimeout())
+		r.restartStallTimer(stallTimer)
 		r.beginTimer.Stop()
 		r.placement.OnEvent(events == 0)
 		r.recordFirstEvent()
@@ -41,7 +41,7 @@
 			return err
 		}
 		// The stream was not read while the caller was too far behind.
-		stallTimer.Reset(r.stallTimeout())
+		r.restartStallTimer(stallTimer)
 		events++
 	}
 }
