--- a/internal/transport/messenger/compressed_test.go
+++ b/internal/transport/messenger/compressed_test.go
@@ -101,3 +101,114 @@
 		assert.Equal(t, value, reply.Records[0].Value)
 	})
 }
+
+// changingHub serves the versions of a configuration, one after the other.
+type changingHub struct {
+	RelayNode
+	version atomic.Int64
+	values  map[int64][]byte
+}
+
+func (h *changingHub) ReadTopic(context.Context, string, TopicPosition, time.Duration) (TopicBatch, error) {
+	n := h.version.Load()
+	return TopicBatch{Records: []TopicRecord{{Key: "config", Value: h.values[n], Offset: n}}}, nil
+}
+
+func (h *changingHub) OperatorState(int64) OperatorState {
+	n := h.version.Load()
+	return OperatorState{Version: n, Data: h.values[n]}
+}
+
+// newChangingHub returns a hub with a large version 1, and a version 2 in which one number differs.
+func newChangingHub() *changingHub {
+	large := largeConfiguration(1949)
+	h := &changingHub{values: map[int64][]byte{1: large, 2: bytes.Replace(large, []byte(`"queue":200`), []byte(`"queue":250`), 1)}}
+	h.version.Store(1)
+	return h
+}
+
+func (h *changingHub) assertRead(t *testing.T, client *Client, peer netip.AddrPort) {
+	t.Helper()
+	batch, err := client.ReadTopic(t.Context(), peer, "operators", TopicPosition{}, 0)
+	require.NoError(t, err)
+	assert.Equal(t, h.values[h.version.Load()], batch.Records[0].Value)
+}
+
+// TestSmallChangeOfLargeConfiguration guards against changes of one number that cost as much as the whole
+// configuration: the reply fits in one packet.
+func TestSmallChangeOfLargeConfiguration(t *testing.T) {
+	const packet = 1500
+	t.Run("by the topic", func(t *testing.T) {
+		h, transport := newChangingHub(), &countingTransport{}
+		peer, client := serve(t, h), NewClient(transport, 0, nil)
+		h.assertRead(t, client, peer)
+		h.version.Store(2)
+		transport.received.Store(0)
+		h.assertRead(t, client, peer)
+		assert.Less(t, transport.received.Load(), int64(packet))
+	})
+	t.Run("by the configuration, after the topic", func(t *testing.T) {
+		h, transport := newChangingHub(), &countingTransport{}
+		peer, reader, client := serve(t, h), NewClient(transport, 0, nil), NewClient(transport, 0, nil)
+		client.Bases = reader.Bases
+		h.assertRead(t, reader, peer)
+		h.version.Store(2)
+		transport.received.Store(0)
+		state, err := client.OperatorState(t.Context(), peer, 1)
+		require.NoError(t, err)
+		assert.Equal(t, h.values[2], state.Data)
+		assert.Less(t, transport.received.Load(), int64(packet))
+	})
+	t.Run("a hub that was started again sends the whole", func(t *testing.T) {
+		h, client := newChangingHub(), NewClient(&countingTransport{}, 0, nil)
+		h.assertRead(t, client, serve(t, h))
+		h.version.Store(2)
+		h.assertRead(t, client, serve(t, h))
+	})
+}
+
+// damagedDifference serves the whole value to callers without bases, and damaged differences to others.
+type damagedDifference struct {
+	wire.Relay
+	value  []byte
+	damage func(*wire.Difference)
+}
+
+func (d damagedDifference) Topic(_ context.Context, request *wire.TopicRequest) (*wire.TopicReply, error) {
+	record := &wire.TopicRecord{Key: "config", Value: d.value}
+	if len(request.Bases) > 0 {
+		target := make([]byte, len(request.Bases[0]))
+		record.Value, record.Difference = nil, &wire.Difference{Base: request.Bases[0], Target: target, Data: []byte("x")}
+		d.damage(record.Difference)
+	}
+	return &wire.TopicReply{Result: wire.TopicResult_TOPIC_RESULT_OK, Records: []*wire.TopicRecord{record}}, nil
+}
+
+// TestDamagedDifference guards against differences that do not match and are used, or are asked for again
+// and again: the next reply is the whole value.
+func TestDamagedDifference(t *testing.T) {
+	for name, damage := range map[string]func(*wire.Difference){
+		"truncated":        func(*wire.Difference) {},
+		"unknown base":     func(d *wire.Difference) { d.Base = make([]byte, len(d.Base)) },
+		"malformed base":   func(d *wire.Difference) { d.Base = d.Base[1:] },
+		"malformed target": func(d *wire.Difference) { d.Target = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			value, invalid := largeConfiguration(200), 0
+			server := httptest.NewServer(authenticate(nil, wire.NewRelayServer(damagedDifference{value: value, damage: damage})))
+			defer server.Close()
+			peer, client := netip.MustParseAddrPort(server.Listener.Addr().String()), NewClient(http.DefaultTransport, 0, nil)
+			client.OnInvalid = func() { invalid++ }
+			for i := range 3 {
+				batch, err := client.ReadTopic(t.Context(), peer, "operators", TopicPosition{}, 0)
+				if i == 1 {
+					require.Error(t, err)
+					continue
+				}
+				require.NoError(t, err)
+				assert.Equal(t, value, batch.Records[0].Value)
+			}
+			assert.Equal(t, 1, invalid)
+		})
+	}
+}
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -22,6 +22,7 @@
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/replicator"
+	"github.com/lacewingrelay/lacewingrelay/internal/protocol/compressor"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/wire"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
@@ -102,13 +103,19 @@
 
 // Client calls peers. It is safe for concurrent use.
 type Client struct {
+	// Bases holds the large values that were received. Clients may share it.
+	Bases *compressor.Bases
+	// OnInvalid is called when a value that a peer sent is damaged or has an unknown base; nil if
+	// not needed.
+	OnInvalid func()
+
 	http *http.Client
 }
 
 // NewClient returns a client that authenticates its calls with key. The timeout
 // applies to each call.
 func NewClient(transport http.RoundTripper, timeout time.Duration, key []byte) *Client {
-	return &Client{http: &http.Client{Transport: &signer{key: key, next: transport}, Timeout: timeout}}
+	return &Client{Bases: &compressor.Bases{}, http: &http.Client{Transport: &signer{key: key, next: transport}, Timeout: timeout}}
 }
 
 func (c *Client) peer(address netip.AddrPort) wire.Peer {
--- a/internal/transport/messenger/relay.go
+++ b/internal/transport/messenger/relay.go
@@ -114,8 +114,9 @@
 
 type relayServer struct {
 	node RelayNode
-	// compressed holds the compressed forms of large values, for all peers.
-	compressed compressor.Cache
+	// compressed and differences hold the short forms of large values, for all peers.
+	compressed  compressor.Cache
+	differences compressor.Subtracter
 }
 
 // operatorStateKey is the key of configurations in relayServer.compressed; no topic has this name.
@@ -125,8 +126,11 @@
 func (s *relayServer) Configuration(_ context.Context, request *wire.ConfigurationRequest) (*wire.ConfigurationReply, error) {
 	state := s.node.OperatorState(request.Newer)
 	reply := &wire.ConfigurationReply{Version: state.Version, Data: state.Data}
-	if request.Compressed {
-		if data, ok := s.compressed.Compress(operatorStateKey, compressor.Version{Offset: state.Version}, state.Data); ok {
+	version := compressor.Version{Offset: state.Version}
+	if difference, ok := s.differences.Subtract(operatorStateKey, version, state.Data, decodeDigests(request.Bases)); ok {
+		reply.Data, reply.Difference = nil, encodeDifference(difference)
+	} else if request.Compressed {
+		if data, ok := s.compressed.Compress(operatorStateKey, version, state.Data); ok {
 			reply.Data, reply.Compressed = data, true
 		}
 	}
@@ -140,16 +144,15 @@
 // is left out if Version is not above knownVersion.
 func (c *Client) OperatorState(ctx context.Context, peer netip.AddrPort, knownVersion int64) (OperatorState, error) {
 	relay := wire.NewRelayProtobufClient("http://"+peer.String(), c.http)
-	reply, err := relay.Configuration(ctx, &wire.ConfigurationRequest{Newer: knownVersion, Compressed: true})
+	reply, err := relay.Configuration(ctx, &wire.ConfigurationRequest{Newer: knownVersion, Compressed: true, Bases: c.encodedBases()})
 	if err != nil {
 		return OperatorState{}, errors.Wrapf(err, "fetch configuration from %s", peer)
 	}
-	if reply.Compressed {
-		if reply.Data, err = compressor.Decompress(reply.Data); err != nil {
-			return OperatorState{}, errors.Wrapf(err, "configuration %d from %s", reply.Version, peer)
-		}
+	data, err := c.expand(reply.Data, reply.Compressed, reply.Difference)
+	if err != nil {
+		return OperatorState{}, errors.Wrapf(err, "configuration %d from %s", reply.Version, peer)
 	}
-	state := OperatorState{Version: reply.Version, Data: reply.Data, Weights: map[string]int64{}}
+	state := OperatorState{Version: reply.Version, Data: data, Weights: map[string]int64{}}
 	for _, target := range reply.Weights {
 		state.Weights[target.Model] = target.Version
 	}
@@ -170,9 +173,7 @@
 	switch {
 	case err == nil:
 		reply := encodeTopicBatch(batch)
-		if request.Compressed {
-			s.compress(request.Topic, reply)
-		}
+		s.compress(request, reply)
 		return reply, nil
 	case errors.Is(err, ErrTopicDropped):
 		return &wire.TopicReply{Result: wire.TopicResult_TOPIC_RESULT_DROPPED}, nil
@@ -183,14 +184,74 @@
 	}
 }
 
-// compress compresses the large values of a reply.
-func (s *relayServer) compress(topic string, reply *wire.TopicReply) {
+// compress replaces the large values of a reply by their differences from what the caller has, or by
+// their compressed forms.
+func (s *relayServer) compress(request *wire.TopicRequest, reply *wire.TopicReply) {
+	bases := decodeDigests(request.Bases)
 	for _, record := range reply.Records {
-		version := compressor.Version{Era: reply.Era, Offset: record.Offset}
-		if data, ok := s.compressed.Compress(topic+"/"+record.Key, version, record.Value); ok {
-			record.Value, record.Compressed = data, true
+		key, version := request.Topic+"/"+record.Key, compressor.Version{Era: reply.Era, Offset: record.Offset}
+		if difference, ok := s.differences.Subtract(key, version, record.Value, bases); ok {
+			record.Value, record.Difference = nil, encodeDifference(difference)
+		} else if request.Compressed {
+			if data, ok := s.compressed.Compress(key, version, record.Value); ok {
+				record.Value, record.Compressed = data, true
+			}
+		}
+	}
+}
+
+// decodeDigests returns the valid ones of a list of digests.
+func decodeDigests(encoded [][]byte) []compressor.Digest {
+	var digests []compressor.Digest
+	for _, sum := range encoded {
+		if len(sum) == len(compressor.Digest{}) {
+			digests = append(digests, compressor.Digest(sum))
+		}
+	}
+	return digests
+}
+
+func encodeDifference(difference compressor.Difference) *wire.Difference {
+	return &wire.Difference{Base: difference.Base[:], Target: difference.Target[:], Data: difference.Data}
+}
+
+// encodedBases returns the digests of the values from which this node understands differences.
+func (c *Client) encodedBases() [][]byte {
+	var encoded [][]byte
+	for _, digest := range c.Bases.Digests() {
+		encoded = append(encoded, digest[:])
+	}
+	return encoded
+}
+
+// expand returns a value that a peer sent as it is, compressed, or as a difference. After an error
+// the values to come are asked for in whole.
+func (c *Client) expand(value []byte, compressed bool, difference *wire.Difference) ([]byte, error) {
+	var err error
+	switch {
+	case difference != nil:
+		digests := decodeDigests([][]byte{difference.Base, difference.Target})
+		if len(digests) == 2 {
+			value, err = c.Bases.Expand(compressor.Difference{Base: digests[0], Target: digests[1], Data: difference.Data})
+		} else {
+			err = errors.Wrap(compressor.ErrInvalid, "difference lacks a digest")
+		}
+	case compressed:
+		value, err = compressor.Decompress(value)
+	default:
+		value = append([]byte{}, value...)
+	}
+	if err != nil {
+		c.Bases.Clear()
+		if c.OnInvalid != nil {
+			c.OnInvalid()
 		}
+		return nil, err
+	}
+	if difference == nil && len(value) >= compressor.MinBytes {
+		c.Bases.Add(compressor.Sum(value), value)
 	}
+	return value, nil
 }
 
 // graceOfEarlierBuilds is the grace after an outage at peers whose builds do not send it.
@@ -224,6 +285,7 @@
 }
 
 func (c *Client) topic(ctx context.Context, peer netip.AddrPort, request *wire.TopicRequest) (TopicBatch, error) {
+	request.Bases = c.encodedBases()
 	reply, err := wire.NewRelayProtobufClient("http://"+peer.String(), c.http).Topic(ctx, request)
 	if err != nil {
 		return TopicBatch{}, errors.Wrapf(err, "read %s at %s", request.Topic, peer)
@@ -246,14 +308,10 @@
 	}
 	for _, record := range reply.Records {
 		decoded := TopicRecord{Key: record.Key, Offset: record.Offset}
-		switch {
-		case record.Deleted:
-		case record.Compressed:
-			if decoded.Value, err = compressor.Decompress(record.Value); err != nil {
+		if !record.Deleted {
+			if decoded.Value, err = c.expand(record.Value, record.Compressed, record.Difference); err != nil {
 				return TopicBatch{}, errors.Wrapf(err, "record %q of %s at %s", record.Key, request.Topic, peer)
 			}
-		default:
-			decoded.Value = append([]byte{}, record.Value...)
 		}
 		batch.Records = append(batch.Records, decoded)
 	}
