--- a/internal/relayer/part_publisher.go
+++ b/internal/relayer/part_publisher.go
@@ -173,6 +173,12 @@
 	for _, update := range unsent {
 		p.Peers.SendParts(p.Peers.Members(), update)
 	}
+	directory.Holders = encodeInventories(inventories)
+	return directory
+}
+
+func encodeInventories(inventories []locator.Inventory) []messenger.PartHolder {
+	var holders []messenger.PartHolder
 	for _, inventory := range inventories {
 		holder := messenger.PartHolder{Holder: inventory.Holder, Reserved: inventory.Reserved}
 		groups := map[string]int{}
@@ -186,9 +192,9 @@
 			holder.Groups[i].Parts = append(holder.Groups[i].Parts, key.Part)
 			holder.Groups[i].Tokens = append(holder.Groups[i].Tokens, tokens)
 		}
-		directory.Holders = append(directory.Holders, holder)
+		holders = append(holders, holder)
 	}
-	return directory
+	return holders
 }
 
 // SendParts sends changes of the directory of parts to members.
--- a/internal/relayer/part_receiver.go
+++ b/internal/relayer/part_receiver.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/locator"
@@ -24,9 +25,9 @@
 	maxHeld = 64
 )
 
-// PartClient fetches a peer's directory of parts.
+// PartClient fetches a peer's directory of parts. known is a similar directory that need not be sent again.
 type PartClient interface {
-	Parts(ctx context.Context, peer netip.AddrPort) (messenger.PartDirectory, error)
+	Parts(ctx context.Context, peer netip.AddrPort, known []messenger.PartHolder) (messenger.PartDirectory, error)
 }
 
 // PartReceiver keeps a member's directory of parts equal to its home's: it applies the
@@ -45,6 +46,11 @@
 	next     uint64
 	fetching bool
 	held     []peertracker.PartUpdates
+	// known is the last directory, from which the next one hardly differs. Nothing keeps it current, so
+	// that it is used for no other purpose.
+	known []messenger.PartHolder
+	// whole is set if the next directory is fetched without the use of known.
+	whole bool
 }
 
 // SetHome makes the receiver follow another home; an invalid address means none. Without a home
@@ -63,8 +69,16 @@
 	r.fetch(ctx)
 }
 
+// remember keeps the directory in known. The caller holds the lock.
+func (r *PartReceiver) remember() {
+	if inventories := r.Locator.Inventories(func() {}); len(inventories) > 0 {
+		r.known = encodeInventories(inventories)
+	}
+}
+
 // forget forgets the directory. The caller holds the lock.
 func (r *PartReceiver) forget() {
+	r.remember()
 	for _, holder := range r.Locator.Holders() {
 		r.Locator.Forget(holder)
 	}
@@ -124,14 +138,22 @@
 func (r *PartReceiver) fetchOnce(ctx context.Context) bool {
 	r.mu.Lock()
 	home := r.home
+	if home.IsValid() {
+		r.remember()
+	}
+	known := r.known
+	if r.whole {
+		known = nil
+	}
 	r.mu.Unlock()
 	if !home.IsValid() {
 		return r.done(false)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
-	directory, err := r.Client.Parts(callCtx, home)
+	directory, err := r.Client.Parts(callCtx, home, known)
 	if err != nil {
+		r.setWhole(errors.Is(err, messenger.ErrDirectoryMismatch))
 		r.Logger.Warn().Str("event", "directory of parts").Stringer("home", home).Err(err).Send()
 		r.forgetOf(home)
 		return r.done(ctx.Err() == nil)
@@ -142,6 +164,7 @@
 		return true
 	}
 	r.replace(directory)
+	r.known, r.whole = nil, false
 	r.Logger.Info().Str("event", "directory of parts").Stringer("home", home).Uint64("stream", directory.Stream).
 		Uint64("next", directory.Next).Int("holders", len(directory.Holders)).Int("held", len(r.held)).Send()
 	held := r.held
@@ -154,6 +177,13 @@
 	return false
 }
 
+// setWhole records whether the next call fetches the whole directory.
+func (r *PartReceiver) setWhole(whole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.whole = whole
+}
+
 // forgetOf forgets the directory if home is still the home: changes are missing that can't be
 // fetched.
 func (r *PartReceiver) forgetOf(home netip.AddrPort) {
--- a/internal/relayer/part_receiver_test.go
+++ b/internal/relayer/part_receiver_test.go
@@ -35,8 +35,10 @@
 	parts    *locator.Locator
 	receiver *relayer.PartReceiver
 	homes    map[netip.AddrPort]*partHome
-	// fails makes all calls for a directory fail.
-	fails atomic.Bool
+	// fails makes all calls for a directory fail, and mismatches those that send known parts.
+	fails, mismatches atomic.Bool
+	// whole and partial count the calls without and with known parts.
+	whole, partial atomic.Int64
 
 	mu sync.Mutex
 	// delays returns when a datagram arrives, once for each of its copies.
@@ -72,11 +74,19 @@
 var errNoDirectory = errors.New("directory can't be fetched")
 
 // Parts implements relayer.PartClient.
-func (m *partMember) Parts(_ context.Context, home netip.AddrPort) (messenger.PartDirectory, error) {
+func (m *partMember) Parts(_ context.Context, home netip.AddrPort, known []messenger.PartHolder) (messenger.PartDirectory, error) {
+	if len(known) > 0 {
+		m.partial.Add(1)
+	} else {
+		m.whole.Add(1)
+	}
 	time.Sleep(20 * time.Millisecond)
 	if m.fails.Load() {
 		return messenger.PartDirectory{}, errNoDirectory
 	}
+	if m.mismatches.Load() && len(known) > 0 {
+		return messenger.PartDirectory{}, messenger.ErrDirectoryMismatch
+	}
 	directory := m.homes[home].publisher.Directory()
 	time.Sleep(20 * time.Millisecond)
 	return directory, nil
@@ -135,6 +145,21 @@
 		m.receiver.SetHome(t.Context(), netip.AddrPort{})
 		assert.Empty(t, contents(m.parts))
 	})
+	run("another home after none gets what was known", func(t *testing.T, m *partMember, homes []*partHome) {
+		m.receiver.SetHome(t.Context(), netip.AddrPort{})
+		homes[1].parts.SetPart(testHolder(1), key, 0)
+		m.receiver.SetHome(t.Context(), homes[1].address)
+		time.Sleep(time.Second)
+		assert.Equal(t, contents(homes[1].parts), contents(m.parts))
+		assert.Equal(t, []int64{1, 1}, []int64{m.whole.Load(), m.partial.Load()})
+	})
+	run("the whole directory is fetched after a mismatch", func(t *testing.T, m *partMember, homes []*partHome) {
+		m.mismatches.Store(true)
+		m.receiver.SetHome(t.Context(), homes[1].address)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, contents(homes[1].parts), contents(m.parts))
+		assert.Equal(t, []int64{2, 1}, []int64{m.whole.Load(), m.partial.Load()})
+	})
 	run("no home while the directory is fetched", func(t *testing.T, m *partMember, homes []*partHome) {
 		m.receiver.SetHome(t.Context(), homes[1].address)
 		time.Sleep(30 * time.Millisecond)
--- a/internal/relayer/sharing_test.go
+++ b/internal/relayer/sharing_test.go
@@ -259,7 +259,7 @@
 }
 
 // Parts implements relayer.PartClient.
-func (l *partLink) Parts(context.Context, netip.AddrPort) (messenger.PartDirectory, error) {
+func (l *partLink) Parts(context.Context, netip.AddrPort, []messenger.PartHolder) (messenger.PartDirectory, error) {
 	time.Sleep(50 * time.Millisecond)
 	return l.publisher.Directory(), nil
 }
--- a/internal/transport/messenger/relay.go
+++ b/internal/transport/messenger/relay.go
@@ -13,9 +13,7 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/throttler"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/compressor"
-	"github.com/lacewingrelay/lacewingrelay/internal/protocol/packer"
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/wire"
-	"github.com/lacewingrelay/lacewingrelay/internal/state/peertracker"
 )
 
 // OperatorState is the part of the operators' records that relay nodes
@@ -65,23 +63,6 @@
 	ErrTopicRestored = errors.New("log is in a later era")
 )
 
-// PartDirectory is a copy of the directory of prompt parts.
-type PartDirectory struct {
-	// Stream and Next are those of the first datagram with changes that are not in the copy.
-	Stream uint64
-	Next   uint64
-	// Holders lists all holders, also those without parts.
-	Holders []PartHolder
-}
-
-// PartHolder is the content of one holder. Reserved is the memory taken by incomplete
-// parts, in tokens.
-type PartHolder struct {
-	Holder   netip.AddrPort
-	Reserved int
-	Groups   []peertracker.PartGroup
-}
-
 // RelayNode is what a relay node must implement to serve its peers.
 type RelayNode interface {
 	// OperatorState returns the newest configuration and target versions that
@@ -371,42 +352,3 @@
 	}
 	return grant, nil
 }
-
-// Parts implements wire.Relay.
-func (s *relayServer) Parts(context.Context, *wire.PartsRequest) (*wire.PartsReply, error) {
-	directory := s.node.Parts()
-	reply := &wire.PartsReply{Stream: directory.Stream, Next: directory.Next}
-	for _, holder := range directory.Holders {
-		encoded := &wire.PartHolder{Holder: holder.Holder.String(), Reserved: int64(holder.Reserved)}
-		for _, group := range holder.Groups {
-			encoded.Groups = append(encoded.Groups, packer.EncodePartGroup(group))
-		}
-		reply.Holders = append(reply.Holders, encoded)
-	}
-	return reply, nil
-}
-
-// Parts fetches a peer's directory of prompt parts.
-func (c *Client) Parts(ctx context.Context, peer netip.AddrPort) (PartDirectory, error) {
-	reply, err := wire.NewRelayProtobufClient("http://"+peer.String(), c.http).Parts(ctx, &wire.PartsRequest{})
-	if err != nil {
-		return PartDirectory{}, errors.Wrapf(err, "fetch the directory of parts from %s", peer)
-	}
-	directory := PartDirectory{Stream: reply.Stream, Next: reply.Next}
-	for _, holder := range reply.Holders {
-		address, err := netip.ParseAddrPort(holder.Holder)
-		if err != nil {
-			return PartDirectory{}, errors.Wrapf(err, "directory of parts from %s: holder", peer)
-		}
-		decoded := PartHolder{Holder: address, Reserved: int(holder.Reserved)}
-		for _, group := range holder.Groups {
-			parts, err := packer.DecodePartGroup(group)
-			if err != nil {
-				return PartDirectory{}, errors.Wrapf(err, "directory of parts from %s", peer)
-			}
-			decoded.Groups = append(decoded.Groups, parts)
-		}
-		directory.Holders = append(directory.Holders, decoded)
-	}
-	return directory, nil
-}
