--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -289,6 +289,19 @@
 	return heard && !p.isBehind(int64(newest))
 }
 
+// IsBehind reports whether a peer that this node hears has a newer configuration.
+func (p *Peers) IsBehind() bool {
+	now, newest := p.Now(), uint64(0)
+	p.mu.Lock()
+	for _, m := range p.peers {
+		if now.Sub(m.lastReceived) < memberTimeout {
+			newest = max(newest, m.heartbeat.Applied)
+		}
+	}
+	p.mu.Unlock()
+	return p.isBehind(int64(newest))
+}
+
 // Home returns the address of this node's home; invalid if it has none.
 func (p *Peers) Home() netip.AddrPort {
 	p.mu.Lock()
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -186,6 +186,8 @@
 	broadcasting bool
 	sequence     atomic.Uint64
 	fetching     atomic.Bool
+	// behindLogged is the newest version of a peer that logBehind logged.
+	behindLogged atomic.Int64
 	// sendFailing is set if the last heartbeat could not be sent, no matter to which peer.
 	sendFailing atomic.Bool
 }
--- a/internal/relayer/received.go
+++ b/internal/relayer/received.go
@@ -60,6 +60,7 @@
 	case balancer.Member:
 		p.welcome(heartbeat.Address, now)
 	}
+	p.logBehind(heartbeat)
 	if p.knowsNewer(heartbeat) && p.fetching.CompareAndSwap(false, true) {
 		go p.fetchOperatorState(heartbeat)
 	}
@@ -184,6 +185,28 @@
 	return version > 0 && (catalog == nil || catalog.Version < version)
 }
 
+// logBehind logs once for each version that a peer has a newer configuration than this node.
+func (p *Peers) logBehind(heartbeat peertracker.Heartbeat) {
+	version := int64(heartbeat.Applied)
+	if !p.isBehind(version) {
+		return
+	}
+	for {
+		logged := p.behindLogged.Load()
+		if version <= logged {
+			return
+		}
+		if p.behindLogged.CompareAndSwap(logged, version) {
+			break
+		}
+	}
+	var own int64
+	if catalog := p.Node.View().Catalog; catalog != nil {
+		own = catalog.Version
+	}
+	p.Log.Info().Str("event", "configuration behind").Int64("version", version).Int64("own", own).Str("peer", heartbeat.Name).Send()
+}
+
 // knowsNewer reports whether a peer has newer operators' records than this node.
 func (p *Peers) knowsNewer(heartbeat peertracker.Heartbeat) bool {
 	return p.hasNewerTarget(heartbeat) || p.isBehind(int64(heartbeat.Applied))
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -208,12 +208,16 @@
 
 // standinStateClient stands in for the peers' configuration calls and counts
 // them.
-type standinStateClient struct{ calls atomic.Int64 }
+type standinStateClient struct {
+	calls atomic.Int64
+	// err is returned by all calls; nil if they succeed.
+	err error
+}
 
 // OperatorState implements relayer.OperatorStateClient.
 func (s *standinStateClient) OperatorState(context.Context, netip.AddrPort, int64) (messenger.OperatorState, error) {
 	s.calls.Add(1)
-	return messenger.OperatorState{Version: 9, Weights: map[string]int64{"m": 4}}, nil
+	return messenger.OperatorState{Version: 9, Weights: map[string]int64{"m": 4}}, s.err
 }
 
 func newPeers(t *testing.T, node *relayer.Relayer, client *standinStateClient) *relayer.Peers {
@@ -234,6 +238,42 @@
 	}}
 }
 
+// TestIsBehind guards against nodes that take an older configuration for the newest one, and against
+// those that count on a peer that is gone.
+func TestIsBehind(t *testing.T) {
+	run := func(name string, applied uint64, check func(t *testing.T, peers *relayer.Peers, node *relayer.Relayer)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				node := newNode(t)
+				peers := newPeers(t, node, &standinStateClient{err: context.DeadlineExceeded})
+				node.Configure(catalog(7), "log")
+				synctest.Wait()
+				message := heartbeat(1)
+				message.Sender.Applied = applied
+				peers.HandleHeartbeat(message)
+				check(t, peers, node)
+				// The call to the peer ends.
+				time.Sleep(time.Second)
+			})
+		})
+	}
+	assertBehind := func(want bool) func(*testing.T, *relayer.Peers, *relayer.Relayer) {
+		return func(t *testing.T, peers *relayer.Peers, _ *relayer.Relayer) { assert.Equal(t, want, peers.IsBehind()) }
+	}
+	run("a peer has a newer version", 8, assertBehind(true))
+	run("a peer has the same version", 7, assertBehind(false))
+	run("a peer has an older version", 6, assertBehind(false))
+	run("the version arrives", 8, func(t *testing.T, peers *relayer.Peers, node *relayer.Relayer) {
+		node.Configure(catalog(8), "log")
+		synctest.Wait()
+		assert.False(t, peers.IsBehind())
+	})
+	run("the peer is gone", 8, func(t *testing.T, peers *relayer.Peers, _ *relayer.Relayer) {
+		time.Sleep(2 * time.Second)
+		assert.False(t, peers.IsBehind())
+	})
+}
+
 func TestPeers(t *testing.T) {
 	t.Run("a peer's newer configuration is fetched", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
