--- a/internal/relayer/load_heartbeats.go
+++ b/internal/relayer/load_heartbeats.go
@@ -51,7 +51,7 @@
 
 // sendLoads sends heartbeats with nothing but the sender's state and load. It is called between
 // two steps of Run with all heartbeats and, with otherHubsOnly, at such a step, whose heartbeats
-// do not go to all hubs of other domains.
+// do not go to all hubs of other domains. Members get none while the link has no room for them.
 func (p *Peers) sendLoads(now time.Time, otherHubsOnly bool) {
 	p.mu.Lock()
 	targets := p.targets
@@ -64,6 +64,9 @@
 		p.lastOtherLoads = now
 	}
 	p.mu.Unlock()
+	if !p.linkBudget.allows(now, p.Bandwidth) {
+		targets.members = nil
+	}
 	var lists loadLists
 	targets.each(func(to []netip.AddrPort, kind kind) {
 		heartbeat := p.stateHeartbeat(now, kind)
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -104,6 +104,8 @@
 	// number of failure domains.
 	Cores   float64
 	Domains int
+	// Bandwidth is that of the host's link, in bytes per second; zero if unknown.
+	Bandwidth float64
 	// Incarnation distinguishes the starts of the process. It normally increases, but
 	// see accept.
 	Incarnation uint64
@@ -176,6 +178,7 @@
 	startedAt time.Time
 	// loggedRetained holds, for each model, the announced retained version that was last logged.
 	loggedRetained map[string]int64
+	linkBudget     linkBudget
 	// sharedHosts is what Run last found, for the log.
 	sharedHosts bool
 	// targets are the peers that get heartbeats, as of the last step of Run, and lastOtherLoads
@@ -378,6 +381,7 @@
 	for i, address := range to {
 		targets[i] = netip.AddrPortFrom(address.Addr(), p.GossipPort)
 	}
+	p.linkBudget.charge(p.Now(), p.Bandwidth, len(to)*estimatedSize(heartbeat))
 	err := p.Gossip.Send(targets, packer.Message{Sender: heartbeat})
 	if sendFailing := err != nil; p.sendFailing.Swap(sendFailing) != sendFailing {
 		p.Log.Warn().Str("event", "heartbeats").Bool("sent", !sendFailing).Int("peers", len(to)).AnErr("error", err).Send()
--- a/internal/relayer/size_test.go
+++ b/internal/relayer/size_test.go
@@ -231,7 +231,7 @@
 		Ask:       func(ctx context.Context, stream uint64) (resumer.Build, bool) { return n.peers.AskOrigin(ctx, stream) },
 	}
 	n.peers = &relayer.Peers{
-		Name: n.name, Domain: n.domain, Address: n.address, GossipPort: 7000, Cores: n.cores(), Domains: n.fleet.domains, Incarnation: incarnation,
+		Name: n.name, Domain: n.domain, Address: n.address, GossipPort: 7000, Cores: n.cores(), Bandwidth: n.bandwidth(), Domains: n.fleet.domains, Incarnation: incarnation,
 		Gossip: n, Client: &standinStateClient{}, Node: n.node, Balancer: n.balancer,
 		Suspects:           &retrier.Suspects{Node: n.name, Expiry: time.Hour},
 		PartSuspects:       &retrier.PartSuspects{Node: n.name, Expiry: time.Hour},
@@ -272,6 +272,14 @@
 	return 0.2
 }
 
+// bandwidth returns that of the link of the node's host, in bytes per second: 200 or 10 Mbit/s.
+func (n *fleetNode) bandwidth() float64 {
+	if n.large {
+		return 25e6
+	}
+	return 1.25e6
+}
+
 func (f *fleet) setCut(cut func(a, b *fleetNode) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
