--- a/internal/coordination/locator/locator.go
+++ b/internal/coordination/locator/locator.go
@@ -228,6 +228,17 @@
 	return all
 }
 
+// Inventory returns a copy of the content of one holder; false if it is not known.
+func (l *Locator) Inventory(holder netip.AddrPort) (Inventory, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.inventories[holder]
+	if !ok {
+		return Inventory{}, false
+	}
+	return Inventory{Holder: holder, Parts: maps.Clone(s.parts), Reserved: s.reserved}, true
+}
+
 // Holders returns the known holders.
 func (l *Locator) Holders() []netip.AddrPort {
 	l.mu.Lock()
--- a/internal/protocol/digester/digester.go
+++ b/internal/protocol/digester/digester.go
@@ -1,5 +1,5 @@
-// Package digester compares two copies of the directory of prompt parts by digests of their
-// parts, so that a node that has nearly the same copy gets only what differs.
+// Package digester compares two copies of a list of prompt parts by digests of the parts, so that a
+// node that has nearly the same copy gets only what differs.
 //
 // Parts are divided into buckets by their hashes. A node sends the digest of each of its buckets
 // to the owner of the other copy, who sends back the parts of the buckets that differ and the
@@ -25,18 +25,18 @@
 const (
 	// partsPerBucket is the number of parts in a bucket, on average.
 	partsPerBucket = 8
-	// MaxBuckets bounds the number of buckets.
+	// MaxBuckets bounds the number of buckets of a copy.
 	MaxBuckets = 4096
 )
 
-// Digest is the digest of a copy of the directory.
+// Digest is the digest of a copy.
 type Digest struct {
 	// Total is the digest of all parts.
 	Total   uint64
 	Buckets []uint32
 }
 
-// Buckets returns the number of buckets for a copy of the directory.
+// Buckets returns the number of buckets for a copy.
 func Buckets(groups []peertracker.PartGroup) int {
 	parts := 0
 	for _, group := range groups {
@@ -45,8 +45,8 @@
 	return min(1+parts/partsPerBucket, MaxBuckets)
 }
 
-// Sum returns the digest of a copy of the directory, which does not depend on the order of the parts.
-// buckets must be positive.
+// Sum returns the digest of a copy, which does not depend on the order of the parts. buckets must
+// be positive.
 func Sum(groups []peertracker.PartGroup, buckets int) Digest {
 	digest := Digest{Buckets: make([]uint32, buckets)}
 	var h hasher
--- a/internal/relayer/part_publisher.go
+++ b/internal/relayer/part_publisher.go
@@ -173,28 +173,26 @@
 	for _, update := range unsent {
 		p.Peers.SendParts(p.Peers.Members(), update)
 	}
-	directory.Holders = encodeInventories(inventories)
+	for _, inventory := range inventories {
+		directory.Holders = append(directory.Holders, encodeInventory(inventory))
+	}
 	return directory
 }
 
-func encodeInventories(inventories []locator.Inventory) []messenger.PartHolder {
-	var holders []messenger.PartHolder
-	for _, inventory := range inventories {
-		holder := messenger.PartHolder{Holder: inventory.Holder, Reserved: inventory.Reserved}
-		groups := map[string]int{}
-		for key, tokens := range inventory.Parts {
-			i, ok := groups[key.Salt]
-			if !ok {
-				i = len(holder.Groups)
-				groups[key.Salt] = i
-				holder.Groups = append(holder.Groups, peertracker.PartGroup{Holder: inventory.Holder, Salt: key.Salt})
-			}
-			holder.Groups[i].Parts = append(holder.Groups[i].Parts, key.Part)
-			holder.Groups[i].Tokens = append(holder.Groups[i].Tokens, tokens)
+func encodeInventory(inventory locator.Inventory) messenger.PartHolder {
+	holder := messenger.PartHolder{Holder: inventory.Holder, Reserved: inventory.Reserved}
+	groups := map[string]int{}
+	for key, tokens := range inventory.Parts {
+		i, ok := groups[key.Salt]
+		if !ok {
+			i = len(holder.Groups)
+			groups[key.Salt] = i
+			holder.Groups = append(holder.Groups, peertracker.PartGroup{Holder: inventory.Holder, Salt: key.Salt})
 		}
-		holders = append(holders, holder)
+		holder.Groups[i].Parts = append(holder.Groups[i].Parts, key.Part)
+		holder.Groups[i].Tokens = append(holder.Groups[i].Tokens, tokens)
 	}
-	return holders
+	return holder
 }
 
 // SendParts sends changes of the directory of parts to members.
--- a/internal/relayer/part_receiver.go
+++ b/internal/relayer/part_receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -21,11 +22,13 @@
 	directoryTimeout = 2 * time.Second
 	// directoryJitter spreads the calls of a home's members after a reset.
 	directoryJitter = 300 * time.Millisecond
+	// maxKnownAge is how long the content of a holder that is no longer in the directory is kept.
+	maxKnownAge = time.Minute
 	// maxHeld is the number of datagrams that are kept while the directory is fetched.
 	maxHeld = 64
 )
 
-// PartClient fetches a peer's directory of parts. known is a similar directory that need not be sent again.
+// PartClient fetches a peer's directory of parts. What is the same in known need not be sent again.
 type PartClient interface {
 	Parts(ctx context.Context, peer netip.AddrPort, known []messenger.PartHolder) (messenger.PartDirectory, error)
 }
@@ -46,9 +49,9 @@
 	next     uint64
 	fetching bool
 	held     []peertracker.PartUpdates
-	// known is the last directory, from which the next one hardly differs. Nothing keeps it current, so
-	// that it is used for no other purpose.
-	known []messenger.PartHolder
+	// known is the last content of each holder, from which that in the next directory hardly differs.
+	// Nothing keeps it current, so that it is used for no other purpose.
+	known map[netip.AddrPort]knownHolder
 	// whole is set if the next directory is fetched without the use of known.
 	whole bool
 }
@@ -69,17 +72,31 @@
 	r.fetch(ctx)
 }
 
-// remember keeps the directory in known. The caller holds the lock.
-func (r *PartReceiver) remember() {
-	if inventories := r.Locator.Inventories(func() {}); len(inventories) > 0 {
-		r.known = encodeInventories(inventories)
+// knownHolder is the content of a holder at a time.
+type knownHolder struct {
+	messenger.PartHolder
+	at time.Time
+}
+
+// remember keeps the content of holders in known. The caller holds the lock.
+func (r *PartReceiver) remember(holders []netip.AddrPort) {
+	now := time.Now()
+	if r.known == nil {
+		r.known = map[netip.AddrPort]knownHolder{}
 	}
+	for _, address := range holders {
+		if inventory, ok := r.Locator.Inventory(address); ok && len(inventory.Parts) > 0 {
+			r.known[address] = knownHolder{encodeInventory(inventory), now}
+		}
+	}
+	maps.DeleteFunc(r.known, func(_ netip.AddrPort, known knownHolder) bool { return now.Sub(known.at) > maxKnownAge })
 }
 
 // forget forgets the directory. The caller holds the lock.
 func (r *PartReceiver) forget() {
-	r.remember()
-	for _, holder := range r.Locator.Holders() {
+	holders := r.Locator.Holders()
+	r.remember(holders)
+	for _, holder := range holders {
 		r.Locator.Forget(holder)
 	}
 }
@@ -108,6 +125,7 @@
 
 // apply applies the next datagram of the stream. The caller holds the lock.
 func (r *PartReceiver) apply(updates peertracker.PartUpdates) {
+	r.remember(updates.Forgotten)
 	for _, holder := range updates.Forgotten {
 		r.Locator.Forget(holder)
 	}
@@ -139,11 +157,13 @@
 	r.mu.Lock()
 	home := r.home
 	if home.IsValid() {
-		r.remember()
+		r.remember(r.Locator.Holders())
 	}
-	known := r.known
-	if r.whole {
-		known = nil
+	var known []messenger.PartHolder
+	if !r.whole {
+		for _, holder := range r.known {
+			known = append(known, holder.PartHolder)
+		}
 	}
 	r.mu.Unlock()
 	if !home.IsValid() {
@@ -164,7 +184,7 @@
 		return true
 	}
 	r.replace(directory)
-	r.known, r.whole = nil, false
+	r.whole = false
 	r.Logger.Info().Str("event", "directory of parts").Stringer("home", home).Uint64("stream", directory.Stream).
 		Uint64("next", directory.Next).Int("holders", len(directory.Holders)).Int("held", len(r.held)).Send()
 	held := r.held
--- a/internal/relayer/part_receiver_test.go
+++ b/internal/relayer/part_receiver_test.go
@@ -153,6 +153,15 @@
 		assert.Equal(t, contents(homes[1].parts), contents(m.parts))
 		assert.Equal(t, []int64{1, 1}, []int64{m.whole.Load(), m.partial.Load()})
 	})
+	run("a holder that the home loses and finds again gets what was known", func(t *testing.T, m *partMember, homes []*partHome) {
+		homes[0].parts.Forget(testHolder(1))
+		time.Sleep(500 * time.Millisecond)
+		assert.Empty(t, contents(m.parts))
+		homes[0].parts.Reset(testHolder(1), map[locator.Key]int{key: 10}, 0)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, contents(homes[0].parts), contents(m.parts))
+		assert.Equal(t, []int64{1, 1}, []int64{m.whole.Load(), m.partial.Load()})
+	})
 	run("the whole directory is fetched after a mismatch", func(t *testing.T, m *partMember, homes []*partHome) {
 		m.mismatches.Store(true)
 		m.receiver.SetHome(t.Context(), homes[1].address)
--- a/internal/transport/messenger/parts.go
+++ b/internal/transport/messenger/parts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -34,36 +33,29 @@
 	Groups   []peertracker.PartGroup
 }
 
-// partGroups returns the parts of all holders.
-func partGroups(holders []PartHolder) []peertracker.PartGroup {
-	var groups []peertracker.PartGroup
-	for _, holder := range holders {
-		groups = append(groups, holder.Groups...)
-	}
-	return groups
-}
-
 // Parts implements wire.Relay.
 func (s *relayServer) Parts(_ context.Context, request *wire.PartsRequest) (*wire.PartsReply, error) {
 	directory := s.node.Parts()
 	reply := &wire.PartsReply{Stream: directory.Stream, Next: directory.Next}
-	selected := func(groups []peertracker.PartGroup) []peertracker.PartGroup { return groups }
-	if n := len(request.Buckets); n > 0 && n <= digester.MaxBuckets {
-		digest := digester.Sum(partGroups(directory.Holders), n)
-		differing := digest.Differing(request.Buckets)
-		reply.Total = &digest.Total
-		for i, differs := range differing {
-			if differs {
-				reply.Differing = append(reply.Differing, uint32(i))
-			}
-		}
-		selected = func(groups []peertracker.PartGroup) []peertracker.PartGroup {
-			return digester.Select(groups, differing, true)
+	known := map[string][]uint32{}
+	for _, holder := range request.Known {
+		if n := len(holder.Buckets); n > 0 && n <= digester.MaxBuckets {
+			known[holder.Holder] = holder.Buckets
 		}
 	}
 	for _, holder := range directory.Holders {
-		encoded := &wire.PartHolder{Holder: holder.Holder.String(), Reserved: int64(holder.Reserved)}
-		for _, group := range selected(holder.Groups) {
+		encoded, groups := &wire.PartHolder{Holder: holder.Holder.String(), Reserved: int64(holder.Reserved)}, holder.Groups
+		if buckets, ok := known[encoded.Holder]; ok {
+			digest := digester.Sum(groups, len(buckets))
+			differing := digest.Differing(buckets)
+			groups, encoded.Total = digester.Select(groups, differing, true), &digest.Total
+			for i, differs := range differing {
+				if differs {
+					encoded.Differing = append(encoded.Differing, uint32(i))
+				}
+			}
+		}
+		for _, group := range groups {
 			encoded.Groups = append(encoded.Groups, packer.EncodePartGroup(group))
 		}
 		reply.Holders = append(reply.Holders, encoded)
@@ -71,67 +63,62 @@
 	return reply, nil
 }
 
-// Parts fetches a peer's directory of prompt parts. Only what differs from the known holders is
+// Parts fetches a peer's directory of prompt parts. Of the known holders, only the parts that differ are
 // sent, if the peer can tell. It returns ErrDirectoryMismatch if the result is not the peer's directory.
 func (c *Client) Parts(ctx context.Context, peer netip.AddrPort, known []PartHolder) (PartDirectory, error) {
-	request, groups := &wire.PartsRequest{}, partGroups(known)
-	if len(groups) > 0 {
-		request.Buckets = digester.Sum(groups, digester.Buckets(groups)).Buckets
+	request, groups := &wire.PartsRequest{}, map[netip.AddrPort][]peertracker.PartGroup{}
+	for _, holder := range known {
+		groups[holder.Holder] = holder.Groups
+		request.Known = append(request.Known, &wire.KnownHolder{
+			Holder: holder.Holder.String(), Buckets: digester.Sum(holder.Groups, digester.Buckets(holder.Groups)).Buckets,
+		})
 	}
 	reply, err := wire.NewRelayProtobufClient("http://"+peer.String(), c.http).Parts(ctx, request)
 	if err != nil {
 		return PartDirectory{}, errors.Wrapf(err, "fetch the directory of parts from %s", peer)
 	}
-	directory, err := decodeDirectory(reply)
-	if err != nil {
-		return PartDirectory{}, errors.Wrapf(err, "directory of parts from %s", peer)
-	}
-	if reply.Total == nil {
-		// The peer sent everything: it knows no digests, or got none.
-		return directory, nil
-	}
-	differing := make([]bool, len(request.Buckets))
-	for _, i := range reply.Differing {
-		if int(i) >= len(differing) {
-			return PartDirectory{}, errors.Wrapf(ErrDirectoryMismatch, "bucket %d of %d at %s", i, len(differing), peer)
+	directory := PartDirectory{Stream: reply.Stream, Next: reply.Next}
+	for _, encoded := range reply.Holders {
+		holder, err := decodeHolder(encoded)
+		if err == nil && encoded.Total != nil {
+			err = holder.complete(encoded, groups[holder.Holder])
 		}
-		differing[i] = true
-	}
-	if len(groups) > 0 {
-		directory.add(digester.Select(groups, differing, false))
-	}
-	if total := digester.Sum(partGroups(directory.Holders), 1).Total; total != *reply.Total {
-		return PartDirectory{}, errors.Wrapf(ErrDirectoryMismatch, "digest %x, at %s %x", total, peer, *reply.Total)
+		if err != nil {
+			return PartDirectory{}, errors.Wrapf(err, "directory of parts from %s: holder %s", peer, encoded.Holder)
+		}
+		directory.Holders = append(directory.Holders, holder)
 	}
 	return directory, nil
 }
 
-// add adds parts of those holders that are in the directory.
-func (d *PartDirectory) add(groups []peertracker.PartGroup) {
-	for _, group := range groups {
-		i := slices.IndexFunc(d.Holders, func(holder PartHolder) bool { return holder.Holder == group.Holder })
-		if i >= 0 {
-			d.Holders[i].Groups = append(d.Holders[i].Groups, group)
+// complete adds the known parts of the buckets that do not differ.
+func (h *PartHolder) complete(encoded *wire.PartHolder, known []peertracker.PartGroup) error {
+	differing := make([]bool, digester.Buckets(known))
+	for _, i := range encoded.Differing {
+		if int(i) >= len(differing) {
+			return errors.Wrapf(ErrDirectoryMismatch, "bucket %d of %d", i, len(differing))
 		}
+		differing[i] = true
+	}
+	h.Groups = append(h.Groups, digester.Select(known, differing, false)...)
+	if total := digester.Sum(h.Groups, 1).Total; total != *encoded.Total {
+		return errors.Wrapf(ErrDirectoryMismatch, "digest %x, peer has %x", total, *encoded.Total)
 	}
+	return nil
 }
 
-func decodeDirectory(reply *wire.PartsReply) (PartDirectory, error) {
-	directory := PartDirectory{Stream: reply.Stream, Next: reply.Next}
-	for _, holder := range reply.Holders {
-		address, err := netip.ParseAddrPort(holder.Holder)
+func decodeHolder(encoded *wire.PartHolder) (PartHolder, error) {
+	address, err := netip.ParseAddrPort(encoded.Holder)
+	if err != nil {
+		return PartHolder{}, errors.Wrap(err, "address")
+	}
+	holder := PartHolder{Holder: address, Reserved: int(encoded.Reserved)}
+	for _, group := range encoded.Groups {
+		parts, err := packer.DecodePartGroup(group)
 		if err != nil {
-			return PartDirectory{}, errors.Wrap(err, "holder")
+			return PartHolder{}, err
 		}
-		decoded := PartHolder{Holder: address, Reserved: int(holder.Reserved)}
-		for _, group := range holder.Groups {
-			parts, err := packer.DecodePartGroup(group)
-			if err != nil {
-				return PartDirectory{}, err
-			}
-			decoded.Groups = append(decoded.Groups, parts)
-		}
-		directory.Holders = append(directory.Holders, decoded)
+		holder.Groups = append(holder.Groups, parts)
 	}
-	return directory, nil
+	return holder, nil
 }
