--- a/internal/protocol/compressor/compressor.go
+++ b/internal/protocol/compressor/compressor.go
@@ -1,11 +1,17 @@
 // Package compressor compresses large values that a node sends to many peers: each value is
-// compressed once.
+// compressed once. A peer that has an earlier version gets the delta from it; the digest of the
+// result proves that it is the same.
 //
 // # Usage
 //
 //	var cache compressor.Cache
 //	data, ok := cache.Compress("topic/key", compressor.Version{Era: 1, Offset: 7}, value)
 //	value, err := compressor.Decompress(data)
+//
+// With deltas, the receiver sends bases.Digests() and gets a delta from one of them, if any:
+//
+//	delta, ok := encoder.Encode("topic/key", compressor.Version{Era: 1, Offset: 8}, value, digests)
+//	value, err := bases.Apply(delta)
 package compressor
 
 import (
--- a/internal/protocol/compressor/difference.go
+++ b/internal/protocol/compressor/delta.go
@@ -16,8 +16,8 @@
 	dictionaryID = 1
 )
 
-// ErrNoBase marks a difference from a value that is not known.
-var ErrNoBase = errors.New("base of the difference is not known")
+// ErrNoBase marks a delta from a value that is not known.
+var ErrNoBase = errors.New("base of the delta is not known")
 
 // Digest identifies a value by its content.
 type Digest [sha256.Size]byte
@@ -25,14 +25,14 @@
 // Sum returns the digest of a value.
 func Sum(value []byte) Digest { return sha256.Sum256(value) }
 
-// Difference is a value as its difference from another one, its base.
-type Difference struct {
+// Delta is a value as its difference from another one, its base.
+type Delta struct {
 	Base   Digest
 	Target Digest
 	Data   []byte
 }
 
-// Bases holds the newest of the large values that this node has, as bases of differences. The
+// Bases holds the newest of the large values that this node has, as bases of deltas. The
 // zero Bases is ready to use and safe for concurrent use.
 type Bases struct {
 	mu sync.Mutex
@@ -87,10 +87,10 @@
 	return b.values[i].value, true
 }
 
-// Expand returns the value of a difference, and adds it. It returns ErrNoBase, or ErrInvalid for data
+// Apply returns the value of a delta, and adds it. It returns ErrNoBase, or ErrInvalid for data
 // that is damaged or results in another value.
-func (b *Bases) Expand(difference Difference) ([]byte, error) {
-	base, ok := b.get(difference.Base)
+func (b *Bases) Apply(delta Delta) ([]byte, error) {
+	base, ok := b.get(delta.Base)
 	if !ok {
 		return nil, ErrNoBase
 	}
@@ -99,19 +99,19 @@
 		return nil, errors.Mark(err, ErrInvalid)
 	}
 	defer decoder.Close()
-	value, err := decoder.DecodeAll(difference.Data, nil)
+	value, err := decoder.DecodeAll(delta.Data, nil)
 	if err != nil {
 		return nil, errors.Mark(err, ErrInvalid)
 	}
-	if Sum(value) != difference.Target {
-		return nil, errors.Wrap(ErrInvalid, "difference results in another value")
+	if Sum(value) != delta.Target {
+		return nil, errors.Wrap(ErrInvalid, "delta results in another value")
 	}
-	b.Add(difference.Target, value)
+	b.Add(delta.Target, value)
 	return value, nil
 }
 
-// subtract returns target as its difference from base.
-func subtract(target, base []byte) ([]byte, error) {
+// encodeDelta returns the data of the delta from base to target.
+func encodeDelta(target, base []byte) ([]byte, error) {
 	window := zstd.MinWindowSize
 	for window < len(target)+len(base) && window < zstd.MaxWindowSize {
 		window *= 2
@@ -124,14 +124,14 @@
 	return encoder.EncodeAll(target, nil), nil
 }
 
-// Subtracter makes differences for many peers: each one once. The zero Subtracter is ready to
-// use and safe for concurrent use.
-type Subtracter struct {
+// DeltaEncoder makes deltas for many peers: each one once. The zero DeltaEncoder is ready to use
+// and safe for concurrent use.
+type DeltaEncoder struct {
 	bases Bases
 
-	mu          sync.Mutex
-	versions    map[string]identified
-	differences map[[2]Digest]result
+	mu       sync.Mutex
+	versions map[string]identified
+	deltas   map[[2]Digest]result
 }
 
 // identified is a version of a value and its digest.
@@ -145,44 +145,44 @@
 	err  error
 }
 
-// Subtract returns the difference of a value from the first of the given bases that is known. It
-// returns false if there is none, or if the value is not worth it.
-func (s *Subtracter) Subtract(key string, version Version, value []byte, bases []Digest) (Difference, bool) {
+// Encode returns the delta of a value from the first of the given bases that is known. It returns
+// false if there is none, or if the value is not worth it.
+func (e *DeltaEncoder) Encode(key string, version Version, value []byte, bases []Digest) (Delta, bool) {
 	if len(value) < MinBytes {
-		return Difference{}, false
+		return Delta{}, false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	target := s.digest(key, version, value)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	target := e.digest(key, version, value)
 	for _, digest := range bases {
-		base, ok := s.bases.get(digest)
+		base, ok := e.bases.get(digest)
 		if !ok {
 			continue
 		}
 		pair := [2]Digest{digest, target}
-		known, ok := s.differences[pair]
+		known, ok := e.deltas[pair]
 		if !ok {
-			known.data, known.err = subtract(value, base)
-			if s.differences == nil || len(s.differences) >= maxBases*maxBases {
-				s.differences = map[[2]Digest]result{}
+			known.data, known.err = encodeDelta(value, base)
+			if e.deltas == nil || len(e.deltas) >= maxBases*maxBases {
+				e.deltas = map[[2]Digest]result{}
 			}
-			s.differences[pair] = known
+			e.deltas[pair] = known
 		}
-		return Difference{Base: digest, Target: target, Data: known.data}, known.err == nil
+		return Delta{Base: digest, Target: target, Data: known.data}, known.err == nil
 	}
-	return Difference{}, false
+	return Delta{}, false
 }
 
 // digest returns the digest of a value, which becomes a base of later ones. The caller holds the lock.
-func (s *Subtracter) digest(key string, version Version, value []byte) Digest {
-	known, ok := s.versions[key]
+func (e *DeltaEncoder) digest(key string, version Version, value []byte) Digest {
+	known, ok := e.versions[key]
 	if !ok || known.version != version {
 		known = identified{version, Sum(value)}
-		if s.versions == nil || len(s.versions) >= maxValues {
-			s.versions = map[string]identified{}
+		if e.versions == nil || len(e.versions) >= maxValues {
+			e.versions = map[string]identified{}
 		}
-		s.versions[key] = known
-		s.bases.Add(known.digest, value)
+		e.versions[key] = known
+		e.bases.Add(known.digest, value)
 	}
 	return known.digest
 }
--- a/internal/protocol/compressor/difference_test.go
+++ b/internal/protocol/compressor/delta_test.go
@@ -11,61 +11,61 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/compressor"
 )
 
-// subtractPair returns two versions of a value, the bases of a node that has the first one, and the
-// difference of the second one.
-func subtractPair(t *testing.T) (second []byte, bases *compressor.Bases, difference compressor.Difference) {
+// deltaPair returns two versions of a value, the bases of a node that has the first one, and the
+// delta of the second one.
+func deltaPair(t *testing.T) (second []byte, bases *compressor.Bases, delta compressor.Delta) {
 	t.Helper()
 	first := bytes.Repeat([]byte("route "), compressor.MinBytes)
 	second = append(bytes.Clone(first), "one more"...)
-	var subtracter compressor.Subtracter
+	var encoder compressor.DeltaEncoder
 	bases = &compressor.Bases{}
 	bases.Add(compressor.Sum(first), first)
-	_, ok := subtracter.Subtract("k", compressor.Version{Offset: 1}, first, nil)
+	_, ok := encoder.Encode("k", compressor.Version{Offset: 1}, first, nil)
 	require.False(t, ok, "the caller has nothing")
-	difference, ok = subtracter.Subtract("k", compressor.Version{Offset: 2}, second, bases.Digests())
+	delta, ok = encoder.Encode("k", compressor.Version{Offset: 2}, second, bases.Digests())
 	require.True(t, ok)
-	return second, bases, difference
+	return second, bases, delta
 }
 
-func assertNotExpanded(t *testing.T, bases *compressor.Bases, difference compressor.Difference, want error) {
+func assertNotApplied(t *testing.T, bases *compressor.Bases, delta compressor.Delta, want error) {
 	t.Helper()
 	before := bases.Digests()
-	_, err := bases.Expand(difference)
+	_, err := bases.Apply(delta)
 	assert.True(t, errors.Is(err, want), "%v", err)
 	assert.Equal(t, before, bases.Digests())
 }
 
-// TestExpand guards against differences that result in another value than the peer's.
-func TestExpand(t *testing.T) {
-	want, bases, difference := subtractPair(t)
+// TestApply guards against deltas that result in another value than the peer's.
+func TestApply(t *testing.T) {
+	want, bases, delta := deltaPair(t)
 	t.Run("truncated", func(t *testing.T) {
-		for n := range difference.Data {
-			truncated := difference
-			truncated.Data = difference.Data[:n]
-			assertNotExpanded(t, bases, truncated, compressor.ErrInvalid)
+		for n := range delta.Data {
+			truncated := delta
+			truncated.Data = delta.Data[:n]
+			assertNotApplied(t, bases, truncated, compressor.ErrInvalid)
 		}
 	})
 	t.Run("damaged", func(t *testing.T) {
-		for i := range difference.Data {
-			damaged := difference
-			damaged.Data = bytes.Clone(difference.Data)
+		for i := range delta.Data {
+			damaged := delta
+			damaged.Data = bytes.Clone(delta.Data)
 			damaged.Data[i] ^= 0xff
-			assertNotExpanded(t, bases, damaged, compressor.ErrInvalid)
+			assertNotApplied(t, bases, damaged, compressor.ErrInvalid)
 		}
 	})
 	t.Run("of another value", func(t *testing.T) {
-		other := difference
+		other := delta
 		other.Target[0]++
-		assertNotExpanded(t, bases, other, compressor.ErrInvalid)
+		assertNotApplied(t, bases, other, compressor.ErrInvalid)
 	})
 	t.Run("from an unknown value", func(t *testing.T) {
-		assertNotExpanded(t, &compressor.Bases{}, difference, compressor.ErrNoBase)
+		assertNotApplied(t, &compressor.Bases{}, delta, compressor.ErrNoBase)
 	})
 	t.Run("whole", func(t *testing.T) {
-		got, err := bases.Expand(difference)
+		got, err := bases.Apply(delta)
 		require.NoError(t, err)
 		assert.Equal(t, want, got)
-		assert.Equal(t, difference.Target, bases.Digests()[0])
+		assert.Equal(t, delta.Target, bases.Digests()[0])
 	})
 }
 
--- a/internal/transport/messenger/compressed_test.go
+++ b/internal/transport/messenger/compressed_test.go
@@ -167,35 +167,35 @@
 	})
 }
 
-// damagedDifference serves the whole value to callers without bases, and damaged differences to others.
-type damagedDifference struct {
+// damagedDelta serves the whole value to callers without bases, and damaged deltas to others.
+type damagedDelta struct {
 	wire.Relay
 	value  []byte
-	damage func(*wire.Difference)
+	damage func(*wire.Delta)
 }
 
-func (d damagedDifference) Topic(_ context.Context, request *wire.TopicRequest) (*wire.TopicReply, error) {
+func (d damagedDelta) Topic(_ context.Context, request *wire.TopicRequest) (*wire.TopicReply, error) {
 	record := &wire.TopicRecord{Key: "config", Value: d.value}
 	if len(request.Bases) > 0 {
 		target := make([]byte, len(request.Bases[0]))
-		record.Value, record.Difference = nil, &wire.Difference{Base: request.Bases[0], Target: target, Data: []byte("x")}
-		d.damage(record.Difference)
+		record.Value, record.Delta = nil, &wire.Delta{Base: request.Bases[0], Target: target, Data: []byte("x")}
+		d.damage(record.Delta)
 	}
 	return &wire.TopicReply{Result: wire.TopicResult_TOPIC_RESULT_OK, Records: []*wire.TopicRecord{record}}, nil
 }
 
-// TestDamagedDifference guards against differences that do not match and are used, or are asked for again
+// TestDamagedDelta guards against deltas that do not match and are used, or are asked for again
 // and again: the next reply is the whole value.
-func TestDamagedDifference(t *testing.T) {
-	for name, damage := range map[string]func(*wire.Difference){
-		"truncated":        func(*wire.Difference) {},
-		"unknown base":     func(d *wire.Difference) { d.Base = make([]byte, len(d.Base)) },
-		"malformed base":   func(d *wire.Difference) { d.Base = d.Base[1:] },
-		"malformed target": func(d *wire.Difference) { d.Target = nil },
+func TestDamagedDelta(t *testing.T) {
+	for name, damage := range map[string]func(*wire.Delta){
+		"truncated":        func(*wire.Delta) {},
+		"unknown base":     func(d *wire.Delta) { d.Base = make([]byte, len(d.Base)) },
+		"malformed base":   func(d *wire.Delta) { d.Base = d.Base[1:] },
+		"malformed target": func(d *wire.Delta) { d.Target = nil },
 	} {
 		t.Run(name, func(t *testing.T) {
 			value, invalid := largeConfiguration(200), 0
-			server := httptest.NewServer(authenticate(nil, wire.NewRelayServer(damagedDifference{value: value, damage: damage})))
+			server := httptest.NewServer(authenticate(nil, wire.NewRelayServer(damagedDelta{value: value, damage: damage})))
 			defer server.Close()
 			peer, client := netip.MustParseAddrPort(server.Listener.Addr().String()), NewClient(http.DefaultTransport, 0, nil)
 			client.OnInvalid = func() { invalid++ }
--- a/internal/transport/messenger/relay.go
+++ b/internal/transport/messenger/relay.go
@@ -95,9 +95,9 @@
 
 type relayServer struct {
 	node RelayNode
-	// compressed and differences hold the short forms of large values, for all peers.
-	compressed  compressor.Cache
-	differences compressor.Subtracter
+	// compressed and deltas hold the short forms of large values, for all peers.
+	compressed compressor.Cache
+	deltas     compressor.DeltaEncoder
 }
 
 // operatorStateKey is the key of configurations in relayServer.compressed; no topic has this name.
@@ -108,8 +108,8 @@
 	state := s.node.OperatorState(request.Newer)
 	reply := &wire.ConfigurationReply{Version: state.Version, Data: state.Data}
 	version := compressor.Version{Offset: state.Version}
-	if difference, ok := s.differences.Subtract(operatorStateKey, version, state.Data, decodeDigests(request.Bases)); ok {
-		reply.Data, reply.Difference = nil, encodeDifference(difference)
+	if delta, ok := s.deltas.Encode(operatorStateKey, version, state.Data, decodeDigests(request.Bases)); ok {
+		reply.Data, reply.Delta = nil, encodeDelta(delta)
 	} else if request.Compressed {
 		if data, ok := s.compressed.Compress(operatorStateKey, version, state.Data); ok {
 			reply.Data, reply.Compressed = data, true
@@ -129,7 +129,7 @@
 	if err != nil {
 		return OperatorState{}, errors.Wrapf(err, "fetch configuration from %s", peer)
 	}
-	data, err := c.expand(reply.Data, reply.Compressed, reply.Difference)
+	data, err := c.expand(reply.Data, reply.Compressed, reply.Delta)
 	if err != nil {
 		return OperatorState{}, errors.Wrapf(err, "configuration %d from %s", reply.Version, peer)
 	}
@@ -165,14 +165,14 @@
 	}
 }
 
-// compress replaces the large values of a reply by their differences from what the caller has, or by
-// their compressed forms.
+// compress replaces the large values of a reply by deltas from what the caller has, or by their
+// compressed forms.
 func (s *relayServer) compress(request *wire.TopicRequest, reply *wire.TopicReply) {
 	bases := decodeDigests(request.Bases)
 	for _, record := range reply.Records {
 		key, version := request.Topic+"/"+record.Key, compressor.Version{Era: reply.Era, Offset: record.Offset}
-		if difference, ok := s.differences.Subtract(key, version, record.Value, bases); ok {
-			record.Value, record.Difference = nil, encodeDifference(difference)
+		if delta, ok := s.deltas.Encode(key, version, record.Value, bases); ok {
+			record.Value, record.Delta = nil, encodeDelta(delta)
 		} else if request.Compressed {
 			if data, ok := s.compressed.Compress(key, version, record.Value); ok {
 				record.Value, record.Compressed = data, true
@@ -192,11 +192,11 @@
 	return digests
 }
 
-func encodeDifference(difference compressor.Difference) *wire.Difference {
-	return &wire.Difference{Base: difference.Base[:], Target: difference.Target[:], Data: difference.Data}
+func encodeDelta(delta compressor.Delta) *wire.Delta {
+	return &wire.Delta{Base: delta.Base[:], Target: delta.Target[:], Data: delta.Data}
 }
 
-// encodedBases returns the digests of the values from which this node understands differences.
+// encodedBases returns the digests of the values from which this node understands deltas.
 func (c *Client) encodedBases() [][]byte {
 	var encoded [][]byte
 	for _, digest := range c.Bases.Digests() {
@@ -205,17 +205,17 @@
 	return encoded
 }
 
-// expand returns a value that a peer sent as it is, compressed, or as a difference. After an error
+// expand returns a value that a peer sent as it is, compressed, or as a delta. After an error
 // the values to come are asked for in whole.
-func (c *Client) expand(value []byte, compressed bool, difference *wire.Difference) ([]byte, error) {
+func (c *Client) expand(value []byte, compressed bool, delta *wire.Delta) ([]byte, error) {
 	var err error
 	switch {
-	case difference != nil:
-		digests := decodeDigests([][]byte{difference.Base, difference.Target})
+	case delta != nil:
+		digests := decodeDigests([][]byte{delta.Base, delta.Target})
 		if len(digests) == 2 {
-			value, err = c.Bases.Expand(compressor.Difference{Base: digests[0], Target: digests[1], Data: difference.Data})
+			value, err = c.Bases.Apply(compressor.Delta{Base: digests[0], Target: digests[1], Data: delta.Data})
 		} else {
-			err = errors.Wrap(compressor.ErrInvalid, "difference lacks a digest")
+			err = errors.Wrap(compressor.ErrInvalid, "delta lacks a digest")
 		}
 	case compressed:
 		value, err = compressor.Decompress(value)
@@ -229,7 +229,7 @@
 		}
 		return nil, err
 	}
-	if difference == nil && len(value) >= compressor.MinBytes {
+	if delta == nil && len(value) >= compressor.MinBytes {
 		c.Bases.Add(compressor.Sum(value), value)
 	}
 	return value, nil
@@ -290,7 +290,7 @@
 	for _, record := range reply.Records {
 		decoded := TopicRecord{Key: record.Key, Offset: record.Offset}
 		if !record.Deleted {
-			if decoded.Value, err = c.expand(record.Value, record.Compressed, record.Difference); err != nil {
+			if decoded.Value, err = c.expand(record.Value, record.Compressed, record.Delta); err != nil {
 				return TopicBatch{}, errors.Wrapf(err, "record %q of %s at %s", record.Key, request.Topic, peer)
 			}
 		}
