A reset that a write has received is no orderly end of an answer

Cause: the system reports the reset of a connection once. If the goroutine that writes the request gets it, the one that reads the answer sees an ordinary end, which makes an answer without a length whole. The error of the write was kept for the reuse of the connection only. The same holds at the far end of a tunnel, where the peer then writes the frame that says that the endpoint has ended its connection in order.

Change: package verifier. Reads of a verifier.Conn report the end only if no write has failed; one that is under way is ended by its deadline first. The sender, the peers' end of tunnels, the nodes' own calls and the clients of the other interface use it. Tunnels themselves need none, as a frame tells their end.

Read, and not concerned: answers with a length or chunks (net/http finds them cut), the listener (requests without a length have no body), gnet (datagrams).

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -25,6 +25,7 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/protocol/transcoder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/configurator"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/follower"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/verifier"
 )
 
 // Sentinel errors. The command line maps them to exit codes.
@@ -43,7 +44,7 @@
 )
 
 func newLogClient(address netip.AddrPort) *follower.Client {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	transport := verifier.NewTransport(&http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext})
 	return &follower.Client{Address: address, HTTP: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
--- a/internal/runner/builder.go
+++ b/internal/runner/builder.go
@@ -23,6 +23,7 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/listener"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/messenger"
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/meter"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/verifier"
 )
 
 func (n *Node) buildMetrics() {
@@ -34,7 +35,7 @@
 func (n *Node) buildTransport() {
 	n.pools = &dialer.Pools{DialTimeout: dialTimeout}
 	n.engine = &dialer.Engine{Pools: n.pools}
-	platformTransport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: claimer.Partitions}
+	platformTransport := verifier.NewTransport(&http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: claimer.Partitions})
 	n.hosts = &dialer.Hosts{Address: n.Settings.Hosts, HTTP: &http.Client{Transport: platformTransport, Timeout: hostsTimeout}}
 	n.logService = &follower.Client{Address: n.Settings.Log, HTTP: &http.Client{Transport: platformTransport}}
 	n.claims = &claimer.Claimer{
@@ -52,7 +53,7 @@
 	n.archive = &archiver.Archive{Store: n.store, Mover: n.engine, Links: n.links, Process: n.process, Learner: learner, Now: time.Now}
 	n.storeCleaner = &archiver.StoreCleaner{Store: n.store, Policy: evictor.Must(evictionPolicy, learner), Now: time.Now}
 	n.gossip = &gossiper.Gossiper{Address: n.Settings.Peers, Packer: packer.Packer{Key: n.Settings.PeerKey}, Receive: n.receiveHeartbeat}
-	peerTransport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	peerTransport := verifier.NewTransport(&http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext})
 	n.peerClient = messenger.NewClient(peerTransport, peerTimeout, n.Settings.PeerKey)
 	n.ticketClient = messenger.NewClient(peerTransport, ticketTimeout, n.Settings.PeerKey)
 }
--- a/internal/transport/dialer/dialer.go
+++ b/internal/transport/dialer/dialer.go
@@ -29,6 +29,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/dispatcher"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/verifier"
 )
 
 const (
@@ -45,10 +46,10 @@
 	DialTimeout time.Duration
 
 	mu    sync.Mutex
-	pools map[netip.AddrPort]*http.Transport
+	pools map[netip.AddrPort]*verifier.Transport
 }
 
-func (p *Pools) get(address netip.AddrPort) *http.Transport {
+func (p *Pools) get(address netip.AddrPort) *verifier.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pool, ok := p.pools[address]
@@ -56,26 +57,26 @@
 		return pool
 	}
 	if p.pools == nil {
-		p.pools = map[netip.AddrPort]*http.Transport{}
+		p.pools = map[netip.AddrPort]*verifier.Transport{}
 	}
 	pool = p.transport()
 	p.pools[address] = pool
 	return pool
 }
 
-func (p *Pools) transport() *http.Transport {
-	return &http.Transport{
+func (p *Pools) transport() *verifier.Transport {
+	return verifier.NewTransport(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: p.DialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    idleConnsPerEndpoint,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
-	}
+	})
 }
 
 // unpooledTransport returns a transport that sends its request on a new
 // connection.
-func (p *Pools) unpooledTransport() *http.Transport {
+func (p *Pools) unpooledTransport() *verifier.Transport {
 	transport := p.transport()
 	transport.DisableKeepAlives = true
 	return transport
@@ -96,7 +97,7 @@
 // RetainOnly discards the pools of all addresses that are not in the given set.
 func (p *Pools) RetainOnly(addresses map[netip.AddrPort]bool) {
 	p.mu.Lock()
-	var dropped []*http.Transport
+	var dropped []*verifier.Transport
 	for address, pool := range p.pools {
 		if !addresses[address] {
 			dropped = append(dropped, pool)
--- a/internal/transport/sender/conn.go
+++ b/internal/transport/sender/conn.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/transport/reserver"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/verifier"
 )
 
 const (
@@ -33,6 +34,8 @@
 type conn struct {
 	target Target
 	raw    net.Conn
+	// stream is raw, or the same with the end of what is read verified.
+	stream net.Conn
 	source *source
 	reader *bufio.Reader
 	// expires is the time after which an idle connection is not reused.
@@ -46,11 +49,15 @@
 }
 
 func newConn(target Target, raw net.Conn) *conn {
-	source := &source{raw: raw}
-	c := &conn{target: target, raw: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	c := &conn{target: target, raw: raw}
 	if relayed, ok := raw.(Relayed); ok {
-		c.via = relayed.Via()
+		// The other node says how the endpoint has ended its connection.
+		c.via, c.stream = relayed.Via(), raw
+	} else {
+		c.stream = &verifier.Conn{Conn: raw}
 	}
+	c.source = &source{raw: c.stream}
+	c.reader = bufio.NewReaderSize(c.source, readBufferBytes)
 	return c
 }
 
@@ -180,7 +187,7 @@
 
 func (r *Reply) writeRequest(request *http.Request) error {
 	defer close(r.writeDone)
-	r.writeErr = request.Write(r.conn.raw)
+	r.writeErr = request.Write(r.conn.stream)
 	return r.writeErr
 }
 
--- a/internal/transport/tunneler/handler.go
+++ b/internal/transport/tunneler/handler.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/verifier"
 )
 
 const (
@@ -116,7 +117,7 @@
 		return
 	}
 	began := time.Now()
-	sent, received := carry(peer, endpoint)
+	sent, received := carry(peer, &verifier.Conn{Conn: endpoint})
 	h.Log.Info().Str("event", "tunnel").Str("request", r.Header.Get(headerRequest)).Stringer("endpoint", address).Str("peer", r.RemoteAddr).
 		Int64("sent", sent).Int64("received", received).Dur("elapsed", time.Since(began)).Send()
 }
--- a/internal/transport/tunneler/tunneler_test.go
+++ b/internal/transport/tunneler/tunneler_test.go
@@ -220,6 +220,18 @@
 		_, err := io.ReadAll(conn)
 		assert.Error(t, err)
 	})
+	t.Run("nor is one that a write has received", func(t *testing.T) {
+		_, conn := newTunnel(t, func(conn *net.TCPConn) {
+			_, _ = conn.Read(make([]byte, 10))
+			_, _ = conn.Write([]byte("part"))
+			time.Sleep(50 * time.Millisecond)
+			_ = conn.SetLinger(0)
+		})
+		go func() { _, _ = conn.Write(make([]byte, 32<<20)) }()
+		answer, err := io.ReadAll(conn)
+		assert.Equal(t, "part", string(answer))
+		assert.Error(t, err)
+	})
 	t.Run("nor is the end of the peer", func(t *testing.T) {
 		s, conn := newTunnel(t, func(conn *net.TCPConn) {
 			_, _ = conn.Write([]byte("part"))
