Responses whose heads are malformed are no answers

Cause: net/http accepts any three digits as a status, also with a sign, any major version, and blanks in the names of fields. Such a field is passed over, also one that says how long the body is ("Content-Length : 4", "Transfer-Encoding : chunked"). The platform's sender took a status below 200 for an interim response and waited for another one until its deadline; callers of plain services at the other interface got status 0. In answers of HTTP/1.0 net/http passes over a transfer coding, so that the coded body was the body.

Valid are codes from 100 to 599, names that are tokens, and values without control bytes. The sender also rejects transfer codings in HTTP/1.0; clients of net/http can't see those.

Control bytes in names and values were rejected by net/http before and remain so (in the tests).

--- a/internal/transport/dialer/dialer.go
+++ b/internal/transport/dialer/dialer.go
@@ -153,7 +153,7 @@
 		return errors.Mark(errors.Wrapf(err, "no progress for %s", e.stallTimeout), dispatcher.ErrStalled)
 	case !e.mayHaveSent.Load():
 		return errors.Mark(err, dispatcher.ErrNotSent)
-	case errors.IsAny(err, bufio.ErrTooLong, errBodyTooBig):
+	case errors.IsAny(err, bufio.ErrTooLong, errBodyTooBig, verifier.ErrHead):
 		return errors.Mark(errors.Mark(err, dispatcher.ErrBroken), dispatcher.ErrMalformed)
 	default:
 		return errors.Mark(err, dispatcher.ErrBroken)
--- a/internal/transport/dialer/endless_test.go
+++ b/internal/transport/dialer/endless_test.go
@@ -41,6 +41,33 @@
 	}
 }
 
+// answerRaw returns a handler that answers with text and ends the connection.
+func answerRaw(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = conn.Write([]byte(text))
+			_ = conn.Close()
+		}
+	}
+}
+
+// TestMalformedHeads guards against answers of plain services that are delivered although their heads are none.
+func TestMalformedHeads(t *testing.T) {
+	for name, text := range map[string]string{
+		"status 000":             "HTTP/1.1 000 Down\r\nContent-Length: 4\r\n\r\nbody",
+		"blank before the colon": "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody",
+		"blank in a name":        "HTTP/1.1 200 OK\r\nSome thing: a\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			call := dispatcher.Call{Method: http.MethodGet, Target: "/", Header: http.Header{}, Service: configurator.Service{Timeout: time.Second}}
+			response, err := (&Service{Pools: &Pools{DialTimeout: time.Second}}).Do(t.Context(), serve(t, answerRaw(text)), call)
+			require.Error(t, err, "%d %q", response.Status, response.Body)
+			assert.True(t, crdb.Is(err, dispatcher.ErrMalformed), "%v", err)
+		})
+	}
+}
+
 // TestEndlessAnswers makes each kind of call to an endpoint that answers without end.
 func TestEndlessAnswers(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
--- a/internal/transport/sender/conn.go
+++ b/internal/transport/sender/conn.go
@@ -149,6 +149,9 @@
 		if err != nil {
 			return nil, c.source.markHead(err)
 		}
+		if err := c.checkHead(response); err != nil {
+			return nil, c.source.malformed(err, 0)
+		}
 		if response.StatusCode >= 200 && matches(response, first) {
 			c.source.beginStream()
 			return response, nil
@@ -160,6 +163,14 @@
 	return nil, c.source.malformed(errTooManyMismatches, 0)
 }
 
+// checkHead returns an error if the head that was read last is malformed.
+func (c *conn) checkHead(response *http.Response) error {
+	if !response.ProtoAtLeast(1, 1) && c.source.hasCoding() {
+		return errCoding
+	}
+	return verifier.CheckHead(response)
+}
+
 func (c *conn) skip(body io.Reader) error {
 	c.source.beginBody()
 	_, err := io.Copy(io.Discard, body)
--- a/internal/transport/sender/source.go
+++ b/internal/transport/sender/source.go
@@ -23,8 +23,13 @@
 	maxCauseBytes = 200
 )
 
-// protocolName begins each response.
-const protocolName = "HTTP/"
+const (
+	// protocolName begins each response, and oldProtocol one of the version without transfer codings.
+	protocolName = "HTTP/"
+	oldProtocol  = "HTTP/1.0"
+	// codingField is the name of the field that names a transfer coding, in lower case.
+	codingField = "transfer-encoding"
+)
 
 var (
 	// errLimit is returned by Read beyond the limit.
@@ -32,6 +37,7 @@
 	errNoResponse = errors.New("bytes are no HTTP response")
 	errHeadTooBig = errors.New("head of the answer is too big")
 	errBodyTooBig = errors.New("body of the answer is too big")
+	errCoding     = errors.New("answer of HTTP/1.0 has a transfer coding")
 )
 
 // MalformedError describes an answer that is no answer or has too many bytes. It is marked
@@ -74,6 +80,8 @@
 	ended bool
 	// path is told of the bytes that are read; nil if nobody asks.
 	path Path
+	// head holds what was read since the begin of a head of HTTP/1.0; nil for other heads.
+	head []byte
 }
 
 // Read implements io.Reader.
@@ -88,6 +96,9 @@
 	if n > 0 && s.path != nil {
 		s.path.RecordBytes(time.Now())
 	}
+	if s.head != nil {
+		s.head = append(s.head, p[:n]...)
+	}
 	s.left -= int64(n)
 	s.bytes += int64(n)
 	s.ended = s.ended || err != nil
@@ -96,7 +107,7 @@
 
 // beginHead begins to read a head, and checks that it begins like one.
 func (s *source) beginHead(reader *bufio.Reader) error {
-	s.limited, s.left = true, maxHeadBytes
+	s.limited, s.left, s.head = true, maxHeadBytes, nil
 	start, err := reader.Peek(len(protocolName))
 	switch {
 	case !bytes.HasPrefix([]byte(protocolName), start):
@@ -104,9 +115,33 @@
 	case errors.Is(err, io.EOF):
 		return errors.Mark(io.ErrUnexpectedEOF, forwarder.ErrBroken)
 	}
+	if err == nil {
+		if start, err = reader.Peek(len(oldProtocol)); string(start) == oldProtocol {
+			// An error of Peek would come again.
+			buffered, _ := reader.Peek(reader.Buffered())
+			s.head = bytes.Clone(buffered)
+		}
+	}
 	return s.markHead(err)
 }
 
+// hasCoding reports whether the head of HTTP/1.0 that was read last names a transfer coding. net/http
+// passes over it, and would take the coded body for the body. It forgets the head.
+func (s *source) hasCoding() bool {
+	head := s.head
+	s.head = nil
+	for line := range bytes.Lines(head) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			return false
+		}
+		if name, _, _ := bytes.Cut(line, []byte(":")); strings.EqualFold(string(bytes.TrimSpace(name)), codingField) {
+			return true
+		}
+	}
+	return false
+}
+
 // beginStream begins to read a body without a limit.
 func (s *source) beginStream() { s.limited = false }
 
--- a/internal/transport/tunneler/detour.go
+++ b/internal/transport/tunneler/detour.go
@@ -16,6 +16,7 @@
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/forwarder"
 	"github.com/lacewingrelay/lacewingrelay/internal/coordination/pathfinder"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
+	"github.com/lacewingrelay/lacewingrelay/internal/transport/verifier"
 )
 
 const (
@@ -157,6 +158,9 @@
 	t.source.limited, t.source.left = true, headBytes
 	response, err := http.ReadResponse(t.reader, r)
 	t.source.limited = false
+	if err == nil {
+		err = verifier.CheckHead(response)
+	}
 	if err != nil {
 		return err
 	}
@@ -214,4 +218,6 @@
 	return nil
 }
 
-var holdClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: headBytes}}
+var holdClient = &http.Client{Transport: verifier.NewTransport(&http.Transport{
+	DialContext: (&net.Dialer{Timeout: peerDialTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: headBytes,
+})}
