Lines of requests say when they were complete and why an attempt was ended

Lines of requests now have `upload`, the time from the head to the end of the body, and in a stopping node `late`, from the signal to the end of the request. Broken attempts have the cause for which the node ended them.

--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -91,7 +91,7 @@
 			r.reportCrash(attempt)
 		}
 	}
-	r.withParts(r.logAttempt("attempt failed", attempt), r.Now()).Err(err).Send()
+	r.withParts(r.logAttempt("attempt failed", attempt), r.Now()).AnErr("cause", cause).Err(err).Send()
 	return err
 }
 
--- a/internal/coordination/forwarder/exchange.go
+++ b/internal/coordination/forwarder/exchange.go
@@ -94,11 +94,14 @@
 type Exchange struct {
 	ID string
 	// Caller identifies the caller in the request's fingerprint.
-	Caller   string
-	Team     cataloger.Team
-	Route    cataloger.Route
-	Service  string
+	Caller  string
+	Team    cataloger.Team
+	Route   cataloger.Route
+	Service string
+	// Received is when the head of the request had been read, and Complete when all of it had; zero
+	// if that was the same moment.
 	Received time.Time
+	Complete time.Time
 	// Deadline is when the caller stops waiting; zero if unknown.
 	Deadline time.Time
 	// Configuration is the configuration version under which the request was
@@ -121,6 +124,14 @@
 	Resumes     string
 }
 
+// completed returns when the whole request had been read.
+func (x *Exchange) completed() time.Time {
+	if x.Complete.IsZero() {
+		return x.Received
+	}
+	return x.Complete
+}
+
 // EffectiveDeadline returns the earlier of the caller's deadline and the route's
 // timeout; zero if there is neither.
 func (x *Exchange) EffectiveDeadline() time.Time {
--- a/internal/coordination/forwarder/recording.go
+++ b/internal/coordination/forwarder/recording.go
@@ -100,6 +100,12 @@
 		event = r.Log.Warn().Err(err)
 	}
 	r.addRegions(event)
+	if late, stopping := r.Stop.Since(r.completed()); stopping {
+		event.Dur("late", late)
+	}
+	if !r.Complete.IsZero() {
+		event.Dur("upload", r.Complete.Sub(r.Received))
+	}
 	event.Str("event", "request").Str("outcome", outcome(err)).Str("request", r.ID).Str("route", r.Route.Name).Str("service", r.Service).
 		Str("team", r.Team.Name).Int64("configuration", r.Configuration).Int("sends", r.attempts).Int("ran", r.executed).
 		Bool("begun", r.StreamStarted).Dur("elapsed", r.Now().Sub(r.Received)).Send()
--- a/internal/coordination/forwarder/stop.go
+++ b/internal/coordination/forwarder/stop.go
@@ -79,6 +79,17 @@
 	return nil
 }
 
+// Since returns the time from the begin of the stop to another one, negative if that was before; false
+// if the node does not stop.
+func (s *Stop) Since(at time.Time) (time.Duration, bool) {
+	if s == nil {
+		return 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return at.Sub(s.begun), !s.begun.IsZero()
+}
+
 // context returns a context that ends with ErrStopping shortly before the process ends.
 func (s *Stop) context(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
