Requests that are complete too late in a planned stop are refused, not cut

Cause: a stopping node refuses what comes later than 3 s after the signal and may outlast it. It took the time of a request from its head, while a body, above all one in chunks, may end much later; and that of the signal from the moment at which it noticed it, which a host with 0.19 of a core does late. In both cases a request that was sent later than 3 s after the signal was taken, and cut at 7.4 s.

--- a/internal/coordination/forwarder/stop.go
+++ b/internal/coordination/forwarder/stop.go
@@ -29,7 +29,7 @@
 // Its fields are set before use. It is safe for concurrent use. A nil Stop never begins.
 type Stop struct {
 	// AcceptTime is how long after its begin requests are accepted that may run longer
-	// than the node.
+	// than the node. They count from the end of their bodies.
 	AcceptTime time.Duration
 
 	mu    sync.Mutex
@@ -72,7 +72,7 @@
 	}
 	deadline := x.EffectiveDeadline()
 	outlasts := deadline.IsZero() || deadline.After(last)
-	late := x.Received.Sub(begun) >= s.AcceptTime
+	late := x.completed().Sub(begun) >= s.AcceptTime
 	if outlasts && (late || now.Add(x.Route.Objective).After(last)) {
 		return &limiter.Refusal{Cause: ErrStopping, RetryAfter: stopRetryAfter}
 	}
--- a/internal/coordination/forwarder/stop_test.go
+++ b/internal/coordination/forwarder/stop_test.go
@@ -45,6 +45,28 @@
 	})
 }
 
+// TestStopRefusesLateBodies guards against requests that are taken since their heads came early, and cut although
+// their bodies ended late.
+func TestStopRefusesLateBodies(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		received, upload time.Duration
+		want             bool
+	}{
+		{"complete early", time.Second, time.Second, false},
+		{"complete late", time.Second, 2100 * time.Millisecond, true},
+		{"received before the stop, complete late", -time.Second, 4100 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			stop, begun := &Stop{AcceptTime: 3 * time.Second}, time.Now()
+			stop.Begin(begun, begun.Add(8*time.Second))
+			received := begun.Add(c.received)
+			exchange := &Exchange{Received: received, Complete: received.Add(c.upload), Deadline: received.Add(15 * time.Second)}
+			assert.Equal(t, c.want, stop.refusal(exchange.Complete, exchange) != nil)
+		})
+	}
+}
+
 // TestStopEndsRequests covers requests that run at the end of a stop, also if they began after
 // the stop did.
 func TestStopEndsRequests(t *testing.T) {
