A silent answer is ended once its next attempt has been placed, not before

The same held for the second attempt at an answer, which ended after the timeout if its first event had not come, and for a stopping node, which refused the next attempt at a stream that had broken.

Change: when the timer of an answer that has begun expires, the next attempt is placed first, with its share of the budget; the current one is ended only then. If that fails, the answer stays where it is, the endpoint counts as failing as before, a line `silent answer` says why, and the next try comes after another timeout. An event that arrives meanwhile ends the search. The last attempt at an answer that has begun has no timer. Nodes that stop refuse no further attempt at such an answer.

Measured: all ten cases of TestSilenceWithoutAnotherEndpoint failed before, and the new cases of TestSilenceInAnswer and TestRetryResumable.

--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -13,35 +13,6 @@
 // failed.
 var errEndpointFailed = errors.New("endpoint failed the request")
 
-// stallTimeout returns the time without progress after which an attempt is
-// cancelled. It grows with the route's targets for the latency of the answer or
-// its first event and for the gap between events, which reflect how long
-// callers are willing to wait.
-func (r *run) stallTimeout() time.Duration {
-	return max(2*time.Second, 4*r.Route.Objective, 8*r.Route.GapObjective)
-}
-
-// startStallTimer returns a timer that cancels an attempt without progress. If
-// the Sender detects stalls itself, the timer has no effect.
-func (r *run) startStallTimer(cancel context.CancelCauseFunc) *time.Timer {
-	return time.AfterFunc(r.stallTimeout(), func() {
-		if !r.SenderDetectsStalls {
-			cancel(ErrStalled)
-		}
-	})
-}
-
-// restartStallTimer restarts the timer after an event. It stops the timer if the answer can't be
-// resumed elsewhere: the caller then keeps it until its deadline.
-func (r *run) restartStallTimer(timer *time.Timer) {
-	resumable := r.Route.RetryPolicy == cataloger.RetryResumable && r.executed < r.Route.Attempts && r.attempts < MaxSends
-	if !resumable {
-		timer.Stop()
-		return
-	}
-	timer.Reset(r.stallTimeout())
-}
-
 // startBeginTimer returns a timer that cancels an attempt whose answer does not begin in
 // time.
 func startBeginTimer(cancel context.CancelCauseFunc, attempt Attempt) *time.Timer {
@@ -117,7 +88,7 @@
 // deliver passes an answer to the caller, a complete one after the attempt. It returns an error if the endpoint
 // refused or failed the request, the stream was interrupted, or the caller did
 // not accept the answer.
-func (r *run) deliver(ctx context.Context, attempt Attempt, answer Answer, stallTimer *time.Timer) error {
+func (r *run) deliver(ctx context.Context, attempt Attempt, answer Answer, stallTimer *stallTimer) error {
 	if answer.RunStatus != RunExecuted {
 		r.Misdirected[attempt.Endpoint.ID] = answer.RunStatus == RunMisdirected
 		r.logAttempt("endpoint refused", attempt).Int("status", answer.Status).Send()
--- a/internal/coordination/forwarder/attempt.go
+++ b/internal/coordination/forwarder/attempt.go
@@ -18,6 +18,8 @@
 		return ErrPoison
 	}
 	attempt := r.placement.Attempt()
+	// What is read ahead may have reached the caller since it was placed.
+	attempt.LastEventID = r.Progress.LastEventID
 	r.attempts++
 	r.attemptEvent, r.survived = time.Time{}, false
 	r.Tried[attempt.Endpoint.ID] = true
@@ -27,8 +29,8 @@
 	if r.delivery != nil {
 		r.delivery.setCancel(cancel)
 	}
-	stallTimer := r.startStallTimer(cancel)
-	defer stallTimer.Stop()
+	stallTimer := r.startStallTimer(ctx, cancel)
+	defer stallTimer.end()
 	r.beginTimer = startBeginTimer(cancel, attempt)
 	defer r.beginTimer.Stop()
 	answer, err := r.Sender.Send(ctx, attempt)
@@ -36,18 +38,22 @@
 		return r.handleFailure(ctx, attempt, err)
 	}
 	defer answer.Close()
-	stallTimer.Reset(r.stallTimeout())
+	stallTimer.restart()
 	r.placement.OnAnswer(answer)
 	return r.deliver(ctx, attempt, answer, stallTimer)
 }
 
 // place waits until the Placer returns an endpoint for the next attempt.
 func (r *run) place(ctx context.Context) error {
+	if r.next != nil {
+		r.placement, r.next = r.next, nil
+		return nil
+	}
 	started := r.Now()
 	if deadline := r.EffectiveDeadline(); !deadline.IsZero() && deadline.Sub(started) < minTimeLeft {
 		return ErrTimeout
 	}
-	if err := r.Stop.refusal(started, r.Exchange); err != nil {
+	if err := r.refusal(started); err != nil {
 		return err
 	}
 	r.Exclusive = r.Exclusive || r.Suspects.Check(started, r.fingerprint) == retrier.VerdictExclusive
@@ -56,7 +62,7 @@
 		return r.markCancelled(ctx, err)
 	}
 	now := r.Now()
-	if err := r.Stop.refusal(now, r.Exchange); err != nil {
+	if err := r.refusal(now); err != nil {
 		// The stop began, or went on, while the request waited.
 		placement.Release()
 		return err
@@ -64,3 +70,11 @@
 	r.placement, r.queueTime = placement, r.queueTime+now.Sub(started)
 	return nil
 }
+
+// refusal returns the refusal of an attempt by a stopping node, or nil. It would end an answer that has begun.
+func (r *run) refusal(now time.Time) error {
+	if r.StreamStarted {
+		return nil
+	}
+	return r.Stop.refusal(now, r.Exchange)
+}
--- a/internal/coordination/forwarder/forwarder.go
+++ b/internal/coordination/forwarder/forwarder.go
@@ -76,6 +76,8 @@
 	complete *Answer
 	// cancelAttempt ends the current attempt.
 	cancelAttempt context.CancelCauseFunc
+	// next is the next attempt, if it has been placed already.
+	next Placement
 	// placement and beginTimer are those of the current attempt.
 	placement  Placement
 	beginTimer *time.Timer
@@ -129,6 +131,9 @@
 	if r.delivery != nil {
 		r.delivery.close()
 	}
+	if r.next != nil {
+		r.next.Release()
+	}
 	r.recordResult(err)
 	return err
 }
--- a/internal/coordination/forwarder/forwarder_test.go
+++ b/internal/coordination/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -330,6 +331,17 @@
 			assert.Equal(t, "2", e.attempts[1].LastEventID)
 		})
 	})
+	t.Run("resumes in a node that stops", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			e, c := &standinSender{responses: []response{stream(broken, "1"), stream(io.EOF, "2")}}, &standinSink{}
+			f := newForwarder(e)
+			f.Stop = &forwarder.Stop{AcceptTime: time.Second}
+			time.AfterFunc(time.Millisecond, func() { f.Stop.Begin(time.Now(), time.Now().Add(time.Second)) })
+			f.Backoff = func(int, error) time.Duration { return 2 * time.Millisecond }
+			require.NoError(t, f.Run(t.Context(), exchange(cataloger.RetryResumable), c))
+			assert.Equal(t, []string{"1", "2"}, c.events)
+		})
+	})
 	t.Run("does not resume with a failure answer", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			c := &standinSink{}
@@ -382,6 +394,12 @@
 			assert.Len(t, c.events, 3)
 			assert.Equal(t, 9*time.Second, took)
 		})
+	run("resumed elsewhere, and then silent before its first event", resumable, []response{stream(errors.Mark(errors.New("reset"), forwarder.ErrBroken), "1"), streamAfter(5 * time.Second)},
+		func(t *testing.T, e *standinSender, c *standinSink, err error, _ time.Duration) {
+			require.NoError(t, err)
+			assertSends(t, e, 2)
+			assert.Len(t, c.events, 2)
+		})
 	run("until the timeout", once, []response{streamAfter(0, time.Minute)},
 		func(t *testing.T, _ *standinSender, _ *standinSink, err error, took time.Duration) {
 			assertFails(t, err, forwarder.ErrTimeout)
@@ -389,6 +407,60 @@
 		})
 }
 
+// placesOnce places the first attempt only. It waits before it fails.
+type placesOnce struct {
+	forwarder.Placer
+	wait   time.Duration
+	placed bool
+}
+
+// Place implements forwarder.Placer.
+func (p *placesOnce) Place(ctx context.Context, exchange *forwarder.Exchange, progress forwarder.Progress) (forwarder.Placement, error) {
+	if !p.placed {
+		p.placed = true
+		return p.Placer.Place(ctx, exchange, progress)
+	}
+	if err := retrier.Sleep(ctx, p.wait); err != nil {
+		return nil, err
+	}
+	return nil, forwarder.ErrUnavailable
+}
+
+// TestSilenceWithoutAnotherEndpoint guards against answers that have begun and are cut because the endpoint is silent,
+// although the next attempt is then refused.
+func TestSilenceWithoutAnotherEndpoint(t *testing.T) {
+	for name, prepare := range map[string]func(f *forwarder.Forwarder){
+		"the retry budget is used up": func(f *forwarder.Forwarder) {
+			f.Budget = &retrier.WindowBudget{Length: time.Second, Nodes: func() int { return 1 }}
+		},
+		"no endpoint is free": func(f *forwarder.Forwarder) { f.Placer = &placesOnce{Placer: f.Placer} },
+		"the answer goes on while another endpoint is awaited": func(f *forwarder.Forwarder) {
+			f.Placer = &placesOnce{Placer: f.Placer, wait: time.Minute}
+		},
+		"the node stops": func(f *forwarder.Forwarder) {
+			f.Stop = &forwarder.Stop{AcceptTime: time.Second}
+			f.Stop.Begin(time.Now(), time.Now().Add(5*time.Second))
+		},
+		"the build of the answer is not known": func(f *forwarder.Forwarder) { f.Builds = &standinBuilds{} },
+	} {
+		for _, ahead := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, read ahead %t", name, ahead), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e, c := &standinSender{responses: []response{streamAfter(0, 4500*time.Millisecond)}}, &standinSink{}
+					f := newForwarder(e)
+					prepare(f)
+					if ahead {
+						f.Backlog = &forwarder.Backlog{Limit: 1 << 20}
+					}
+					require.NoError(t, f.Run(t.Context(), exchange(cataloger.RetryResumable), c))
+					assertSends(t, e, 1)
+					assert.Equal(t, []string{"1", "2"}, c.events)
+				})
+			})
+		}
+	}
+}
+
 // beginsWithin makes answers of all attempts begin within d.
 type beginsWithin struct {
 	forwarder.Placer
--- a/internal/coordination/forwarder/retry.go
+++ b/internal/coordination/forwarder/retry.go
@@ -21,6 +21,9 @@
 		return cause
 	case context.Cause(ctx) != nil:
 		return errors.Mark(cause, context.Cause(ctx))
+	case r.next != nil:
+		// It has been placed, and counts against the budget.
+		return nil
 	case errors.Is(cause, ErrNotSent):
 		// The attempt put no load on an endpoint and did not run, so it counts
 		// neither against the budget nor as an attempt of the route.
