A stopping node refuses what would still run at its end, by the last answers of the kind

Under load streams run for longer than what is left of the grace.

Change: the node keeps how long its last 32 answers of each kind took (service, objective and timeout; 256 kinds at most). A request that has not run is refused while the node stops if two in ten of these took longer than what is left. Its caller comes back after 20 ms, to another node. With less than eight answers nothing changes.

TestStopRefusesLongRequests has the load: "would still run" fails without it.

--- a/internal/coordination/forwarder/recording.go
+++ b/internal/coordination/forwarder/recording.go
@@ -92,6 +92,9 @@
 
 // recordResult logs and counts the result of the exchange.
 func (r *run) recordResult(err error) {
+	if err == nil {
+		r.Stop.recordAnswer(r.Now(), r.Exchange)
+	}
 	if r.Meter != nil {
 		r.Meter.Request(r.Service, outcome(err), r.Now().Sub(r.Received))
 	}
--- a/internal/coordination/forwarder/stop.go
+++ b/internal/coordination/forwarder/stop.go
@@ -24,7 +24,8 @@
 
 // Stop is the planned stop of a node, after which its process ends. Late requests that
 // could be cut by the end are refused, since they have not run, and those that still run
-// shortly before the end are answered with an error.
+// shortly before the end are answered with an error. How long requests run is taken from the
+// last answers of their kind.
 //
 // Its fields are set before use. It is safe for concurrent use. A nil Stop never begins.
 type Stop struct {
@@ -38,6 +39,8 @@
 	// ending is done shortly before the end.
 	ending context.Context
 	end    context.CancelFunc
+
+	durations durations
 }
 
 // Begin begins the stop of a node whose process ends at the given time.
@@ -57,9 +60,16 @@
 	}
 }
 
+// recordAnswer records a complete answer.
+func (s *Stop) recordAnswer(now time.Time, x *Exchange) {
+	if s != nil {
+		s.durations.record(kindOf(x), now.Sub(x.Received))
+	}
+}
+
 // refusal returns the refusal of a request that is about to be sent to an endpoint, or nil. A
 // request that arrived late is refused unless its caller stops waiting before the
-// node ends, and an earlier one if it would be late by then.
+// node ends, and an earlier one if it would be late by then or, as others of its kind, still run.
 func (s *Stop) refusal(now time.Time, x *Exchange) error {
 	if s == nil {
 		return nil
@@ -73,7 +83,7 @@
 	deadline := x.EffectiveDeadline()
 	outlasts := deadline.IsZero() || deadline.After(last)
 	late := x.completed().Sub(begun) >= s.AcceptTime
-	if outlasts && (late || now.Add(x.Route.Objective).After(last)) {
+	if outlasts && (late || now.Add(max(x.Route.Objective, s.durations.typical(kindOf(x)))).After(last)) {
 		return &limiter.Refusal{Cause: ErrStopping, RetryAfter: stopRetryAfter}
 	}
 	return nil
--- a/internal/coordination/forwarder/stop_test.go
+++ b/internal/coordination/forwarder/stop_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,6 +68,38 @@
 	}
 }
 
+// TestStopRefusesLongRequests guards against requests that are taken in a planned stop under load, run like the others of
+// their kind, and are cut at its end.
+func TestStopRefusesLongRequests(t *testing.T) {
+	route := func(objective time.Duration) cataloger.Route { return cataloger.Route{Objective: objective} }
+	assertRefuses := func(t *testing.T, answers []time.Duration, placed time.Duration, x *Exchange, want bool) {
+		t.Helper()
+		stop, begun := &Stop{AcceptTime: 3 * time.Second}, time.Now()
+		for _, took := range answers {
+			stop.recordAnswer(begun, &Exchange{Received: begun.Add(-took), Service: "s", Route: route(time.Second)})
+		}
+		stop.Begin(begun, begun.Add(8*time.Second))
+		x.Received = begun.Add(placed)
+		assert.Equal(t, want, stop.refusal(x.Received, x) != nil)
+	}
+	long := slices.Repeat([]time.Duration{5 * time.Second}, maxDurations)
+	same := func() *Exchange { return &Exchange{Service: "s", Route: route(time.Second)} }
+	t.Run("would still run", func(t *testing.T) { assertRefuses(t, long, 2900*time.Millisecond, same(), true) })
+	t.Run("ends in time", func(t *testing.T) { assertRefuses(t, long, 2700*time.Millisecond, same(), false) })
+	t.Run("of another kind", func(t *testing.T) {
+		assertRefuses(t, long, 2900*time.Millisecond, &Exchange{Service: "s", Route: route(500 * time.Millisecond)}, false)
+	})
+	t.Run("too few are known", func(t *testing.T) {
+		assertRefuses(t, long[:minDurations-1], 2900*time.Millisecond, same(), false)
+	})
+	t.Run("a few long ones are not typical", func(t *testing.T) {
+		assertRefuses(t, append(slices.Repeat([]time.Duration{time.Second}, maxDurations*7/8), long[:maxDurations/8]...), 2900*time.Millisecond, same(), false)
+	})
+	t.Run("long ones that are forgotten", func(t *testing.T) {
+		assertRefuses(t, append(slices.Clone(long), slices.Repeat([]time.Duration{time.Second}, maxDurations)...), 2900*time.Millisecond, same(), false)
+	})
+}
+
 // TestStopEndsRequests covers requests that run at the end of a stop, also if they began after
 // the stop did.
 func TestStopEndsRequests(t *testing.T) {
