--- a/internal/coordination/forwarder/stall.go
+++ b/internal/coordination/forwarder/stall.go
@@ -31,8 +31,10 @@
 	// follow this one.
 	begun, resumable bool
 
-	// events counts the events of the attempt.
-	events atomic.Int64
+	// events counts the events of the attempt, and stopSearch ends the search for the next one; nil if there
+	// was none.
+	events     atomic.Int64
+	stopSearch atomic.Pointer[context.CancelFunc]
 
 	// mu is held while the next attempt is being placed.
 	mu    sync.Mutex
@@ -59,6 +61,9 @@
 // resumed elsewhere: the caller then keeps it until its deadline.
 func (t *stallTimer) restartAfterEvent() {
 	t.events.Add(1)
+	if stop := t.stopSearch.Load(); stop != nil {
+		(*stop)()
+	}
 	if !t.resumable {
 		t.timer.Stop()
 		return
@@ -66,6 +71,7 @@
 	t.timer.Reset(t.run.stallTimeout())
 }
 
+// expire ends an attempt whose answer has not begun, and otherwise searches for another endpoint first.
 func (t *stallTimer) expire() {
 	events := t.events.Load()
 	switch {
@@ -82,7 +88,10 @@
 	if t.ended {
 		return
 	}
-	next, err := t.run.placeNext(t.ctx)
+	ctx, stop := context.WithCancel(t.ctx)
+	defer stop()
+	t.stopSearch.Store(&stop)
+	next, err := t.run.placeNext(ctx)
 	switch {
 	case t.ctx.Err() != nil || t.events.Load() != events:
 		if err == nil {
