--- a/internal/coordination/forwarder/answer.go
+++ b/internal/coordination/forwarder/answer.go
@@ -88,7 +88,7 @@
 // deliver passes an answer to the caller, a complete one after the attempt. It returns an error if the endpoint
 // refused or failed the request, the stream was interrupted, or the caller did
 // not accept the answer.
-func (r *run) deliver(ctx context.Context, attempt Attempt, answer Answer, stallTimer *stallTimer) error {
+func (r *run) deliver(ctx context.Context, attempt Attempt, answer Answer, timer *stallTimer) error {
 	if answer.RunStatus != RunExecuted {
 		r.Misdirected[attempt.Endpoint.ID] = answer.RunStatus == RunMisdirected
 		r.logAttempt("endpoint refused", attempt).Int("status", answer.Status).Send()
@@ -96,7 +96,7 @@
 	}
 	r.executed++
 	if answer.EventStream != nil {
-		return r.relayEvents(ctx, attempt, answer, stallTimer)
+		return r.relayEvents(ctx, attempt, answer, timer)
 	}
 	if r.StreamStarted {
 		return errors.Wrapf(ErrBroken, "status %d in the middle of a stream", answer.Status)
--- a/internal/coordination/forwarder/attempt.go
+++ b/internal/coordination/forwarder/attempt.go
@@ -29,8 +29,8 @@
 	if r.delivery != nil {
 		r.delivery.setCancel(cancel)
 	}
-	stallTimer := r.startStallTimer(ctx, cancel)
-	defer stallTimer.end()
+	timer := r.startStallTimer(ctx, cancel)
+	defer timer.end()
 	r.beginTimer = startBeginTimer(cancel, attempt)
 	defer r.beginTimer.Stop()
 	answer, err := r.Sender.Send(ctx, attempt)
@@ -38,9 +38,9 @@
 		return r.handleFailure(ctx, attempt, err)
 	}
 	defer answer.Close()
-	stallTimer.restart()
+	timer.restart()
 	r.placement.OnAnswer(answer)
-	return r.deliver(ctx, attempt, answer, stallTimer)
+	return r.deliver(ctx, attempt, answer, timer)
 }
 
 // place waits until the Placer returns an endpoint for the next attempt.
@@ -71,7 +71,8 @@
 	return nil
 }
 
-// refusal returns the refusal of an attempt by a stopping node, or nil. It would end an answer that has begun.
+// refusal returns the refusal of an attempt by a stopping node, or nil. An answer that has begun goes on, as a
+// refusal would end it.
 func (r *run) refusal(now time.Time) error {
 	if r.StreamStarted {
 		return nil
--- a/internal/coordination/forwarder/recording.go
+++ b/internal/coordination/forwarder/recording.go
@@ -103,7 +103,7 @@
 		event = r.Log.Warn().Err(err)
 	}
 	r.addRegions(event)
-	if late, stopping := r.Stop.Since(r.completed()); stopping {
+	if late, stopping := r.Stop.since(r.completed()); stopping {
 		event.Dur("late", late)
 	}
 	if !r.Complete.IsZero() {
--- a/internal/coordination/forwarder/relay.go
+++ b/internal/coordination/forwarder/relay.go
@@ -10,7 +10,7 @@
 // relayEvents queues the events of a stream for the caller as they arrive. The
 // head is delivered with the first event; a stream that fails before its first
 // event can still be retried on another endpoint.
-func (r *run) relayEvents(ctx context.Context, attempt Attempt, answer Answer, stallTimer *stallTimer) error {
+func (r *run) relayEvents(ctx context.Context, attempt Attempt, answer Answer, timer *stallTimer) error {
 	events := 0
 	for {
 		event, err := answer.EventStream.Next()
@@ -26,7 +26,7 @@
 				return r.handleFailure(ctx, attempt, errors.Mark(err, ErrMalformed))
 			}
 		}
-		stallTimer.restartAfterEvent()
+		timer.restartAfterEvent()
 		r.beginTimer.Stop()
 		r.placement.OnEvent(events == 0)
 		r.recordFirstEvent()
@@ -40,7 +40,7 @@
 			return err
 		}
 		// The stream was not read while the caller was too far behind.
-		stallTimer.restartAfterEvent()
+		timer.restartAfterEvent()
 		events++
 	}
 }
--- a/internal/coordination/forwarder/stop.go
+++ b/internal/coordination/forwarder/stop.go
@@ -89,9 +89,9 @@
 	return nil
 }
 
-// Since returns the time from the begin of the stop to another one, negative if that was before; false
+// since returns the time from the begin of the stop to another one, negative if that was before; false
 // if the node does not stop.
-func (s *Stop) Since(at time.Time) (time.Duration, bool) {
+func (s *Stop) since(at time.Time) (time.Duration, bool) {
 	if s == nil {
 		return 0, false
 	}
--- a/internal/transport/sender/source.go
+++ b/internal/transport/sender/source.go
@@ -116,17 +116,27 @@
 		return errors.Mark(io.ErrUnexpectedEOF, forwarder.ErrBroken)
 	}
 	if err == nil {
-		if start, err = reader.Peek(len(oldProtocol)); string(start) == oldProtocol {
-			// An error of Peek would come again.
-			buffered, _ := reader.Peek(reader.Buffered())
-			s.head = bytes.Clone(buffered)
-		}
+		err = s.keepOldHead(reader)
 	}
 	return s.markHead(err)
 }
 
-// hasCoding reports whether the head of HTTP/1.0 that was read last names a transfer coding. net/http
-// passes over it, and would take the coded body for the body. It forgets the head.
+// keepOldHead begins to keep a head if it is one of HTTP/1.0.
+func (s *source) keepOldHead(reader *bufio.Reader) error {
+	start, err := reader.Peek(len(oldProtocol))
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	if string(start) == oldProtocol {
+		// These bytes are there, so that Peek does not fail.
+		buffered, _ := reader.Peek(reader.Buffered())
+		s.head = bytes.Clone(buffered)
+	}
+	return err
+}
+
+// hasCoding reports whether the head of HTTP/1.0 that was read last names a transfer coding, and forgets the
+// head. net/http passes over such a field, and would take the coded body for the body.
 func (s *source) hasCoding() bool {
 	head := s.head
 	s.head = nil
