The build of a stream's next attempt is found in one place

placeNext repeated what keepBuild does: the build of the answer that this run has begun, unless it is known already. Both call nextBuild now.

--- a/internal/coordination/forwarder/builds.go
+++ b/internal/coordination/forwarder/builds.go
@@ -87,10 +87,7 @@
 // keepBuild makes sure that the next attempt at a stream that this run began goes to the same
 // build.
 func (r *run) keepBuild() error {
-	if r.beginning == nil || r.Progress.Build != (resumer.Build{}) {
-		return nil
-	}
-	build, known, _ := r.Builds.Build(*r.beginning)
+	build, known := r.nextBuild()
 	if !known {
 		r.logOrigin(build, known)
 		return ErrBuildUnknown
@@ -99,6 +96,16 @@
 	return nil
 }
 
+// nextBuild returns the build that the next attempt must go to, zero for any; false if this run began a stream
+// at a build that is not known.
+func (r *run) nextBuild() (build resumer.Build, known bool) {
+	if r.beginning == nil || r.Progress.Build != (resumer.Build{}) {
+		return r.Progress.Build, true
+	}
+	build, known, _ = r.Builds.Build(*r.beginning)
+	return build, known
+}
+
 func (r *run) logOrigin(build resumer.Build, known bool) {
 	r.Log.Info().Str("event", "stream origin").Str("request", r.ID).Str("resumes", r.Resumes).Bool("known", known).
 		Str("service", build.Service).Str("build", build.Version).Dur("age", r.Builds.Age()).Send()
--- a/internal/coordination/forwarder/stall.go
+++ b/internal/coordination/forwarder/stall.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/lacewingrelay/lacewingrelay/internal/coordination/resumer"
 	"github.com/lacewingrelay/lacewingrelay/internal/state/cataloger"
 )
 
@@ -121,15 +120,12 @@
 	if err := r.Stop.refusal(r.Now(), r.Exchange); err != nil {
 		return nil, err
 	}
-	progress := Progress{
-		Tried: r.Progress.Tried, Misdirected: r.Progress.Misdirected, StreamStarted: true, Build: r.Progress.Build, Exclusive: r.Progress.Exclusive,
+	build, known := r.nextBuild()
+	if !known {
+		return nil, ErrBuildUnknown
 	}
-	if r.beginning != nil && progress.Build == (resumer.Build{}) {
-		build, known, _ := r.Builds.Build(*r.beginning)
-		if !known {
-			return nil, ErrBuildUnknown
-		}
-		progress.Build = build
+	progress := Progress{
+		Tried: r.Progress.Tried, Misdirected: r.Progress.Misdirected, StreamStarted: true, Build: build, Exclusive: r.Progress.Exclusive,
 	}
 	next, err := r.Placer.Place(ctx, r.Exchange, progress)
 	if err != nil {
